--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run apart from the tests by `make bench`."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,17 @@
+"""Runs every benchmark, or those named on the command line."""
+
+import importlib
+import sys
+from typing import Final
+
+BENCHMARKS: Final[tuple[str, ...]] = ()
+
+
+def main() -> None:
+    """Runs the benchmarks."""
+    for name in sys.argv[1:] or BENCHMARKS:
+        print(f"== {name}")
+        importlib.import_module(f"bench.{name}").main()
+
+
+main()
--- /dev/null
+++ b/figstream/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with service levels and priorities."""
--- /dev/null
+++ b/figstream/configuration.py
@@ -0,0 +1,152 @@
+"""The configuration in force: everything operators decide.
+
+A configuration is immutable. A change makes a new one with a higher
+generation; daemons swap the whole object.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import functools
+
+import attrs
+
+from figstream import api_key
+from figstream import backend_server
+from figstream import customer as customer_lib
+from figstream import errors
+from figstream import request_class as request_class_lib
+from figstream import route as route_lib
+
+
+@attrs.frozen(slots=False)
+class Configuration:
+    """One generation of the configuration.
+
+    Attributes:
+      generation: rises by one with each accepted change.
+      customers: all customers.
+      keys: all keys, withdrawn ones included.
+      classes: all request classes.
+      servers: all backend servers.
+      routes: all routes to plain services.
+      default_class: class of requests that name none.
+    """
+
+    generation: int = 0
+    customers: tuple[customer_lib.Customer, ...] = ()
+    keys: tuple[api_key.KeyRecord, ...] = ()
+    classes: tuple[request_class_lib.RequestClass, ...] = ()
+    servers: tuple[backend_server.BackendServer, ...] = ()
+    routes: tuple[route_lib.Route, ...] = ()
+    default_class: str = ""
+
+    @functools.cached_property
+    def customers_by_name(self) -> Mapping[str, customer_lib.Customer]:
+        """Returns the customers by name."""
+        return {item.name: item for item in self.customers}
+
+    @functools.cached_property
+    def keys_by_id(self) -> Mapping[str, api_key.KeyRecord]:
+        """Returns the keys by id."""
+        return {item.key_id: item for item in self.keys}
+
+    @functools.cached_property
+    def classes_by_name(
+        self,
+    ) -> Mapping[str, request_class_lib.RequestClass]:
+        """Returns the request classes by name."""
+        return {item.name: item for item in self.classes}
+
+    @functools.cached_property
+    def servers_by_name(self) -> Mapping[str, backend_server.BackendServer]:
+        """Returns the backend servers by name."""
+        return {item.name: item for item in self.servers}
+
+    @functools.cached_property
+    def models(self) -> tuple[str, ...]:
+        """Returns the names of all models, sorted."""
+        return tuple(
+            sorted({model for item in self.servers for model in item.models})
+        )
+
+    @functools.cached_property
+    def routes_by_length(self) -> tuple[route_lib.Route, ...]:
+        """Returns the routes, longest prefix first."""
+        return tuple(sorted(self.routes, key=lambda item: -len(item.prefix)))
+
+    def route_for(self, path: str) -> route_lib.Route | None:
+        """Returns the route with the longest prefix of the path."""
+        return next(
+            (
+                item
+                for item in self.routes_by_length
+                if path == item.prefix or path.startswith(item.prefix + "/")
+            ),
+            None,
+        )
+
+
+def check(configuration: Configuration) -> None:
+    """Checks the rules that span several parts of a configuration.
+
+    Raises:
+      errors.ConfigurationError: names every broken rule and its remedy.
+    """
+    found = [*_duplicates(configuration), *_dangling(configuration)]
+    found += _out_of_range(configuration)
+    if found:
+        raise errors.ConfigurationError("; ".join(found))
+
+
+def _duplicates(configuration: Configuration) -> Iterable[str]:
+    named: dict[str, list[str]] = {
+        "customer": [item.name for item in configuration.customers],
+        "key": [item.key_id for item in configuration.keys],
+        "class": [item.name for item in configuration.classes],
+        "backend server": [item.name for item in configuration.servers],
+        "route": [item.prefix for item in configuration.routes],
+    }
+    for kind, names in named.items():
+        doubled = sorted({name for name in names if names.count(name) > 1})
+        for name in doubled:
+            yield f"{kind} {name!r} is defined twice; remove one"
+
+
+def _dangling(configuration: Configuration) -> Iterable[str]:
+    classes = set(configuration.classes_by_name)
+    customers = set(configuration.customers_by_name)
+    for key in configuration.keys:
+        if key.customer not in customers:
+            yield f"key {key.key_id!r}: add customer {key.customer!r} first"
+    for item in configuration.customers:
+        for name in sorted(set(item.classes) - classes):
+            yield f"customer {item.name!r}: add class {name!r} first"
+    for server in configuration.servers:
+        for name in sorted(set(server.classes) - classes):
+            yield f"backend server {server.name!r}: add class {name!r} first"
+    for route in configuration.routes:
+        if route.request_class not in classes:
+            yield f"route {route.prefix!r}: add class {route.request_class!r}"
+        for name in sorted(set(route.customers) - customers):
+            yield f"route {route.prefix!r}: add customer {name!r} first"
+    if configuration.default_class not in {*classes, ""}:
+        yield f"default class: add class {configuration.default_class!r} first"
+
+
+def _out_of_range(configuration: Configuration) -> Iterable[str]:
+    for item in configuration.classes:
+        if item.tier < 0:
+            yield f"class {item.name!r}: tier must be 0 or more"
+        if not 0.0 <= item.minimum_share <= 1.0:
+            yield f"class {item.name!r}: minimum_share must be 0 to 1"
+    if sum(item.minimum_share for item in configuration.classes) > 1.0:
+        yield "classes: minimum shares must add up to 1 at most; lower some"
+    for customer in configuration.customers:
+        if customer.weight <= 0:
+            yield f"customer {customer.name!r}: weight must be above 0"
+    for server in configuration.servers:
+        if server.slots < 1:
+            yield f"backend server {server.name!r}: slots must be 1 or more"
+    for route in configuration.routes:
+        if not route.prefix.startswith("/") or len(route.prefix) < 2:
+            yield f"route {route.prefix!r}: start the prefix with '/'"
--- /dev/null
+++ b/figstream/logs.py
@@ -0,0 +1,59 @@
+"""Log lines of key=value pairs, one for each event.
+
+Callers pass identifiers and figures only; keys and prompt text never reach
+this module.
+"""
+
+import json
+import sys
+from typing import Final
+
+from absl import logging
+
+_PLAIN: Final = frozenset(
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+"
+)
+LEVELS: Final = ("debug", "info", "warning", "error")
+
+
+def configure(level: str) -> None:
+    """Sends log lines of the given level and above to standard error."""
+    logging.use_absl_handler()
+    logging.set_verbosity(level)
+    logging.set_stderrthreshold(level)
+    logging.get_absl_handler().python_handler.stream = sys.stderr
+
+
+def quote(value: object) -> str:
+    """Returns the value, quoted when it holds anything but plain text."""
+    text = str(value)
+    if text and all(char in _PLAIN for char in text):
+        return text
+    return json.dumps(text)
+
+
+def line(event: str, **fields: object) -> str:
+    """Returns the log line of an event."""
+    pairs = (f"{key}={quote(value)}" for key, value in fields.items())
+    return " ".join((f"event={event}", *pairs))
+
+
+def debug(event: str, **fields: object) -> None:
+    """Logs an event that only a maintainer wants."""
+    if logging.vlog_is_on(1):
+        logging.debug(line(event, **fields))
+
+
+def info(event: str, **fields: object) -> None:
+    """Logs an event of normal operation."""
+    logging.info(line(event, **fields))
+
+
+def warning(event: str, **fields: object) -> None:
+    """Logs an event that an operator may want to act on."""
+    logging.warning(line(event, **fields))
+
+
+def error(event: str, **fields: object) -> None:
+    """Logs an event that an operator must act on."""
+    logging.error(line(event, **fields))
--- /dev/null
+++ b/figstream/main.py
@@ -0,0 +1,78 @@
+"""The command line: a thin layer over the modules that do the work."""
+
+import importlib.metadata
+import pathlib
+import sys
+from typing import Annotated
+from typing import Final
+
+import typer
+
+from figstream import errors
+from figstream import options
+
+EXIT_INVALID: Final = 2
+
+app = typer.Typer(
+    help="A router for language-model traffic with service levels.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+ConfigFile = Annotated[
+    pathlib.Path, typer.Option("--config", help="The INI settings file.")
+]
+
+
+def _show_version(wanted: bool) -> None:
+    if wanted:
+        typer.echo(f"figstream {version()}")
+        raise typer.Exit
+
+
+def version() -> str:
+    """Returns the installed version, or "0+source" in a work tree."""
+    try:
+        return importlib.metadata.version("figstream")
+    except importlib.metadata.PackageNotFoundError:
+        return "0+source"
+
+
+@app.callback()
+def common(
+    show_version: Annotated[
+        bool,
+        typer.Option(
+            "--version",
+            callback=_show_version,
+            is_eager=True,
+            help="Show the version and exit.",
+        ),
+    ] = False,
+) -> None:
+    """A router for language-model traffic with service levels."""
+
+
+@app.command("check-config")
+def check_config(
+    file: Annotated[pathlib.Path, typer.Argument(help="The INI file.")],
+) -> None:
+    """Check a settings file and report every fault in it."""
+    found = load_options(file)
+    typer.echo(f"{file}: valid settings of VM {found.name} in {found.zone}")
+
+
+def load_options(file: pathlib.Path) -> options.Options:
+    """Reads settings, or prints every fault and exits."""
+    try:
+        return options.read(file)
+    except errors.SettingsError as error:
+        for fault in error.faults:
+            typer.echo(f"{file}: {fault}", err=True)
+        sys.exit(EXIT_INVALID)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
--- /dev/null
+++ b/figstream/metrics.py
@@ -0,0 +1,102 @@
+"""OpenTelemetry instruments, read by Prometheus.
+
+Each refusal and each retry is counted under its reason.
+"""
+
+from opentelemetry import metrics as otel_metrics
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
+
+from figstream import reasons
+
+_SECONDS_BUCKETS = (
+    0.005,
+    0.01,
+    0.02,
+    0.035,
+    0.051,
+    0.1,
+    0.2,
+    0.43,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+class Metrics:
+    """The instruments of one daemon."""
+
+    def __init__(self, meter: otel_metrics.Meter) -> None:
+        """Creates every instrument on the meter."""
+        self._refusals = meter.create_counter("figstream_refusals")
+        self._retries = meter.create_counter("figstream_retries")
+        self._requests = meter.create_counter("figstream_requests")
+        self._events = meter.create_counter("figstream_events")
+        self._tokens = meter.create_counter("figstream_tokens")
+        self._durations = {
+            name: meter.create_histogram(
+                f"figstream_{name}",
+                unit="s",
+                explicit_bucket_boundaries_advisory=_SECONDS_BUCKETS,
+            )
+            for name in ("first_token", "between_tokens", "queue_time")
+        }
+
+    def refused(
+        self, reason: reasons.RefusalReason, request_class: str = ""
+    ) -> None:
+        """Counts a refusal under its reason."""
+        self._refusals.add(1, {"reason": reason.value, "class": request_class})
+
+    def retried(
+        self, reason: reasons.RetryReason, request_class: str = ""
+    ) -> None:
+        """Counts a retry under its reason."""
+        self._retries.add(1, {"reason": reason.value, "class": request_class})
+
+    def answered(self, request_class: str) -> None:
+        """Counts a request answered whole."""
+        self._requests.add(1, {"class": request_class})
+
+    def event(self, name: str, amount: int = 1) -> None:
+        """Counts an event of a background role under its name."""
+        self._events.add(amount, {"event": name})
+
+    def tokens(self, kind: str, customer: str, amount: int) -> None:
+        """Counts tokens of a customer; kind is "prompt" or "output"."""
+        self._tokens.add(amount, {"kind": kind, "customer": customer})
+
+    def first_token(self, request_class: str, seconds: float) -> None:
+        """Records the time from arrival to the first byte of the answer."""
+        self._durations["first_token"].record(seconds, {"class": request_class})
+
+    def between_tokens(self, request_class: str, seconds: float) -> None:
+        """Records a mean time between the tokens of one answer."""
+        self._durations["between_tokens"].record(
+            seconds, {"class": request_class}
+        )
+
+    def queue_time(self, request_class: str, seconds: float) -> None:
+        """Records the time from arrival to dispatch."""
+        self._durations["queue_time"].record(seconds, {"class": request_class})
+
+
+def make_metrics() -> Metrics:
+    """Creates the instruments and registers them with Prometheus."""
+    reader = prometheus.PrometheusMetricReader()
+    provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+    return Metrics(provider.get_meter("figstream"))
+
+
+def make_unexported_metrics() -> Metrics:
+    """Creates instruments that record nothing, for tests and benchmarks."""
+    return Metrics(otel_metrics.NoOpMeter("figstream"))
+
+
+def exposition() -> bytes:
+    """Returns every metric in the Prometheus text format."""
+    return prometheus_client.generate_latest()
--- /dev/null
+++ b/figstream/platform_memory.py
@@ -0,0 +1,296 @@
+"""The platform in memory, with faults that a test can set.
+
+It is the core of the stand-in platform: the HTTP stand-in serves it, and
+tests use it directly.
+"""
+
+from collections.abc import Sequence
+import itertools
+
+import anyio
+import attrs
+
+from figstream import platform_api
+
+
+@attrs.define
+class Faults:
+    """Faults of the object API that a test can set.
+
+    Attributes:
+      down: every call fails without effect.
+      lose_answers: writes that take effect but answer `Unknown`, counted
+        down by one each.
+      lose_requests: writes that do not take effect but answer `Unknown`.
+      delay_s: seconds added to each call.
+      break_watches: whether watches report a gap.
+      blocked_clients: client names that cannot reach the platform.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    lose_requests: int = 0
+    delay_s: float = 0.0
+    break_watches: bool = False
+    blocked_clients: set[str] = attrs.field(factory=set)
+
+
+class MemoryObjectStore:
+    """Versioned objects in memory; satisfies `platform_api.ObjectStore`."""
+
+    def __init__(self, faults: Faults | None = None) -> None:
+        """Starts empty."""
+        self.faults = faults or Faults()
+        self.reads = 0
+        self.writes = 0
+        self._objects: dict[str, platform_api.Found] = {}
+        self._history: list[str] = []
+        self._versions = itertools.count(1)
+        self._changed = anyio.Event()
+
+    async def read(self, name: str) -> platform_api.ReadOutcome:
+        """Reads one object."""
+        self.reads += 1
+        if outage := await self._disturb():
+            return outage
+        return self._objects.get(name) or platform_api.Absent(name)
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Writes an object that has the version; 0 means it is absent."""
+        if refused := await self._before_write(name, expected_version):
+            return refused
+        if len(body) > platform_api.MAX_OBJECT_BYTES:
+            return platform_api.Unavailable("the object exceeds a megabyte")
+        version = next(self._versions)
+        self._objects[name] = platform_api.Found(name, version, body)
+        return self._after_write(name, version)
+
+    async def delete(
+        self, name: str, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Deletes an object that has the version."""
+        if refused := await self._before_write(name, expected_version):
+            return refused
+        self._objects.pop(name, None)
+        return self._after_write(name, next(self._versions))
+
+    async def list_names(
+        self, prefix: str
+    ) -> Sequence[str] | platform_api.Unavailable:
+        """Lists the names that start with the prefix."""
+        self.reads += 1
+        if outage := await self._disturb():
+            return outage
+        return sorted(name for name in self._objects if name.startswith(prefix))
+
+    async def watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> platform_api.Changes | platform_api.Unavailable:
+        """Waits for changes after the position; counts as one call."""
+        self.reads += 1
+        if outage := await self._disturb():
+            return outage
+        with anyio.move_on_after(timeout_s):
+            while not self._names_since(prefix, position):
+                await self._changed.wait()
+        if self.faults.down:
+            return platform_api.Unavailable("the platform is down")
+        return platform_api.Changes(
+            self._names_since(prefix, position),
+            len(self._history),
+            gap=self.faults.break_watches or position > len(self._history),
+        )
+
+    def _names_since(self, prefix: str, position: int) -> tuple[str, ...]:
+        recent = self._history[position:]
+        return tuple(name for name in recent if name.startswith(prefix))
+
+    async def _before_write(
+        self, name: str, expected_version: int
+    ) -> platform_api.WriteOutcome | None:
+        self.writes += 1
+        if outage := await self._disturb():
+            return outage
+        if self.faults.lose_requests > 0:
+            self.faults.lose_requests -= 1
+            return platform_api.Unknown("the request was lost")
+        found = self._objects.get(name)
+        version = found.version if found else platform_api.ABSENT_VERSION
+        if version != expected_version:
+            return platform_api.Conflict(version)
+        return None
+
+    def _after_write(
+        self, name: str, version: int
+    ) -> platform_api.WriteOutcome:
+        self._history.append(name)
+        self._changed.set()
+        self._changed = anyio.Event()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return platform_api.Unknown("the answer was lost")
+        return platform_api.Written(version)
+
+    async def _disturb(self) -> platform_api.Unavailable | None:
+        if self.faults.delay_s:
+            await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return platform_api.Unavailable("the platform is down")
+        return None
+
+
+class MemoryVmList:
+    """The list of VMs in memory; satisfies `platform_api.VmList`."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.vms: dict[str, platform_api.VirtualMachine] = {}
+        self.down = False
+
+    async def list_vms(
+        self,
+    ) -> Sequence[platform_api.VirtualMachine] | platform_api.Unavailable:
+        """Lists the VMs of the system."""
+        if self.down:
+            return platform_api.Unavailable("the platform is down")
+        return list(self.vms.values())
+
+
+class MemoryServerOrders:
+    """Receives orders; satisfies `platform_api.ServerOrders`."""
+
+    def __init__(self, *, checks_fencing: bool = True) -> None:
+        """Starts with no backend servers."""
+        self.checks_fencing = checks_fencing
+        self.down = False
+        self.none_available: set[tuple[str, bool]] = set()
+        self.received: list[platform_api.ServerOrder] = []
+        self.servers: dict[str, platform_api.OrderedServer] = {}
+        self._highest: dict[str, int] = {}
+        self._answers: dict[str, platform_api.OrderOutcome] = {}
+
+    async def send(
+        self, order: platform_api.ServerOrder
+    ) -> platform_api.OrderOutcome:
+        """Carries out one order, once for each order id."""
+        if self.down:
+            return platform_api.Unavailable("the platform is down")
+        if order.order_id in self._answers:
+            return self._answers[order.order_id]
+        highest = self._highest.get(order.zone, 0)
+        if self.checks_fencing and order.fencing < highest:
+            return platform_api.OrderRefused(
+                "a newer holder has sent orders", old_fencing=True
+            )
+        self._highest[order.zone] = max(highest, order.fencing)
+        self.received.append(order)
+        outcome = self._carry_out(order)
+        self._answers[order.order_id] = outcome
+        return outcome
+
+    async def list_servers(
+        self, zone: str
+    ) -> Sequence[platform_api.OrderedServer] | platform_api.Unavailable:
+        """Lists the backend servers that run in a zone."""
+        if self.down:
+            return platform_api.Unavailable("the platform is down")
+        return [item for item in self.servers.values() if item.zone == zone]
+
+    def reclaim(self, zone: str) -> None:
+        """Takes back every reclaimable backend server of a zone."""
+        self.servers = {
+            name: item
+            for name, item in self.servers.items()
+            if item.zone != zone or not item.reclaimable
+        }
+
+    def _carry_out(
+        self, order: platform_api.ServerOrder
+    ) -> platform_api.OrderOutcome:
+        if order.kind is platform_api.OrderKind.START:
+            return self._start(order)
+        if order.target not in self.servers:
+            return platform_api.OrderRefused("no such backend server")
+        if order.kind is platform_api.OrderKind.STOP:
+            del self.servers[order.target]
+        if order.kind is platform_api.OrderKind.LOAD_MODEL:
+            self.servers[order.target] = attrs.evolve(
+                self.servers[order.target], model=order.model
+            )
+        return platform_api.OrderAccepted(order.target)
+
+    def _start(
+        self, order: platform_api.ServerOrder
+    ) -> platform_api.OrderOutcome:
+        if (order.zone, order.reclaimable) in self.none_available:
+            return platform_api.OrderRefused(
+                "none can be had in this zone", none_available=True
+            )
+        name = f"ordered-{order.order_id}"
+        self.servers[name] = platform_api.OrderedServer(
+            name,
+            "",
+            order.zone,
+            order.model,
+            order.reclaimable,
+            order_id=order.order_id,
+        )
+        return platform_api.OrderAccepted(name)
+
+
+class MemoryUsageReports:
+    """Books usage reports; satisfies `platform_api.UsageReports`."""
+
+    def __init__(self) -> None:
+        """Starts with no reports."""
+        self.down = False
+        self.lose_answers = 0
+        self.booked: dict[str, bytes] = {}
+        self.calls: list[tuple[str, bytes, int]] = []
+
+    async def report(
+        self, window: str, body: bytes, fencing: int
+    ) -> platform_api.ReportOutcome:
+        """Books the figures of a window; refuses different ones."""
+        if self.down:
+            return platform_api.Unavailable("the platform is down")
+        self.calls.append((window, body, fencing))
+        if self.booked.setdefault(window, body) != body:
+            return platform_api.ReportRefused("booked with other figures")
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return platform_api.Unknown("the answer was lost")
+        return platform_api.ReportAccepted()
+
+
+class MemoryWeightStore:
+    """Grants model loads; satisfies `platform_api.WeightStore`."""
+
+    def __init__(self, wait_s: float = 0.0) -> None:
+        """Grants loads after the given wait."""
+        self.wait_s = wait_s
+        self.reserved: list[str] = []
+
+    async def reserve(self, model: str) -> float | platform_api.Unavailable:
+        """Asks to load a model; returns seconds to wait, 0 for none."""
+        self.reserved.append(model)
+        return self.wait_s
+
+
+@attrs.define
+class MemoryPlatform:
+    """Every part of the platform, each open to a test's faults."""
+
+    objects: MemoryObjectStore = attrs.field(factory=MemoryObjectStore)
+    vms: MemoryVmList = attrs.field(factory=MemoryVmList)
+    orders: MemoryServerOrders = attrs.field(factory=MemoryServerOrders)
+    usage: MemoryUsageReports = attrs.field(factory=MemoryUsageReports)
+    weights: MemoryWeightStore = attrs.field(factory=MemoryWeightStore)
+
+    def interfaces(self) -> platform_api.Platform:
+        """Returns the platform as the daemon sees it."""
+        return platform_api.Platform(
+            self.objects, self.vms, self.orders, self.usage, self.weights
+        )
--- /dev/null
+++ b/figstream/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Schemas of the gRPC services and the code generated from them."""
--- /dev/null
+++ b/figstream/serialization.py
@@ -0,0 +1,41 @@
+"""JSON encoding of the project's attrs classes."""
+
+from typing import TypeVar
+
+import cattrs
+import cattrs.preconf.orjson
+import orjson
+
+from figstream import errors
+
+_T = TypeVar("_T")
+
+_converter = cattrs.preconf.orjson.make_converter(forbid_extra_keys=True)
+
+
+def to_json(value: object) -> bytes:
+    """Encodes an attrs object as JSON with a stable order of keys."""
+    return orjson.dumps(
+        _converter.unstructure(value), option=orjson.OPT_SORT_KEYS
+    )
+
+
+def from_json(data: bytes | str, kind: type[_T]) -> _T:
+    """Decodes JSON into an attrs class.
+
+    Raises:
+      errors.ConfigurationError: the data is not JSON of this class.
+    """
+    try:
+        return _converter.structure(orjson.loads(data), kind)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+        found = "; ".join(_reasons(error))
+        raise errors.ConfigurationError(
+            f"not a valid {kind.__name__}: {found}; correct the fields named"
+        ) from error
+
+
+def _reasons(error: BaseException) -> list[str]:
+    if isinstance(error, cattrs.BaseValidationError):
+        return cattrs.transform_error(error)
+    return [str(error)]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of figstream, run by pytest."""
