--- /dev/null
+++ b/figstream/http_server.py
@@ -0,0 +1,129 @@
+"""Serves an ASGI application over HTTP inside an anyio task group.
+
+The socket is bound before the server runs, so that port 0 picks a free port
+that is known at once and early connections wait instead of being refused.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import socket
+from typing import Final
+
+import anyio
+from hypercorn import typing as asgi
+import hypercorn.asyncio
+import hypercorn.config
+
+_BACKLOG: Final = 1024
+_KEEP_ALIVE_S: Final = 75.0
+_REQUESTS_PER_CONNECTION: Final = 1_000_000
+GRACEFUL_TIMEOUT_S: Final = 3.0
+HEADER_LIMIT_BYTES: Final = 65_536
+
+
+class HttpServer:
+    """One listening socket and the application behind it."""
+
+    def __init__(
+        self,
+        app: asgi.ASGIFramework,
+        host: str,
+        port: int,
+        graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
+        header_limit_bytes: int = HEADER_LIMIT_BYTES,
+    ) -> None:
+        """Binds the socket.
+
+        Args:
+          app: the application; it never sees lifespan events.
+          host: IP number to bind.
+          port: port to bind; 0 picks a free one.
+          graceful_timeout_s: seconds that requests in flight get after
+            `shut_down`.
+          header_limit_bytes: longest headers taken.
+
+        Raises:
+          OSError: the address can't be bound.
+        """
+        self._app = app
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listener = socket.create_server(
+            (host, port), family=family, backlog=_BACKLOG
+        )
+        self._port: int = listener.getsockname()[1]
+        self._stop = anyio.Event()
+        self._config = hypercorn.config.Config()
+        self._config.bind = [f"fd://{listener.detach()}"]
+        self._config.backlog = _BACKLOG
+        self._config.errorlog = None
+        self._config.include_server_header = False
+        self._config.graceful_timeout = graceful_timeout_s
+        self._config.h11_max_incomplete_size = header_limit_bytes
+        self._config.keep_alive_timeout = _KEEP_ALIVE_S
+        self._config.keep_alive_max_requests = _REQUESTS_PER_CONNECTION
+
+    @property
+    def port(self) -> int:
+        """Returns the bound port."""
+        return self._port
+
+    async def serve(self) -> None:
+        """Serves until `shut_down`; when cancelled, cuts what is in flight."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._stop_when_cancelled)
+            with anyio.CancelScope(shield=True):
+                await hypercorn.asyncio.serve(
+                    self._handle,
+                    self._config,
+                    shutdown_trigger=self._stop.wait,
+                    mode="asgi",
+                )
+            group.cancel_scope.cancel()
+
+    def shut_down(self) -> None:
+        """Stops accepting and lets `serve` end after requests in flight."""
+        self._stop.set()
+
+    async def _stop_when_cancelled(self) -> None:
+        try:
+            await anyio.sleep_forever()
+        finally:
+            self._config.graceful_timeout = 0
+            self._stop.set()
+
+    async def _handle(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.ASGIReceiveCallable,
+        send: asgi.ASGISendCallable,
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await _acknowledge_lifespan(receive, send)
+        else:
+            await self._app(scope, receive, send)
+
+
+async def _acknowledge_lifespan(
+    receive: asgi.ASGIReceiveCallable, send: asgi.ASGISendCallable
+) -> None:
+    while True:
+        event = await receive()
+        if event["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif event["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+
+
+@contextlib.asynccontextmanager
+async def serve_app(
+    app: asgi.ASGIFramework, host: str = "127.0.0.1", port: int = 0
+) -> AsyncIterator[int]:
+    """Serves an application within the block; yields the bound port."""
+    server = HttpServer(app, host, port)
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.serve)
+        try:
+            yield server.port
+        finally:
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/figstream/platform_http.py
@@ -0,0 +1,304 @@
+"""Reaches the platform over HTTP.
+
+A call that certainly did not arrive is `Unavailable`. Where the request may
+have been sent, a write, an order or a report whose answer is missing is
+`Unknown`, and the caller must read back before it decides anything.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Final
+from typing import TypeVar
+import urllib.parse
+
+import httpx
+
+from figstream import errors
+from figstream import platform_api
+from figstream import platform_wire as wire
+from figstream import serialization
+
+_T = TypeVar("_T")
+_KEEP_ALIVE_S: Final = 30.0
+_MAX_CONNECTIONS: Final = 64
+# The platform did not see these requests.
+_NOT_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+)
+
+
+class HttpCaller:
+    """Sends calls to the platform under the name of one daemon."""
+
+    def __init__(self, url: str, client_name: str, timeout_s: float) -> None:
+        """Connects at the first call."""
+        self.timeout_s = timeout_s
+        self._client = httpx.AsyncClient(
+            base_url=url,
+            headers={wire.CLIENT_HEADER: client_name},
+            timeout=timeout_s,
+            trust_env=False,
+            limits=httpx.Limits(
+                max_connections=_MAX_CONNECTIONS,
+                keepalive_expiry=_KEEP_ALIVE_S,
+            ),
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        params: Mapping[str, str | int | float] | None = None,
+        content: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        extra_s: float = 0.0,
+    ) -> httpx.Response | platform_api.Unavailable | platform_api.Unknown:
+        """Makes one call; the status code of the answer is not judged."""
+        try:
+            return await self._client.request(
+                method,
+                path,
+                params=params,
+                content=content,
+                headers=headers,
+                timeout=self.timeout_s + extra_s,
+            )
+        except _NOT_SENT as error:
+            return platform_api.Unavailable(_describe(error))
+        except httpx.HTTPError as error:
+            return platform_api.Unknown(_describe(error))
+
+    async def get(
+        self,
+        path: str,
+        kind: type[_T],
+        params: Mapping[str, str | int | float] | None = None,
+        extra_s: float = 0.0,
+    ) -> _T | platform_api.Unavailable:
+        """Reads JSON; whatever goes wrong is `Unavailable`."""
+        answer = await self.call("GET", path, params=params, extra_s=extra_s)
+        if not isinstance(answer, httpx.Response):
+            return platform_api.Unavailable(answer.detail)
+        if answer.status_code != wire.OK:
+            return platform_api.Unavailable(_refusal(answer))
+        return _decode(answer, kind) or _unreadable(path)
+
+
+class HttpObjectStore:
+    """The object API; satisfies `platform_api.ObjectStore`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Uses the given caller."""
+        self._caller = caller
+
+    async def read(self, name: str) -> platform_api.ReadOutcome:
+        """Reads one object."""
+        answer = await self._caller.call("GET", _object_path(name))
+        if not isinstance(answer, httpx.Response):
+            return platform_api.Unavailable(answer.detail)
+        if answer.status_code == wire.ABSENT:
+            return platform_api.Absent(name)
+        version = answer.headers.get(wire.VERSION_HEADER, "")
+        if answer.status_code != wire.OK or not version.isdigit():
+            return platform_api.Unavailable(_refusal(answer))
+        return platform_api.Found(name, int(version), answer.content)
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Writes an object that has the version; 0 means it is absent."""
+        return await self._change("PUT", name, body, expected_version)
+
+    async def delete(
+        self, name: str, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Deletes an object that has the version."""
+        return await self._change("DELETE", name, b"", expected_version)
+
+    async def list_names(
+        self, prefix: str
+    ) -> Sequence[str] | platform_api.Unavailable:
+        """Lists the names that start with the prefix."""
+        found = await self._caller.get(
+            wire.LISTING, wire.NamesBody, {"prefix": prefix}
+        )
+        return found.names if isinstance(found, wire.NamesBody) else found
+
+    async def watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> platform_api.Changes | platform_api.Unavailable:
+        """Waits for changes after the position; counts as one call."""
+        params: dict[str, str | int | float] = {
+            "prefix": prefix,
+            "position": position,
+            "timeout_s": timeout_s,
+        }
+        return await self._caller.get(
+            wire.WATCH, platform_api.Changes, params, extra_s=timeout_s
+        )
+
+    async def _change(
+        self, method: str, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        answer = await self._caller.call(
+            method,
+            _object_path(name),
+            params={"version": expected_version},
+            content=body,
+        )
+        if not isinstance(answer, httpx.Response):
+            return answer
+        found = _decode(answer, wire.VersionBody)
+        if answer.status_code == wire.OK and found:
+            return platform_api.Written(found.version)
+        if answer.status_code == wire.CONFLICT and found:
+            return platform_api.Conflict(found.version)
+        return _without_outcome(answer)
+
+
+class HttpVmList:
+    """The list of VMs; satisfies `platform_api.VmList`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Uses the given caller."""
+        self._caller = caller
+
+    async def list_vms(
+        self,
+    ) -> Sequence[platform_api.VirtualMachine] | platform_api.Unavailable:
+        """Lists the VMs of the system."""
+        found = await self._caller.get(wire.VMS, wire.VmsBody)
+        return found.vms if isinstance(found, wire.VmsBody) else found
+
+
+class HttpServerOrders:
+    """Orders backend servers; satisfies `platform_api.ServerOrders`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Uses the given caller."""
+        self._caller = caller
+
+    async def send(
+        self, order: platform_api.ServerOrder
+    ) -> platform_api.OrderOutcome:
+        """Sends one order."""
+        answer = await self._caller.call(
+            "POST", wire.ORDERS, content=serialization.to_json(order)
+        )
+        if not isinstance(answer, httpx.Response):
+            return answer
+        if answer.status_code == wire.OK:
+            accepted = _decode(answer, platform_api.OrderAccepted)
+            return accepted or _without_outcome(answer)
+        if answer.status_code == wire.CONFLICT:
+            refused = _decode(answer, platform_api.OrderRefused)
+            return refused or _without_outcome(answer)
+        return _without_outcome(answer)
+
+    async def list_servers(
+        self, zone: str
+    ) -> Sequence[platform_api.OrderedServer] | platform_api.Unavailable:
+        """Lists the backend servers that run in a zone."""
+        found = await self._caller.get(
+            wire.SERVERS, wire.ServersBody, {"zone": zone}
+        )
+        return found.servers if isinstance(found, wire.ServersBody) else found
+
+
+class HttpUsageReports:
+    """Books usage reports; satisfies `platform_api.UsageReports`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Uses the given caller."""
+        self._caller = caller
+
+    async def report(
+        self, window: str, body: bytes, fencing: int
+    ) -> platform_api.ReportOutcome:
+        """Reports the figures of one window."""
+        answer = await self._caller.call(
+            "PUT",
+            wire.USAGE + _quote(window),
+            content=body,
+            headers={wire.FENCING_HEADER: str(fencing)},
+        )
+        if not isinstance(answer, httpx.Response):
+            return answer
+        if answer.status_code == wire.OK:
+            return platform_api.ReportAccepted()
+        if answer.status_code == wire.CONFLICT:
+            return platform_api.ReportRefused(_refusal(answer))
+        return _without_outcome(answer)
+
+
+class HttpWeightStore:
+    """The store of weights; satisfies `platform_api.WeightStore`."""
+
+    def __init__(self, caller: HttpCaller) -> None:
+        """Uses the given caller."""
+        self._caller = caller
+
+    async def reserve(self, model: str) -> float | platform_api.Unavailable:
+        """Asks to load a model; returns seconds to wait, 0 for none."""
+        path = wire.WEIGHTS + _quote(model)
+        answer = await self._caller.call("POST", path)
+        if not isinstance(answer, httpx.Response):
+            return platform_api.Unavailable(answer.detail)
+        found = _decode(answer, wire.WaitBody)
+        if answer.status_code != wire.OK or found is None:
+            return platform_api.Unavailable(_refusal(answer))
+        return found.wait_s
+
+
+def _quote(name: str) -> str:
+    return urllib.parse.quote(name, safe="")
+
+
+def _object_path(name: str) -> str:
+    return wire.OBJECTS + _quote(name)
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
+
+
+def _refusal(answer: httpx.Response) -> str:
+    found = _decode(answer, wire.DetailBody)
+    return found.detail if found else f"status {answer.status_code}"
+
+
+def _without_outcome(
+    answer: httpx.Response,
+) -> platform_api.Unavailable | platform_api.Unknown:
+    if answer.status_code in wire.WITHOUT_EFFECT:
+        return platform_api.Unavailable(_refusal(answer))
+    return platform_api.Unknown(f"status {answer.status_code}")
+
+
+def _unreadable(path: str) -> platform_api.Unavailable:
+    return platform_api.Unavailable(f"the answer to {path} can't be read")
+
+
+def _decode(answer: httpx.Response, kind: type[_T]) -> _T | None:
+    try:
+        return serialization.from_json(answer.content, kind)
+    except errors.ConfigurationError:
+        return None
+
+
+def make_platform(
+    url: str, client_name: str, timeout_s: float
+) -> platform_api.Platform:
+    """Creates the interfaces to the platform at a base address."""
+    caller = HttpCaller(url, client_name, timeout_s)
+    return platform_api.Platform(
+        HttpObjectStore(caller),
+        HttpVmList(caller),
+        HttpServerOrders(caller),
+        HttpUsageReports(caller),
+        HttpWeightStore(caller),
+    )
--- /dev/null
+++ b/figstream/platform_wire.py
@@ -0,0 +1,77 @@
+"""Bodies and paths of the platform's HTTP interface.
+
+The adapter and the stand-in share them. A status code tells the kind of
+outcome; the body carries its figures as JSON.
+"""
+
+import http
+from typing import Final
+
+import attrs
+
+from figstream import platform_api
+
+OBJECTS: Final = "/objects/"
+LISTING: Final = "/names"
+WATCH: Final = "/watch"
+VMS: Final = "/vms"
+ORDERS: Final = "/orders"
+SERVERS: Final = "/servers"
+USAGE: Final = "/usage/"
+WEIGHTS: Final = "/weights/"
+FAULTS: Final = "/faults"
+COUNTERS: Final = "/counters"
+
+CLIENT_HEADER: Final = "x-platform-client"
+VERSION_HEADER: Final = "x-object-version"
+FENCING_HEADER: Final = "x-fencing"
+
+OK: Final = int(http.HTTPStatus.OK)
+ABSENT: Final = int(http.HTTPStatus.NOT_FOUND)
+CONFLICT: Final = int(http.HTTPStatus.CONFLICT)
+TOO_LARGE: Final = int(http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+TOO_MANY: Final = int(http.HTTPStatus.TOO_MANY_REQUESTS)
+UNAVAILABLE: Final = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
+WITHOUT_EFFECT: Final = frozenset({TOO_LARGE, TOO_MANY, UNAVAILABLE})
+
+
+@attrs.frozen
+class VersionBody:
+    """The version after a write, or the one that a write conflicted with."""
+
+    version: int
+
+
+@attrs.frozen
+class DetailBody:
+    """Why the platform did nothing."""
+
+    detail: str
+
+
+@attrs.frozen
+class NamesBody:
+    """Names of objects."""
+
+    names: tuple[str, ...]
+
+
+@attrs.frozen
+class VmsBody:
+    """The VMs of the system."""
+
+    vms: tuple[platform_api.VirtualMachine, ...]
+
+
+@attrs.frozen
+class ServersBody:
+    """The backend servers that run in a zone."""
+
+    servers: tuple[platform_api.OrderedServer, ...]
+
+
+@attrs.frozen
+class WaitBody:
+    """Seconds to wait before a model may be loaded."""
+
+    wait_s: float
--- /dev/null
+++ b/figstream/standin_platform.py
@@ -0,0 +1,274 @@
+"""Serves the in-memory platform over HTTP, for tests and demonstrations.
+
+Each path of the platform has one short handler; status codes and bodies are
+those of `platform_wire`. A write whose answer is lost breaks the connection.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import itertools
+from typing import Final
+import urllib.parse
+
+import attrs
+from hypercorn import typing as asgi
+
+from figstream import errors
+from figstream import platform_api
+from figstream import platform_memory
+from figstream import platform_wire as wire
+from figstream import serialization
+
+_JSON: Final = b"application/json"
+_BYTES: Final = b"application/octet-stream"
+
+
+@attrs.frozen
+class Call:
+    """One call as received.
+
+    Attributes:
+      method: HTTP method.
+      path: path, decoded.
+      params: query parameters.
+      headers: headers by lower-case name.
+      body: the body, whole.
+    """
+
+    method: str
+    path: str
+    params: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def name_after(self, prefix: str) -> str:
+        """Returns the rest of the path after the prefix."""
+        return self.path.removeprefix(prefix)
+
+    def number(self, key: str) -> int:
+        """Returns a parameter as a whole number, 0 if it is missing."""
+        return int(self.params.get(key, "0"))
+
+
+@attrs.frozen
+class Answer:
+    """One answer; no status means that the connection breaks.
+
+    Attributes:
+      status: status code, or None to break the connection.
+      body: the body.
+      content_type: media type of the body.
+      headers: further headers.
+    """
+
+    status: int | None
+    body: bytes = b""
+    content_type: bytes = _JSON
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+_Handler = Callable[[Call], Awaitable[Answer]]
+_LOST: Final = Answer(None)
+_NO_SUCH_PATH: Final = Answer(wire.ABSENT)
+
+
+class StandinPlatform:
+    """Routes calls to the parts of an in-memory platform."""
+
+    def __init__(self, platform: platform_memory.MemoryPlatform) -> None:
+        """Serves the given platform."""
+        self._platform = platform
+        self._handlers: tuple[tuple[str, str, _Handler], ...] = (
+            ("GET", wire.OBJECTS, self._read),
+            ("PUT", wire.OBJECTS, self._write),
+            ("DELETE", wire.OBJECTS, self._delete),
+            ("GET", wire.LISTING, self._list_names),
+            ("GET", wire.WATCH, self._watch),
+            ("GET", wire.VMS, self._list_vms),
+            ("POST", wire.ORDERS, self._send_order),
+            ("GET", wire.SERVERS, self._list_servers),
+            ("PUT", wire.USAGE, self._report),
+            ("POST", wire.WEIGHTS, self._reserve),
+        )
+
+    async def __call__(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.ASGIReceiveCallable,
+        send: asgi.ASGISendCallable,
+    ) -> None:
+        """Answers one HTTP request."""
+        if scope["type"] != "http":
+            return
+        call = await _receive_call(scope, receive)
+        await _send_answer(await self._answer(call), send)
+
+    async def _answer(self, call: Call) -> Answer:
+        handler = next(
+            (
+                handler
+                for method, prefix, handler in self._handlers
+                if method == call.method and call.path.startswith(prefix)
+            ),
+            None,
+        )
+        if handler is None:
+            return _NO_SUCH_PATH
+        try:
+            return await handler(call)
+        except (ValueError, errors.ConfigurationError) as error:
+            return _json(400, wire.DetailBody(str(error)))
+
+    async def _read(self, call: Call) -> Answer:
+        name = call.name_after(wire.OBJECTS)
+        found = await self._platform.objects.read(name)
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        if isinstance(found, platform_api.Absent):
+            return Answer(wire.ABSENT)
+        version = (wire.VERSION_HEADER.encode(), str(found.version).encode())
+        return Answer(wire.OK, found.body, _BYTES, (version,))
+
+    async def _write(self, call: Call) -> Answer:
+        name = call.name_after(wire.OBJECTS)
+        return _written(
+            await self._platform.objects.write(
+                name, call.body, call.number("version")
+            )
+        )
+
+    async def _delete(self, call: Call) -> Answer:
+        name = call.name_after(wire.OBJECTS)
+        return _written(
+            await self._platform.objects.delete(name, call.number("version"))
+        )
+
+    async def _list_names(self, call: Call) -> Answer:
+        prefix = call.params.get("prefix", "")
+        found = await self._platform.objects.list_names(prefix)
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        return _json(wire.OK, wire.NamesBody(tuple(found)))
+
+    async def _watch(self, call: Call) -> Answer:
+        found = await self._platform.objects.watch(
+            call.params.get("prefix", ""),
+            call.number("position"),
+            float(call.params.get("timeout_s", "0")),
+        )
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        return _json(wire.OK, found)
+
+    async def _list_vms(self, call: Call) -> Answer:
+        found = await self._platform.vms.list_vms()
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        return _json(wire.OK, wire.VmsBody(tuple(found)))
+
+    async def _send_order(self, call: Call) -> Answer:
+        order = serialization.from_json(call.body, platform_api.ServerOrder)
+        outcome = await self._platform.orders.send(order)
+        if isinstance(outcome, platform_api.OrderAccepted):
+            return _json(wire.OK, outcome)
+        if isinstance(outcome, platform_api.OrderRefused):
+            return _json(wire.CONFLICT, outcome)
+        return _without_outcome(outcome)
+
+    async def _list_servers(self, call: Call) -> Answer:
+        zone = call.params.get("zone", "")
+        found = await self._platform.orders.list_servers(zone)
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        return _json(wire.OK, wire.ServersBody(tuple(found)))
+
+    async def _report(self, call: Call) -> Answer:
+        window = call.name_after(wire.USAGE)
+        fencing = int(call.headers.get(wire.FENCING_HEADER, "0"))
+        outcome = await self._platform.usage.report(window, call.body, fencing)
+        if isinstance(outcome, platform_api.ReportAccepted):
+            return Answer(wire.OK)
+        if isinstance(outcome, platform_api.ReportRefused):
+            return _json(wire.CONFLICT, wire.DetailBody(outcome.detail))
+        return _without_outcome(outcome)
+
+    async def _reserve(self, call: Call) -> Answer:
+        model = call.name_after(wire.WEIGHTS)
+        found = await self._platform.weights.reserve(model)
+        if isinstance(found, platform_api.Unavailable):
+            return _unavailable(found)
+        return _json(wire.OK, wire.WaitBody(found))
+
+
+def _json(status: int, body: object) -> Answer:
+    return Answer(status, serialization.to_json(body))
+
+
+def _unavailable(outcome: platform_api.Unavailable) -> Answer:
+    return _json(wire.UNAVAILABLE, wire.DetailBody(outcome.detail))
+
+
+def _without_outcome(
+    outcome: platform_api.Unavailable | platform_api.Unknown,
+) -> Answer:
+    if isinstance(outcome, platform_api.Unavailable):
+        return _unavailable(outcome)
+    return _LOST
+
+
+def _written(outcome: platform_api.WriteOutcome) -> Answer:
+    if isinstance(outcome, platform_api.Written):
+        return _json(wire.OK, wire.VersionBody(outcome.version))
+    if isinstance(outcome, platform_api.Conflict):
+        return _json(wire.CONFLICT, wire.VersionBody(outcome.version))
+    return _without_outcome(outcome)
+
+
+async def _receive_call(
+    scope: asgi.HTTPScope, receive: asgi.ASGIReceiveCallable
+) -> Call:
+    parts: list[bytes] = []
+    for _ in itertools.count():
+        event = await receive()
+        if event["type"] != "http.request":
+            break
+        parts.append(event["body"])
+        if not event["more_body"]:
+            break
+    return Call(
+        scope["method"],
+        urllib.parse.unquote(scope["raw_path"].decode("ascii")),
+        dict(urllib.parse.parse_qsl(scope["query_string"].decode("ascii"))),
+        {key.decode(): value.decode() for key, value in scope["headers"]},
+        b"".join(parts),
+    )
+
+
+async def _send_answer(answer: Answer, send: asgi.ASGISendCallable) -> None:
+    # A broken connection: a longer body is promised than comes.
+    promised = 1 if answer.status is None else len(answer.body)
+    headers = [
+        (b"content-type", answer.content_type),
+        (b"content-length", str(promised).encode()),
+        *answer.headers,
+    ]
+    await send(
+        {
+            "type": "http.response.start",
+            "status": answer.status or wire.OK,
+            "headers": headers,
+            "trailers": False,
+        }
+    )
+    await send(
+        {
+            "type": "http.response.body",
+            "body": answer.body,
+            "more_body": False,
+        }
+    )
+
+
+def make_app(platform: platform_memory.MemoryPlatform) -> asgi.ASGIFramework:
+    """Creates the ASGI application that serves a platform."""
+    return StandinPlatform(platform)
