--- /dev/null
+++ b/figstream/asgi.py
@@ -0,0 +1,86 @@
+"""Helpers for ASGI applications: reading requests, sending answers."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+from typing import Final
+
+Scope = dict[str, Any]
+Message = dict[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Application = Callable[[Scope, Receive, Send], Awaitable[None]]
+Headers = Iterable[tuple[bytes, bytes]]
+
+JSON: Final = b"application/json"
+EVENT_STREAM: Final = b"text/event-stream"
+
+
+class CallerGoneError(Exception):
+    """Raised when the other side closed the connection."""
+
+
+class BodyTooLargeError(Exception):
+    """Raised when a body is longer than allowed."""
+
+
+async def read_body(receive: Receive, limit_bytes: int) -> bytes:
+    """Reads a whole body.
+
+    Raises:
+      BodyTooLargeError: the body is longer than the limit.
+      CallerGoneError: the caller closed the connection.
+    """
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > limit_bytes:
+            raise BodyTooLargeError
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def wait_for_disconnect(receive: Receive) -> None:
+    """Returns when the other side has closed the connection."""
+    while (await receive())["type"] != "http.disconnect":
+        pass
+
+
+def headers_of(scope: Scope) -> Mapping[str, str]:
+    """Returns the headers with names in lower case; the last one wins."""
+    return {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in scope["headers"]
+    }
+
+
+async def send_start(send: Send, status: int, headers: Headers) -> None:
+    """Sends the status line and the headers."""
+    await send(
+        {
+            "type": "http.response.start",
+            "status": status,
+            "headers": list(headers),
+        }
+    )
+
+
+async def send_body(send: Send, body: bytes, *, more: bool) -> None:
+    """Sends a part of the body."""
+    await send({"type": "http.response.body", "body": body, "more_body": more})
+
+
+async def send_whole(
+    send: Send, status: int, headers: Headers, body: bytes
+) -> None:
+    """Sends a whole answer."""
+    length = (b"content-length", str(len(body)).encode())
+    await send_start(send, status, [*headers, length])
+    await send_body(send, body, more=False)
--- /dev/null
+++ b/figstream/authentication.py
@@ -0,0 +1,65 @@
+"""Checks which customer a caller's key belongs to.
+
+The key is checked at each request, again when a queued request is
+dispatched, and again before a retry; see `still_valid`.
+"""
+
+import attrs
+
+from figstream import api_key
+from figstream import configuration_holder
+from figstream import errors
+from figstream import reasons
+
+_SCHEME = "bearer "
+
+
+@attrs.frozen
+class Identity:
+    """The customer and key of a request; both empty on open routes."""
+
+    customer: str = ""
+    key_id: str = ""
+
+
+ANONYMOUS = Identity()
+
+
+class Authenticator:
+    """Checks keys against the configuration in force."""
+
+    def __init__(
+        self,
+        holder: configuration_holder.ConfigurationHolder,
+        key_trust_s: float,
+    ) -> None:
+        """Trusts keys for some seconds after the last confirmation."""
+        self._holder = holder
+        self._key_trust_s = key_trust_s
+
+    def identify(self, authorization: str) -> Identity | errors.Refusal:
+        """Returns whose key the Authorization header carries."""
+        if authorization[: len(_SCHEME)].lower() != _SCHEME:
+            return errors.Refusal(reasons.RefusalReason.MISSING_KEY)
+        parts = api_key.split(authorization[len(_SCHEME) :].strip())
+        if parts is None:
+            return errors.Refusal(reasons.RefusalReason.UNKNOWN_KEY)
+        key_id, secret = parts
+        record = self._holder.current.keys_by_id.get(key_id)
+        if record is None or not record.matches(secret):
+            return errors.Refusal(reasons.RefusalReason.UNKNOWN_KEY)
+        identity = Identity(record.customer, key_id)
+        return self.still_valid(identity) or identity
+
+    def still_valid(self, identity: Identity) -> errors.Refusal | None:
+        """Returns why a key checked earlier no longer works, or None."""
+        if identity == ANONYMOUS:
+            return None
+        record = self._holder.current.keys_by_id.get(identity.key_id)
+        if record is None:
+            return errors.Refusal(reasons.RefusalReason.UNKNOWN_KEY)
+        if record.withdrawn:
+            return errors.Refusal(reasons.RefusalReason.WITHDRAWN_KEY)
+        if self._holder.unconfirmed_s > self._key_trust_s:
+            return errors.Refusal(reasons.RefusalReason.KEY_NOT_CONFIRMED)
+        return None
--- /dev/null
+++ b/figstream/caller_answer.py
@@ -0,0 +1,111 @@
+"""The answer to a caller as it is being sent."""
+
+from collections.abc import Mapping
+from typing import Final
+
+import orjson
+
+from figstream import asgi
+from figstream import errors
+from figstream import inbound
+
+_SHOWN_ID: Final = inbound.ID_HEADER.encode()
+_INTERNAL_ID: Final = b"x-figstream-id"
+_RETRY_AFTER: Final = b"retry-after"
+_MILLISECONDS: Final = b"x-retry-after-ms"
+
+
+class CallerAnswer:
+    """Sends the status once, then the body in pieces."""
+
+    def __init__(
+        self, send: asgi.Send, caller_id: str = "", request_id: str = ""
+    ) -> None:
+        """Answers on an ASGI channel."""
+        self._send = send
+        self._caller_id = caller_id
+        self._request_id = request_id
+        self.started = False
+        self.streamed = False
+        self.bytes_sent = 0
+
+    def name(self, caller_id: str, request_id: str) -> None:
+        """Sets the ids that the answer shows."""
+        self._caller_id = caller_id
+        self._request_id = request_id
+
+    async def start(self, status: int, content_type: bytes) -> None:
+        """Sends the status and headers of an answer sent in pieces."""
+        self.started = True
+        self.streamed = content_type.startswith(asgi.EVENT_STREAM)
+        headers = [(b"content-type", content_type), *self._id_headers()]
+        await asgi.send_start(self._send, status, headers)
+
+    async def write(self, body: bytes) -> None:
+        """Sends a piece of the body."""
+        self.bytes_sent += len(body)
+        await asgi.send_body(self._send, body, more=True)
+
+    async def end(self) -> None:
+        """Ends the body."""
+        await asgi.send_body(self._send, b"", more=False)
+
+    async def whole(
+        self, status: int, content_type: bytes, body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        self.started = True
+        self.bytes_sent += len(body)
+        headers = [(b"content-type", content_type), *self._id_headers()]
+        await asgi.send_whole(self._send, status, headers, body)
+
+    async def refuse(self, refusal: errors.Refusal) -> None:
+        """Sends a refusal, as an error event if the answer has begun."""
+        body = orjson.dumps(_error_fields(refusal, self._request_id))
+        if not self.started:
+            headers = [
+                (b"content-type", asgi.JSON),
+                *self._id_headers(),
+                *_retry_headers(refusal),
+            ]
+            self.started = True
+            await asgi.send_whole(
+                self._send, refusal.http_status, headers, body
+            )
+        elif self.streamed:
+            event = b"event: error\ndata: " + body + b"\n\n"
+            await asgi.send_body(self._send, event, more=False)
+        else:
+            # The length was promised, so only closing tells of the failure.
+            raise asgi.CallerGoneError
+
+    def _id_headers(self) -> list[tuple[bytes, bytes]]:
+        return [
+            (_SHOWN_ID, self._caller_id.encode()),
+            (_INTERNAL_ID, self._request_id.encode()),
+        ]
+
+
+def _error_fields(
+    refusal: errors.Refusal, request_id: str
+) -> Mapping[str, object]:
+    return {
+        "error": {
+            "code": refusal.reason.value,
+            "message": refusal.message,
+            "run_state": refusal.run_state.value,
+            "request_id": request_id,
+            "retry_after_s": refusal.retry_after_s,
+        }
+    }
+
+
+def _retry_headers(refusal: errors.Refusal) -> list[tuple[bytes, bytes]]:
+    if refusal.retry_after_s is None:
+        return []
+    whole_s = max(1, round(refusal.retry_after_s + 0.5))
+    milliseconds = round(refusal.retry_after_s * 1_000)
+    return [
+        (_RETRY_AFTER, str(whole_s).encode()),
+        (_MILLISECONDS, str(milliseconds).encode()),
+    ]
--- /dev/null
+++ b/figstream/inbound.py
@@ -0,0 +1,261 @@
+"""Turns a caller's HTTP request into a checked call.
+
+Everything wrong with a request is found here, before it is queued, so that
+such a refusal is always a true "not run".
+"""
+
+from collections.abc import Mapping
+import secrets
+from typing import Any
+from typing import Final
+
+import attrs
+import orjson
+import xxhash
+
+from figstream import authentication
+from figstream import configuration as configuration_lib
+from figstream import errors
+from figstream import reasons
+from figstream import request_class as request_class_lib
+from figstream import route as route_lib
+
+CHAT_PATH: Final = "/v1/chat/completions"
+COMPLETION_PATH: Final = "/v1/completions"
+GENERATE_PATHS: Final = frozenset({CHAT_PATH, COMPLETION_PATH})
+DEADLINE_HEADER: Final = "x-deadline-seconds"
+CLASS_HEADER: Final = "x-request-class"
+ID_HEADER: Final = "x-request-id"
+IDEMPOTENCY_HEADER: Final = "idempotency-key"
+
+_PREFIX_BYTES: Final = 2_048
+_BYTES_PER_TOKEN: Final = 4
+_MAX_ID_CHARS: Final = 128
+_R = reasons.RefusalReason
+
+
+@attrs.frozen
+class HttpRequest:
+    """A caller's request as received; header names in lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@attrs.frozen
+class Call:
+    """A checked request of a caller; times are clock seconds.
+
+    Attributes:
+      request_id: unique id, which starts with the caller's own id.
+      caller_id: id that the caller sent, or the unique id.
+      http: the request as received.
+      identity: whose key it came with.
+      request_class: its class.
+      arrived: when it arrived.
+      deadline: when the caller's patience ends.
+      model: the model, or "" for plain services.
+      adapter: the adapter, or "".
+      route: the route, or None for models.
+      stream: whether the answer is to be streamed.
+      max_output_tokens: bound that the caller gave, or 0.
+      idempotency_key: key that guards against a second run, or "".
+    """
+
+    request_id: str
+    caller_id: str
+    http: HttpRequest
+    identity: authentication.Identity
+    request_class: request_class_lib.RequestClass
+    arrived: float
+    deadline: float
+    model: str = ""
+    adapter: str = ""
+    route: route_lib.Route | None = None
+    stream: bool = False
+    max_output_tokens: int = 0
+    idempotency_key: str = ""
+
+    @property
+    def idempotent(self) -> bool:
+        """Returns whether the call may be repeated."""
+        return self.route is None or self.route.idempotent
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Returns a rough number of prompt tokens."""
+        return len(self.http.body) // _BYTES_PER_TOKEN
+
+    @property
+    def prefix(self) -> int:
+        """Returns a hash of the head of the prompt."""
+        return xxhash.xxh3_64_intdigest(self.http.body[:_PREFIX_BYTES])
+
+    @property
+    def fingerprint(self) -> int:
+        """Returns a hash of the whole request."""
+        head = f"{self.http.method} {self.http.path}?{self.http.query}\n"
+        return xxhash.xxh3_64_intdigest(head.encode() + self.http.body)
+
+
+@attrs.frozen
+class Arrival:
+    """When a request arrived and how long its caller may wait."""
+
+    at: float
+    max_patience_s: float
+
+
+def new_ids(caller_id: str) -> tuple[str, str]:
+    """Returns a unique id and the id to show to the caller."""
+    suffix = secrets.token_hex(8)
+    usable = caller_id.isascii() and caller_id.isprintable()
+    if not caller_id or not usable or len(caller_id) > _MAX_ID_CHARS:
+        return suffix, suffix
+    return f"{caller_id}~{suffix}", caller_id
+
+
+def check_generate(
+    http: HttpRequest,
+    identity: authentication.Identity,
+    configuration: configuration_lib.Configuration,
+    arrival: Arrival,
+) -> Call | errors.Refusal:
+    """Checks a request to a model."""
+    fields = _parse_object(http.body)
+    if isinstance(fields, errors.Refusal):
+        return fields
+    request_class = _class_of(http, identity, configuration)
+    if isinstance(request_class, errors.Refusal):
+        return request_class
+    deadline = _deadline(http, request_class, arrival)
+    if isinstance(deadline, errors.Refusal):
+        return deadline
+    checked = _check_fields(fields, configuration)
+    if isinstance(checked, errors.Refusal):
+        return checked
+    request_id, caller_id = new_ids(http.headers.get(ID_HEADER, ""))
+    return Call(
+        request_id,
+        caller_id,
+        http,
+        identity,
+        request_class,
+        arrival.at,
+        deadline,
+        model=checked.model,
+        adapter=checked.adapter,
+        stream=checked.stream,
+        max_output_tokens=checked.max_tokens,
+    )
+
+
+def check_service(
+    http: HttpRequest,
+    identity: authentication.Identity,
+    route: route_lib.Route,
+    configuration: configuration_lib.Configuration,
+    arrival: Arrival,
+) -> Call | errors.Refusal:
+    """Checks a call to a plain service."""
+    named = http.headers.get(CLASS_HEADER)
+    if named not in {None, route.request_class}:
+        return errors.Refusal(_R.UNKNOWN_CLASS, detail="class of this route")
+    request_class = configuration.classes_by_name[route.request_class]
+    deadline = _deadline(http, request_class, arrival)
+    if isinstance(deadline, errors.Refusal):
+        return deadline
+    request_id, caller_id = new_ids(http.headers.get(ID_HEADER, ""))
+    return Call(
+        request_id,
+        caller_id,
+        http,
+        identity,
+        request_class,
+        arrival.at,
+        deadline,
+        route=route,
+        idempotency_key=http.headers.get(IDEMPOTENCY_HEADER, ""),
+    )
+
+
+@attrs.frozen
+class _Fields:
+    model: str
+    adapter: str
+    stream: bool
+    max_tokens: int
+
+
+def _parse_object(body: bytes) -> Mapping[str, Any] | errors.Refusal:
+    try:
+        text = body.decode("utf-8")
+    except UnicodeDecodeError:
+        return errors.Refusal(_R.INVALID_UTF8)
+    try:
+        value = orjson.loads(text)
+    except orjson.JSONDecodeError:
+        return errors.Refusal(_R.MALFORMED_JSON)
+    if not isinstance(value, dict):
+        return errors.Refusal(_R.MALFORMED_JSON)
+    return value
+
+
+def _check_fields(
+    fields: Mapping[str, Any],
+    configuration: configuration_lib.Configuration,
+) -> _Fields | errors.Refusal:
+    named = fields.get("model")
+    if not isinstance(named, str):
+        return errors.Refusal(_R.INVALID_FIELD, detail="model is a string")
+    model, _, adapter = named.partition(":")
+    if model not in configuration.models:
+        return errors.Refusal(_R.UNKNOWN_MODEL)
+    stream = fields.get("stream", False)
+    if not isinstance(stream, bool):
+        return errors.Refusal(_R.INVALID_FIELD, detail="stream is a boolean")
+    max_tokens = fields.get("max_tokens") or 0
+    if not isinstance(max_tokens, int) or max_tokens < 0:
+        return errors.Refusal(
+            _R.INVALID_FIELD, detail="max_tokens is a whole number"
+        )
+    return _Fields(model, adapter, stream, max_tokens)
+
+
+def _class_of(
+    http: HttpRequest,
+    identity: authentication.Identity,
+    configuration: configuration_lib.Configuration,
+) -> request_class_lib.RequestClass | errors.Refusal:
+    customer = configuration.customers_by_name.get(identity.customer)
+    allowed = customer.classes if customer else ()
+    usual = allowed[0] if allowed else configuration.default_class
+    name = http.headers.get(CLASS_HEADER, usual)
+    found = configuration.classes_by_name.get(name)
+    if found is None or (allowed and name not in allowed):
+        return errors.Refusal(_R.UNKNOWN_CLASS)
+    return found
+
+
+def _deadline(
+    http: HttpRequest,
+    request_class: request_class_lib.RequestClass,
+    arrival: Arrival,
+) -> float | errors.Refusal:
+    text = http.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return arrival.at + request_class.service_level.deadline_s
+    try:
+        patience_s = float(text)
+    except ValueError:
+        patience_s = 0.0
+    if not 0.0 < patience_s <= arrival.max_patience_s:
+        return errors.Refusal(
+            _R.INVALID_HEADER,
+            detail=f"{DEADLINE_HEADER} is seconds, at most "
+            f"{arrival.max_patience_s:g}",
+        )
+    return arrival.at + patience_s
--- /dev/null
+++ b/figstream/standin_engine.py
@@ -0,0 +1,296 @@
+"""A stand-in model engine for tests, the demo and trying things by hand.
+
+It generates words at a steady pace in a bounded number of slots, streams
+them or answers whole, resumes and cancels streams, reports its load, and
+has faults that a test can set.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import itertools
+import time
+from typing import Any
+from typing import Final
+
+import anyio
+import attrs
+import orjson
+
+from figstream import asgi
+from figstream import engine_protocol
+from figstream import serialization
+
+_BODY_LIMIT_BYTES: Final = 50_000_000
+_DEFAULT_TOKENS: Final = 16
+_BYTES_PER_TOKEN: Final = 4
+_POISON: Final = b"crash-the-engine"
+
+
+@attrs.frozen
+class EngineOptions:
+    """How a stand-in engine behaves; durations in seconds.
+
+    Attributes:
+      name: name of the engine.
+      models: models it serves.
+      slots: requests it runs at once.
+      waiting_limit: requests that may wait for a slot.
+      first_token_s: time to the first token.
+      between_tokens_s: time between tokens.
+    """
+
+    name: str
+    models: tuple[str, ...]
+    slots: int = 16
+    waiting_limit: int = 32
+    first_token_s: float = 0.02
+    between_tokens_s: float = 0.01
+
+
+@attrs.define
+class EngineFaults:
+    """Faults of an engine that a test can set.
+
+    Attributes:
+      slowdown: factor on every duration.
+      break_after_events: closes a stream after so many events, once for
+        each count in `breaks_left`.
+      breaks_left: streams that will still be broken.
+      wrong_id: answers with another request's id.
+      omit_terminator: ends streams without the terminator.
+      refuse: refuses every request before running it.
+    """
+
+    slowdown: float = 1.0
+    break_after_events: int = 0
+    breaks_left: int = 0
+    wrong_id: bool = False
+    omit_terminator: bool = False
+    refuse: bool = False
+
+
+class EngineCrashError(Exception):
+    """Raised where a real engine would die."""
+
+
+@attrs.define
+class _Generation:
+    """A request as the engine runs it."""
+
+    request_id: str
+    model: str
+    prompt_tokens: int
+    total: int
+    stream: bool
+    chat: bool
+    cancelled: bool = False
+
+
+class StandInEngine:
+    """The engine; `application` is its ASGI entry point."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        """Starts idle and without faults."""
+        self.options = options
+        self.faults = EngineFaults()
+        self.alive = True
+        self.seen_headers: list[Mapping[str, str]] = []
+        self.runs: dict[str, int] = {}
+        self.cancelled: list[str] = []
+        self.generated_tokens = 0
+        self._running = 0
+        self._waiting = 0
+        self._started = time.time_ns()
+        self._slots = anyio.Semaphore(options.slots)
+        self._generations: dict[str, _Generation] = {}
+
+    @property
+    def load(self) -> engine_protocol.LoadReport:
+        """Returns the present load."""
+        return engine_protocol.LoadReport(
+            self._running, self._waiting, self._started
+        )
+
+    async def application(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one HTTP request."""
+        if scope["type"] != "http":
+            return
+        if not self.alive:
+            raise EngineCrashError("the engine is dead")
+        path = scope["path"]
+        if path == engine_protocol.LOAD_PATH:
+            await self._json(send, serialization.to_json(self.load))
+        elif path == "/faults":
+            body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
+            self.faults = serialization.from_json(body, EngineFaults)
+            await self._json(send, b"{}")
+        elif path.startswith(engine_protocol.CANCEL_PATH):
+            self._cancel(path.removeprefix(engine_protocol.CANCEL_PATH))
+            await self._json(send, b"{}")
+        else:
+            await self._generate(scope, receive, send)
+
+    async def _json(self, send: asgi.Send, body: bytes) -> None:
+        headers = [(b"content-type", asgi.JSON)]
+        await asgi.send_whole(send, 200, headers, body)
+
+    def _cancel(self, request_id: str) -> None:
+        self.cancelled.append(request_id)
+        if generation := self._generations.get(request_id):
+            generation.cancelled = True
+
+    async def _generate(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        headers = asgi.headers_of(scope)
+        self.seen_headers.append(headers)
+        body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
+        request_id = headers.get(engine_protocol.ID_HEADER, "")
+        if self.faults.refuse or self._waiting >= self.options.waiting_limit:
+            await self._refuse(send, request_id)
+            return
+        skip = int(headers.get(engine_protocol.RESUME_HEADER, 0))
+        if skip and request_id not in self._generations:
+            await self._refuse(send, request_id)
+            return
+        generation = self._begin(request_id, scope["path"], body)
+        if not skip:
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            if _POISON in body:
+                self.alive = False
+                raise EngineCrashError("the request crashed the engine")
+            await self._answer(generation, skip, send)
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    def _begin(self, request_id: str, path: str, body: bytes) -> _Generation:
+        fields: dict[str, Any] = orjson.loads(body)
+        generation = _Generation(
+            request_id,
+            fields.get("model", ""),
+            max(1, len(body) // _BYTES_PER_TOKEN),
+            fields.get("max_tokens") or _DEFAULT_TOKENS,
+            fields.get("stream", False),
+            path.endswith("chat/completions"),
+        )
+        self._generations[request_id] = generation
+        return generation
+
+    async def _refuse(self, send: asgi.Send, request_id: str) -> None:
+        headers = [
+            (b"content-type", asgi.JSON),
+            (engine_protocol.NOT_RUN_HEADER.encode(), b"true"),
+            *self._answer_headers(request_id),
+        ]
+        await asgi.send_whole(send, 503, headers, b'{"error":"busy"}')
+
+    def _answer_headers(self, request_id: str) -> list[tuple[bytes, bytes]]:
+        shown = "another" if self.faults.wrong_id else request_id
+        return [
+            (engine_protocol.ID_HEADER.encode(), shown.encode()),
+            (
+                engine_protocol.LOAD_HEADER.encode(),
+                self.load.to_header().encode(),
+            ),
+        ]
+
+    async def _answer(
+        self, generation: _Generation, skip: int, send: asgi.Send
+    ) -> None:
+        headers = self._answer_headers(generation.request_id)
+        if not generation.stream:
+            words = [word async for word in self._words(generation, 0)]
+            body = _whole_answer(generation, "".join(words))
+            headers.append((b"content-type", asgi.JSON))
+            await asgi.send_whole(send, 200, headers, body)
+            return
+        headers.append((b"content-type", asgi.EVENT_STREAM))
+        started = False
+        sent = itertools.count(1)
+        async for word in self._words(generation, skip):
+            if not started:
+                await asgi.send_start(send, 200, headers)
+                started = True
+            await asgi.send_body(send, _event(generation, word), more=True)
+            self._break_if_due(next(sent))
+        if generation.cancelled:
+            return
+        if not started:
+            await asgi.send_start(send, 200, headers)
+        tail = _usage_event(generation)
+        if not self.faults.omit_terminator:
+            tail += engine_protocol.TERMINATOR
+        await asgi.send_body(send, tail, more=False)
+
+    def _break_if_due(self, sent: int) -> None:
+        due = sent == self.faults.break_after_events
+        if due and self.faults.breaks_left > 0:
+            self.faults.breaks_left -= 1
+            raise EngineCrashError("the connection was broken")
+
+    async def _words(
+        self, generation: _Generation, skip: int
+    ) -> AsyncIterator[str]:
+        # Sleeps until absolute times, so that the pace does not drift.
+        due = time.monotonic() + (
+            self.options.first_token_s * self.faults.slowdown
+        )
+        for number in range(skip, generation.total):
+            await anyio.sleep(max(0.0, due - time.monotonic()))
+            if generation.cancelled:
+                return
+            self.generated_tokens += 1
+            due += self.options.between_tokens_s * self.faults.slowdown
+            yield f"w{number} "
+
+
+def _event(generation: _Generation, word: str) -> bytes:
+    delta = {"delta": {"content": word}} if generation.chat else {"text": word}
+    chunk = {
+        "id": generation.request_id,
+        "model": generation.model,
+        "choices": [{"index": 0, **delta}],
+    }
+    return b"data: " + orjson.dumps(chunk) + engine_protocol.EVENT_END
+
+
+def _usage(generation: _Generation) -> dict[str, int]:
+    return {
+        "prompt_tokens": generation.prompt_tokens,
+        "completion_tokens": generation.total,
+        "total_tokens": generation.prompt_tokens + generation.total,
+    }
+
+
+def _usage_event(generation: _Generation) -> bytes:
+    chunk = {
+        "id": generation.request_id,
+        "model": generation.model,
+        "choices": [],
+        "usage": _usage(generation),
+    }
+    return b"data: " + orjson.dumps(chunk) + engine_protocol.EVENT_END
+
+
+def _whole_answer(generation: _Generation, text: str) -> bytes:
+    message: dict[str, Any] = {"text": text}
+    if generation.chat:
+        message = {"message": {"role": "assistant", "content": text}}
+    return orjson.dumps(
+        {
+            "id": generation.request_id,
+            "model": generation.model,
+            "choices": [{"index": 0, **message, "finish_reason": "stop"}],
+            "usage": _usage(generation),
+        }
+    )
