Let tests set the faults of the stand-in platform

A gate in front of every call delays, refuses, loses or answers it, in memory and over HTTP alike, and counts calls by kind. Reading INI files moves out of options.py so that the stand-in's settings share it.

--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -15,6 +15,8 @@
 import hypercorn.config
 
 _BACKLOG: Final = 1024
+# Lets idle connections close by themselves when `serve` is cancelled.
+_CUT_TIMEOUT_S: Final = 0.05
 _KEEP_ALIVE_S: Final = 75.0
 _REQUESTS_PER_CONNECTION: Final = 1_000_000
 GRACEFUL_TIMEOUT_S: Final = 3.0
@@ -88,7 +90,7 @@
         try:
             await anyio.sleep_forever()
         finally:
-            self._config.graceful_timeout = 0
+            self._config.graceful_timeout = _CUT_TIMEOUT_S
             self._stop.set()
 
     async def _handle(
--- a/figstream/main.py
+++ b/figstream/main.py
@@ -10,6 +10,7 @@
 
 from figstream import errors
 from figstream import options
+from figstream import standin_cli
 
 EXIT_INVALID: Final = 2
 
@@ -20,6 +21,8 @@
     pretty_exceptions_enable=False,
 )
 
+app.add_typer(standin_cli.app, name="stand-in")
+
 ConfigFile = Annotated[
     pathlib.Path, typer.Option("--config", help="The INI settings file.")
 ]
--- a/figstream/options.py
+++ b/figstream/options.py
@@ -4,18 +4,21 @@
 what is allowed.
 """
 
-from collections.abc import Callable
-from collections.abc import Mapping
-import configparser
 import pathlib
 from typing import Final
-import urllib.parse
 
 import attrs
 
 from figstream import defaults
-from figstream import errors
 from figstream import logs
+from figstream import settings_file
+
+# The tables below read better with short names.
+_Field = settings_file.Field
+_text = settings_file.text
+_url = settings_file.url
+_whole_field = settings_file.whole_field
+_seconds_field = settings_file.seconds_field
 
 
 @attrs.frozen
@@ -67,66 +70,10 @@
     log_level: str = defaults.LOG_LEVEL
 
 
-@attrs.frozen
-class _Field:
-    """How one key of the file is read."""
-
-    section: str
-    key: str
-    allowed: str
-    parse: Callable[[str], object | None]
-    default: object | None = None
-
-
-def _text(value: str) -> object | None:
-    return value or None
-
-
-def _url(value: str) -> object | None:
-    parts = urllib.parse.urlsplit(value)
-    known = parts.scheme in {"http", "https"} and parts.netloc
-    return value.rstrip("/") if known else None
-
-
-def _whole(low: int, high: int) -> Callable[[str], object | None]:
-    def parse(value: str) -> object | None:
-        if not value.isascii() or not value.isdigit():
-            return None
-        number = int(value)
-        return number if low <= number <= high else None
-
-    return parse
-
-
-def _seconds(low: float, high: float) -> Callable[[str], object | None]:
-    def parse(value: str) -> object | None:
-        try:
-            number = float(value)
-        except ValueError:
-            return None
-        return number if low <= number <= high else None
-
-    return parse
-
-
 def _level(value: str) -> object | None:
     return value if value in logs.LEVELS else None
 
 
-def _whole_field(
-    section: str, key: str, low: int, high: int, default: int
-) -> _Field:
-    allowed = f"a whole number from {low} to {high}"
-    return _Field(section, key, allowed, _whole(low, high), default)
-
-
-def _seconds_field(
-    section: str, key: str, low: float, high: float, default: float
-) -> _Field:
-    allowed = f"seconds from {low:g} to {high:g}"
-    return _Field(section, key, allowed, _seconds(low, high), default)
-
-
 _FIELDS: Final = (
     _Field("vm", "name", "a unique name", _text),
     _Field("vm", "zone", "name of the availability zone", _text),
@@ -189,12 +136,7 @@
     Raises:
       errors.SettingsError: carries every fault found.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        fault = _single_fault("file", str(path), str(error), "a readable file")
-        raise fault from error
-    return parse(text)
+    return parse(settings_file.read_text(path))
 
 
 def parse(text: str) -> Options:
@@ -203,51 +145,6 @@
     Raises:
       errors.SettingsError: carries every fault found.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        fault = _single_fault("file", "syntax", str(error), "an INI file")
-        raise fault from error
-    sections = {name: dict(parser[name]) for name in parser.sections()}
-    values: dict[str, object] = {}
-    faults = [*_unknown(sections), *_read_fields(sections, values)]
-    if faults:
-        raise errors.SettingsError(faults)
+    sections = settings_file.parse_sections(text)
+    values = settings_file.parse_fields(sections, _FIELDS)
     return Options(**values)  # type: ignore[arg-type]
-
-
-def _single_fault(
-    section: str, key: str, found: str, allowed: str
-) -> errors.SettingsError:
-    fault = errors.SettingsFault(section, key, found, allowed)
-    return errors.SettingsError([fault])
-
-
-def _unknown(
-    sections: Mapping[str, Mapping[str, str]],
-) -> list[errors.SettingsFault]:
-    known = {(field.section, field.key) for field in _FIELDS}
-    return [
-        errors.SettingsFault(section, key, value, "no such key; remove it")
-        for section, entries in sections.items()
-        for key, value in entries.items()
-        if (section, key) not in known
-    ]
-
-
-def _read_fields(
-    sections: Mapping[str, Mapping[str, str]], values: dict[str, object]
-) -> list[errors.SettingsFault]:
-    faults = []
-    for field in _FIELDS:
-        found = sections.get(field.section, {}).get(field.key)
-        value = field.default if found is None else field.parse(found)
-        if value is None:
-            faults.append(
-                errors.SettingsFault(
-                    field.section, field.key, found or "", field.allowed
-                )
-            )
-        values[field.key] = value
-    return faults
--- /dev/null
+++ b/figstream/platform_faults.py
@@ -0,0 +1,169 @@
+"""Faults of the stand-in platform, and a count of the calls it received.
+
+Every call of a client passes the gate, which delays, refuses, loses or
+answers it as the settings say. Tests set them in memory, benchmarks over
+HTTP.
+"""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import enum
+from typing import Final
+from typing import TypeVar
+
+import anyio
+import attrs
+
+from figstream import clock as clock_lib
+from figstream import platform_api
+
+_T = TypeVar("_T")
+_BURST_S: Final = 1.0
+
+
+class CallKind(enum.StrEnum):
+    """Kinds of calls to the platform; a waiting watch is one call."""
+
+    READ = "read"
+    WRITE = "write"
+    DELETE = "delete"
+    LIST = "list"
+    WATCH = "watch"
+    LIST_VMS = "list_vms"
+    ORDER = "order"
+    LIST_SERVERS = "list_servers"
+    REPORT = "report"
+    RESERVE = "reserve"
+
+
+@attrs.define
+class FaultSettings:
+    """Faults of the whole platform that a test can set.
+
+    Attributes:
+      down: every call fails without effect.
+      delay_s: seconds added to each call.
+      calls_per_s: calls admitted a second, 0 for no limit.
+      blocked_clients: names of clients cut off from the platform.
+      lose_answers: by kind of call, how many of the next calls take effect
+        but get no answer.
+      lose_requests: by kind of call, how many of the next calls neither take
+        effect nor get an answer.
+      watches_fail: whether watches end without an answer.
+      watches_report_gap: whether watches say that changes may be missing.
+      skip_changes: how many of the next watch answers leave out every change.
+      fencing_ignored: whether orders with an old fencing number are taken.
+      vms_frozen: whether the list of VMs stays as it was last answered.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    calls_per_s: float = 0.0
+    blocked_clients: set[str] = attrs.field(factory=set)
+    lose_answers: dict[CallKind, int] = attrs.field(factory=dict)
+    lose_requests: dict[CallKind, int] = attrs.field(factory=dict)
+    watches_fail: bool = False
+    watches_report_gap: bool = False
+    skip_changes: int = 0
+    fencing_ignored: bool = False
+    vms_frozen: bool = False
+
+
+class Gate:
+    """Applies the faults to each call and counts it."""
+
+    def __init__(self, clock: clock_lib.Clock | None = None) -> None:
+        """Starts without faults; the clock drives the limit of the rate."""
+        self.faults = FaultSettings()
+        self.calls: collections.Counter[CallKind] = collections.Counter()
+        self.last_vms: tuple[platform_api.VirtualMachine, ...] | None = None
+        self._clock = clock or clock_lib.SystemClock()
+        self._tokens = 0.0
+        self._filled_at = float("-inf")
+
+    @property
+    def counters(self) -> Mapping[str, int]:
+        """Returns the number of calls received by kind."""
+        return {kind.value: self.calls[kind] for kind in CallKind}
+
+    async def read(
+        self, kind: CallKind, client: str, call: Callable[[], Awaitable[_T]]
+    ) -> _T | platform_api.Unavailable:
+        """Makes a call that has no effect."""
+        if refused := await self._admit(kind, client):
+            return platform_api.Unavailable(refused.detail)
+        answer = await call()
+        # The client may have been cut off while its watch was waiting.
+        if client in self.faults.blocked_clients or self.faults.down:
+            return platform_api.Unavailable("cut off while waiting")
+        if _count_down(self.faults.lose_answers, kind):
+            return platform_api.Unavailable("the answer was lost")
+        return answer
+
+    async def write(
+        self, kind: CallKind, client: str, call: Callable[[], Awaitable[_T]]
+    ) -> _T | platform_api.Unavailable | platform_api.Unknown:
+        """Makes a call that has an effect."""
+        if refused := await self._admit(kind, client):
+            return refused
+        if _count_down(self.faults.lose_requests, kind):
+            return platform_api.Unknown("the request was lost")
+        answer = await call()
+        if _count_down(self.faults.lose_answers, kind):
+            return platform_api.Unknown("the answer was lost")
+        return answer
+
+    async def watch(
+        self,
+        client: str,
+        call: Callable[
+            [], Awaitable[platform_api.Changes | platform_api.Unavailable]
+        ],
+    ) -> platform_api.Changes | platform_api.Unavailable:
+        """Makes a watch, whose answer may be missing or leave changes out."""
+        if self.faults.watches_fail:
+            self.calls[CallKind.WATCH] += 1
+            return platform_api.Unavailable("the watch broke")
+        found = await self.read(CallKind.WATCH, client, call)
+        if not isinstance(found, platform_api.Changes):
+            return found
+        names = found.names
+        if names and self.faults.skip_changes > 0:
+            self.faults.skip_changes -= 1
+            names = ()
+        gap = found.gap or self.faults.watches_report_gap
+        return platform_api.Changes(names, found.position, gap)
+
+    async def _admit(
+        self, kind: CallKind, client: str
+    ) -> platform_api.Unavailable | platform_api.Unknown | None:
+        self.calls[kind] += 1
+        if self.faults.delay_s:
+            await anyio.sleep(self.faults.delay_s)
+        if self.faults.down:
+            return platform_api.Unavailable("the platform is down")
+        if client in self.faults.blocked_clients:
+            return platform_api.Unknown("the network is partitioned")
+        if self.faults.calls_per_s and not self._take_token():
+            return platform_api.Unavailable("too many calls a second")
+        return None
+
+    def _take_token(self) -> bool:
+        now = self._clock.now()
+        gained = (now - self._filled_at) * self.faults.calls_per_s
+        burst = self.faults.calls_per_s * _BURST_S
+        self._tokens = min(burst, self._tokens + gained)
+        self._filled_at = now
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+def _count_down(counts: dict[CallKind, int], kind: CallKind) -> bool:
+    if counts.get(kind, 0) <= 0:
+        return False
+    counts[kind] -= 1
+    return True
--- /dev/null
+++ b/figstream/platform_gated.py
@@ -0,0 +1,158 @@
+"""The platform as one client sees it through the gate of faults."""
+
+from collections.abc import Sequence
+
+from figstream import platform_api
+from figstream import platform_faults
+
+_Kind = platform_faults.CallKind
+
+
+class _Gated:
+    """What every gated interface has."""
+
+    def __init__(
+        self,
+        platform: platform_api.Platform,
+        gate: platform_faults.Gate,
+        client: str,
+    ) -> None:
+        self._platform = platform
+        self._gate = gate
+        self._client = client
+
+
+class GatedObjectStore(_Gated):
+    """The object API behind the gate."""
+
+    async def read(self, name: str) -> platform_api.ReadOutcome:
+        """Reads one object."""
+        return await self._gate.read(
+            _Kind.READ,
+            self._client,
+            lambda: self._platform.objects.read(name),
+        )
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Writes an object that has the version; 0 means it is absent."""
+        return await self._gate.write(
+            _Kind.WRITE,
+            self._client,
+            lambda: self._platform.objects.write(name, body, expected_version),
+        )
+
+    async def delete(
+        self, name: str, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Deletes an object that has the version."""
+        return await self._gate.write(
+            _Kind.DELETE,
+            self._client,
+            lambda: self._platform.objects.delete(name, expected_version),
+        )
+
+    async def list_names(
+        self, prefix: str
+    ) -> Sequence[str] | platform_api.Unavailable:
+        """Lists the names that start with the prefix."""
+        return await self._gate.read(
+            _Kind.LIST,
+            self._client,
+            lambda: self._platform.objects.list_names(prefix),
+        )
+
+    async def watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> platform_api.Changes | platform_api.Unavailable:
+        """Waits for changes after the position; counts as one call."""
+        return await self._gate.watch(
+            self._client,
+            lambda: self._platform.objects.watch(prefix, position, timeout_s),
+        )
+
+
+class GatedVmList(_Gated):
+    """The list of VMs behind the gate."""
+
+    async def list_vms(
+        self,
+    ) -> Sequence[platform_api.VirtualMachine] | platform_api.Unavailable:
+        """Lists the VMs of the system."""
+        return await self._gate.read(
+            _Kind.LIST_VMS, self._client, self._list_vms
+        )
+
+    async def _list_vms(
+        self,
+    ) -> Sequence[platform_api.VirtualMachine] | platform_api.Unavailable:
+        if self._gate.faults.vms_frozen and self._gate.last_vms is not None:
+            return self._gate.last_vms
+        found = await self._platform.vms.list_vms()
+        if not isinstance(found, platform_api.Unavailable):
+            self._gate.last_vms = tuple(found)
+        return found
+
+
+class GatedServerOrders(_Gated):
+    """Orders of backend servers behind the gate."""
+
+    async def send(
+        self, order: platform_api.ServerOrder
+    ) -> platform_api.OrderOutcome:
+        """Sends one order."""
+        return await self._gate.write(
+            _Kind.ORDER,
+            self._client,
+            lambda: self._platform.orders.send(order),
+        )
+
+    async def list_servers(
+        self, zone: str
+    ) -> Sequence[platform_api.OrderedServer] | platform_api.Unavailable:
+        """Lists the backend servers that run in a zone."""
+        return await self._gate.read(
+            _Kind.LIST_SERVERS,
+            self._client,
+            lambda: self._platform.orders.list_servers(zone),
+        )
+
+
+class GatedUsageReports(_Gated):
+    """Usage reports behind the gate."""
+
+    async def report(
+        self, window: str, body: bytes, fencing: int
+    ) -> platform_api.ReportOutcome:
+        """Reports the figures of one window."""
+        return await self._gate.write(
+            _Kind.REPORT,
+            self._client,
+            lambda: self._platform.usage.report(window, body, fencing),
+        )
+
+
+class GatedWeightStore(_Gated):
+    """The store of weights behind the gate."""
+
+    async def reserve(self, model: str) -> float | platform_api.Unavailable:
+        """Asks to load a model; returns seconds to wait, 0 for none."""
+        return await self._gate.read(
+            _Kind.RESERVE,
+            self._client,
+            lambda: self._platform.weights.reserve(model),
+        )
+
+
+def make_gated(
+    platform: platform_api.Platform, gate: platform_faults.Gate, client: str
+) -> platform_api.Platform:
+    """Creates the interfaces of one client behind a gate."""
+    return platform_api.Platform(
+        GatedObjectStore(platform, gate, client),
+        GatedVmList(platform, gate, client),
+        GatedServerOrders(platform, gate, client),
+        GatedUsageReports(platform, gate, client),
+        GatedWeightStore(platform, gate, client),
+    )
--- a/figstream/platform_memory.py
+++ b/figstream/platform_memory.py
@@ -11,6 +11,8 @@
 import attrs
 
 from figstream import platform_api
+from figstream import platform_faults
+from figstream import platform_gated
 
 
 @attrs.define
@@ -24,7 +26,6 @@
       lose_requests: writes that do not take effect but answer `Unknown`.
       delay_s: seconds added to each call.
       break_watches: whether watches report a gap.
-      blocked_clients: client names that cannot reach the platform.
     """
 
     down: bool = False
@@ -32,7 +33,6 @@
     lose_requests: int = 0
     delay_s: float = 0.0
     break_watches: bool = False
-    blocked_clients: set[str] = attrs.field(factory=set)
 
 
 class MemoryObjectStore:
@@ -288,9 +288,18 @@
     orders: MemoryServerOrders = attrs.field(factory=MemoryServerOrders)
     usage: MemoryUsageReports = attrs.field(factory=MemoryUsageReports)
     weights: MemoryWeightStore = attrs.field(factory=MemoryWeightStore)
+    gate: platform_faults.Gate = attrs.field(factory=platform_faults.Gate)
 
-    def interfaces(self) -> platform_api.Platform:
-        """Returns the platform as the daemon sees it."""
-        return platform_api.Platform(
+    def interfaces(self, client: str = "") -> platform_api.Platform:
+        """Returns the platform as a client sees it.
+
+        Args:
+          client: name of the daemon whose calls pass the gate of faults; ""
+            for one whose calls pass by it.
+        """
+        direct = platform_api.Platform(
             self.objects, self.vms, self.orders, self.usage, self.weights
         )
+        if not client:
+            return direct
+        return platform_gated.make_gated(direct, self.gate, client)
--- a/figstream/platform_wire.py
+++ b/figstream/platform_wire.py
@@ -75,3 +75,10 @@
     """Seconds to wait before a model may be loaded."""
 
     wait_s: float
+
+
+@attrs.frozen
+class CountersBody:
+    """Number of calls received by kind."""
+
+    calls: dict[str, int]
--- /dev/null
+++ b/figstream/settings_file.py
@@ -0,0 +1,164 @@
+"""Reads INI settings files against a list of fields.
+
+Every fault is found at once, with its section, key, the value found and what
+is allowed.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import configparser
+import pathlib
+import urllib.parse
+
+import attrs
+
+from figstream import errors
+
+
+@attrs.frozen
+class Field:
+    """How one key of the file is read."""
+
+    section: str
+    key: str
+    allowed: str
+    parse: Callable[[str], object | None]
+    default: object | None = None
+
+
+def text(value: str) -> object | None:
+    """Takes any text but none at all."""
+    return value or None
+
+
+def url(value: str) -> object | None:
+    """Takes an HTTP address; drops the slash at its end."""
+    parts = urllib.parse.urlsplit(value)
+    known = parts.scheme in {"http", "https"} and parts.netloc
+    return value.rstrip("/") if known else None
+
+
+def whole(low: int, high: int) -> Callable[[str], object | None]:
+    """Takes whole numbers of a range."""
+
+    def parse(value: str) -> object | None:
+        if not value.isascii() or not value.isdigit():
+            return None
+        number = int(value)
+        return number if low <= number <= high else None
+
+    return parse
+
+
+def seconds(low: float, high: float) -> Callable[[str], object | None]:
+    """Takes seconds of a range."""
+
+    def parse(value: str) -> object | None:
+        try:
+            number = float(value)
+        except ValueError:
+            return None
+        return number if low <= number <= high else None
+
+    return parse
+
+
+def whole_field(
+    section: str, key: str, low: int, high: int, default: int
+) -> Field:
+    """Describes a key that holds a whole number."""
+    allowed = f"a whole number from {low} to {high}"
+    return Field(section, key, allowed, whole(low, high), default)
+
+
+def seconds_field(
+    section: str, key: str, low: float, high: float, default: float
+) -> Field:
+    """Describes a key that holds seconds."""
+    allowed = f"seconds from {low:g} to {high:g}"
+    return Field(section, key, allowed, seconds(low, high), default)
+
+
+def read_text(path: pathlib.Path) -> str:
+    """Reads a settings file.
+
+    Raises:
+      errors.SettingsError: the file can't be read.
+    """
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = _single_fault("file", str(path), str(error), "a readable file")
+        raise fault from error
+
+
+def parse_sections(text: str) -> dict[str, dict[str, str]]:
+    """Splits the text of a settings file into sections.
+
+    Raises:
+      errors.SettingsError: the text is not INI.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        fault = _single_fault("file", "syntax", str(error), "an INI file")
+        raise fault from error
+    return {name: dict(parser[name]) for name in parser.sections()}
+
+
+def parse_fields(
+    sections: Mapping[str, Mapping[str, str]], fields: Sequence[Field]
+) -> dict[str, object]:
+    """Returns the values of the fields by key.
+
+    Raises:
+      errors.SettingsError: carries every fault found.
+    """
+    values: dict[str, object] = {}
+    faults = [
+        *_unknown(sections, fields),
+        *_read_fields(sections, fields, values),
+    ]
+    if faults:
+        raise errors.SettingsError(faults)
+    return values
+
+
+def _single_fault(
+    section: str, key: str, found: str, allowed: str
+) -> errors.SettingsError:
+    fault = errors.SettingsFault(section, key, found, allowed)
+    return errors.SettingsError([fault])
+
+
+def _unknown(
+    sections: Mapping[str, Mapping[str, str]], fields: Sequence[Field]
+) -> list[errors.SettingsFault]:
+    known = {(field.section, field.key) for field in fields}
+    return [
+        errors.SettingsFault(section, key, value, "no such key; remove it")
+        for section, entries in sections.items()
+        for key, value in entries.items()
+        if (section, key) not in known
+    ]
+
+
+def _read_fields(
+    sections: Mapping[str, Mapping[str, str]],
+    fields: Sequence[Field],
+    values: dict[str, object],
+) -> list[errors.SettingsFault]:
+    faults = []
+    for field in fields:
+        found = sections.get(field.section, {}).get(field.key)
+        value = field.default if found is None else field.parse(found)
+        if value is None:
+            faults.append(
+                errors.SettingsFault(
+                    field.section, field.key, found or "", field.allowed
+                )
+            )
+        values[field.key] = value
+    return faults
--- /dev/null
+++ b/figstream/standin_cli.py
@@ -0,0 +1,122 @@
+"""Commands that run stand-ins for what figstream talks to."""
+
+from collections.abc import Callable
+import ipaddress
+import pathlib
+import sys
+from typing import Annotated
+from typing import Final
+
+import anyio
+import attrs
+import typer
+
+from figstream import errors
+from figstream import http_server
+from figstream import platform_api
+from figstream import platform_memory
+from figstream import settings_file
+from figstream import standin_platform
+
+_EXIT_INVALID: Final = 2
+_PORT: Final = 9000
+_VMS_SECTION: Final = "vms"
+
+app = typer.Typer(
+    help="Stand-ins for the platform, for tests and demonstrations.",
+    no_args_is_help=True,
+)
+
+
+@attrs.frozen
+class PlatformOptions:
+    """Settings of the stand-in platform.
+
+    Attributes:
+      host: IP number to bind.
+      port: port to bind; 0 picks a free one.
+      weight_wait_s: seconds that a load of weights has to wait.
+      vms: the list of VMs that it hands out.
+    """
+
+    host: str
+    port: int
+    weight_wait_s: float
+    vms: tuple[platform_api.VirtualMachine, ...]
+
+
+def _ip_number(value: str) -> object | None:
+    try:
+        return str(ipaddress.ip_address(value))
+    except ValueError:
+        return None
+
+
+_FIELDS: Final = (
+    settings_file.Field(
+        "platform", "host", "an IP number", _ip_number, "127.0.0.1"
+    ),
+    settings_file.whole_field("platform", "port", 0, 65535, _PORT),
+    settings_file.seconds_field("platform", "weight_wait_s", 0, 3600, 0),
+)
+
+
+def parse_platform_options(text: str) -> PlatformOptions:
+    """Checks the settings of the stand-in platform.
+
+    Raises:
+      errors.SettingsError: carries every fault found.
+    """
+    sections = settings_file.parse_sections(text)
+    machines = sections.pop(_VMS_SECTION, {})
+    vms = [_parse_vm(name, value) for name, value in machines.items()]
+    faults = [vm for vm in vms if isinstance(vm, errors.SettingsFault)]
+    if faults:
+        raise errors.SettingsError(faults)
+    values = settings_file.parse_fields(sections, _FIELDS)
+    values[_VMS_SECTION] = tuple(vms)
+    return PlatformOptions(**values)  # type: ignore[arg-type]
+
+
+def _parse_vm(
+    name: str, value: str
+) -> platform_api.VirtualMachine | errors.SettingsFault:
+    match value.split():
+        case [address, zone]:
+            return platform_api.VirtualMachine(name, address, zone)
+        case _:
+            allowed = "IP number and availability zone"
+            return errors.SettingsFault(_VMS_SECTION, name, value, allowed)
+
+
+@app.callback()
+def common() -> None:
+    """Stand-ins for the platform, for tests and demonstrations."""
+
+
+@app.command("platform")
+def run_platform(
+    file: Annotated[
+        pathlib.Path, typer.Option("--config", help="The INI settings file.")
+    ],
+) -> None:
+    """Serve the platform from memory until interrupted."""
+    found = _load(file, parse_platform_options)
+    platform = platform_memory.MemoryPlatform()
+    platform.weights.wait_s = found.weight_wait_s
+    platform.vms.vms = {vm.name: vm for vm in found.vms}
+    standin = standin_platform.make_app(platform)
+    server = http_server.HttpServer(standin, found.host, found.port)
+    typer.echo(f"platform=http://{found.host}:{server.port}")
+    anyio.run(server.serve)
+
+
+def _load(
+    file: pathlib.Path, parse: Callable[[str], PlatformOptions]
+) -> PlatformOptions:
+    try:
+        return parse(settings_file.read_text(file))
+    except errors.SettingsError as error:
+        for fault in error.faults:
+            typer.echo(f"{file}: {fault}", err=True)
+        sys.exit(_EXIT_INVALID)
--- a/figstream/standin_platform.py
+++ b/figstream/standin_platform.py
@@ -15,6 +15,7 @@
 
 from figstream import errors
 from figstream import platform_api
+from figstream import platform_faults
 from figstream import platform_memory
 from figstream import platform_wire as wire
 from figstream import serialization
@@ -49,6 +50,11 @@
         """Returns a parameter as a whole number, 0 if it is missing."""
         return int(self.params.get(key, "0"))
 
+    @property
+    def client(self) -> str:
+        """Returns the name of the daemon that calls."""
+        return self.headers.get(wire.CLIENT_HEADER, "") or _UNNAMED
+
 
 @attrs.frozen
 class Answer:
@@ -67,6 +73,7 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+_UNNAMED: Final = "unnamed"
 _Handler = Callable[[Call], Awaitable[Answer]]
 _LOST: Final = Answer(None)
 _NO_SUCH_PATH: Final = Answer(wire.ABSENT)
@@ -85,6 +92,9 @@
             ("GET", wire.LISTING, self._list_names),
             ("GET", wire.WATCH, self._watch),
             ("GET", wire.VMS, self._list_vms),
+            ("PUT", wire.VMS, self._set_vms),
+            ("PUT", wire.FAULTS, self._set_faults),
+            ("GET", wire.COUNTERS, self._count_calls),
             ("POST", wire.ORDERS, self._send_order),
             ("GET", wire.SERVERS, self._list_servers),
             ("PUT", wire.USAGE, self._report),
@@ -103,6 +113,9 @@
         call = await _receive_call(scope, receive)
         await _send_answer(await self._answer(call), send)
 
+    def _interfaces(self, call: Call) -> platform_api.Platform:
+        return self._platform.interfaces(call.client)
+
     async def _answer(self, call: Call) -> Answer:
         handler = next(
             (
@@ -121,7 +134,7 @@
 
     async def _read(self, call: Call) -> Answer:
         name = call.name_after(wire.OBJECTS)
-        found = await self._platform.objects.read(name)
+        found = await self._interfaces(call).objects.read(name)
         if isinstance(found, platform_api.Unavailable):
             return _unavailable(found)
         if isinstance(found, platform_api.Absent):
@@ -132,7 +145,7 @@
     async def _write(self, call: Call) -> Answer:
         name = call.name_after(wire.OBJECTS)
         return _written(
-            await self._platform.objects.write(
+            await self._interfaces(call).objects.write(
                 name, call.body, call.number("version")
             )
         )
@@ -140,18 +153,20 @@
     async def _delete(self, call: Call) -> Answer:
         name = call.name_after(wire.OBJECTS)
         return _written(
-            await self._platform.objects.delete(name, call.number("version"))
+            await self._interfaces(call).objects.delete(
+                name, call.number("version")
+            )
         )
 
     async def _list_names(self, call: Call) -> Answer:
         prefix = call.params.get("prefix", "")
-        found = await self._platform.objects.list_names(prefix)
+        found = await self._interfaces(call).objects.list_names(prefix)
         if isinstance(found, platform_api.Unavailable):
             return _unavailable(found)
         return _json(wire.OK, wire.NamesBody(tuple(found)))
 
     async def _watch(self, call: Call) -> Answer:
-        found = await self._platform.objects.watch(
+        found = await self._interfaces(call).objects.watch(
             call.params.get("prefix", ""),
             call.number("position"),
             float(call.params.get("timeout_s", "0")),
@@ -161,14 +176,31 @@
         return _json(wire.OK, found)
 
     async def _list_vms(self, call: Call) -> Answer:
-        found = await self._platform.vms.list_vms()
+        found = await self._interfaces(call).vms.list_vms()
         if isinstance(found, platform_api.Unavailable):
             return _unavailable(found)
         return _json(wire.OK, wire.VmsBody(tuple(found)))
 
+    async def _set_vms(self, call: Call) -> Answer:
+        body = serialization.from_json(call.body, wire.VmsBody)
+        self._platform.vms.vms = {vm.name: vm for vm in body.vms}
+        return Answer(wire.OK)
+
+    async def _set_faults(self, call: Call) -> Answer:
+        faults = serialization.from_json(
+            call.body, platform_faults.FaultSettings
+        )
+        self._platform.gate.faults = faults
+        self._platform.orders.checks_fencing = not faults.fencing_ignored
+        return Answer(wire.OK)
+
+    async def _count_calls(self, call: Call) -> Answer:
+        counters = dict(self._platform.gate.counters)
+        return _json(wire.OK, wire.CountersBody(counters))
+
     async def _send_order(self, call: Call) -> Answer:
         order = serialization.from_json(call.body, platform_api.ServerOrder)
-        outcome = await self._platform.orders.send(order)
+        outcome = await self._interfaces(call).orders.send(order)
         if isinstance(outcome, platform_api.OrderAccepted):
             return _json(wire.OK, outcome)
         if isinstance(outcome, platform_api.OrderRefused):
@@ -177,7 +209,7 @@
 
     async def _list_servers(self, call: Call) -> Answer:
         zone = call.params.get("zone", "")
-        found = await self._platform.orders.list_servers(zone)
+        found = await self._interfaces(call).orders.list_servers(zone)
         if isinstance(found, platform_api.Unavailable):
             return _unavailable(found)
         return _json(wire.OK, wire.ServersBody(tuple(found)))
@@ -185,7 +217,9 @@
     async def _report(self, call: Call) -> Answer:
         window = call.name_after(wire.USAGE)
         fencing = int(call.headers.get(wire.FENCING_HEADER, "0"))
-        outcome = await self._platform.usage.report(window, call.body, fencing)
+        outcome = await self._interfaces(call).usage.report(
+            window, call.body, fencing
+        )
         if isinstance(outcome, platform_api.ReportAccepted):
             return Answer(wire.OK)
         if isinstance(outcome, platform_api.ReportRefused):
@@ -194,7 +228,7 @@
 
     async def _reserve(self, call: Call) -> Answer:
         model = call.name_after(wire.WEIGHTS)
-        found = await self._platform.weights.reserve(model)
+        found = await self._interfaces(call).weights.reserve(model)
         if isinstance(found, platform_api.Unavailable):
             return _unavailable(found)
         return _json(wire.OK, wire.WaitBody(found))
