--- a/figstream/caller_answer.py
+++ b/figstream/caller_answer.py
@@ -29,6 +29,11 @@
         self.streamed = False
         self.bytes_sent = 0
 
+    @property
+    def request_id(self) -> str:
+        """Returns the unique id of the request."""
+        return self._request_id
+
     def name(self, caller_id: str, request_id: str) -> None:
         """Sets the ids that the answer shows."""
         self._caller_id = caller_id
--- /dev/null
+++ b/figstream/request_records.py
@@ -0,0 +1,145 @@
+"""Records what happened to requests: counters, log lines and explanations.
+
+One call here leaves the same reason in the metric, the log and the ring that
+`figstream operator explain` reads.
+"""
+
+from figstream import clock as clock_lib
+from figstream import errors
+from figstream import explain
+from figstream import inbound
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import reasons
+from figstream import scheduler_api
+
+
+class RequestRecords:
+    """Where the request path leaves its traces."""
+
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+        decisions: explain.DecisionLog,
+    ) -> None:
+        """Writes to the daemon's metrics and decision log."""
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+
+    def refused_unchecked(
+        self, refusal: errors.Refusal, request_id: str, customer: str
+    ) -> None:
+        """Records a refusal before the request had a class."""
+        self._metrics.refused(refusal.reason)
+        self._add(
+            request_id, customer, "", "refused", refusal.reason.value, "", ""
+        )
+
+    def refused(self, call: inbound.Call, refusal: errors.Refusal) -> None:
+        """Records a refusal."""
+        self._metrics.refused(refusal.reason, call.request_class.name)
+        detail = f"{refusal.run_state.value} {refusal.detail}".strip()
+        self._of_call(call, "refused", refusal.reason.value, "", detail)
+
+    def queued(self, call: inbound.Call, queue_length: int) -> None:
+        """Records that a request waits for dispatch."""
+        self._of_call(call, "queued", "", "", f"ahead={queue_length}")
+
+    def dispatched(
+        self, call: inbound.Call, decision: scheduler_api.Dispatched
+    ) -> None:
+        """Records which backend server a request goes to and why."""
+        waited_s = self._clock.now() - call.arrived
+        if decision.request.attempt <= 1:
+            self._metrics.queue_time(call.request_class.name, waited_s)
+        self._of_call(
+            call,
+            "dispatched",
+            decision.reason,
+            decision.server.name,
+            f"waited_s={waited_s:.3f} attempt={decision.request.attempt}",
+        )
+
+    def retried(
+        self,
+        call: inbound.Call,
+        reason: reasons.RetryReason,
+        server: str,
+        detail: str,
+    ) -> None:
+        """Records that a failed attempt is followed by another one."""
+        self._metrics.retried(reason, call.request_class.name)
+        self._of_call(call, "retried", reason.value, server, detail)
+
+    def started(self, call: inbound.Call) -> None:
+        """Records the time to the first byte of the answer."""
+        first_s = self._clock.now() - call.arrived
+        self._metrics.first_token(call.request_class.name, first_s)
+
+    def answered(
+        self, call: inbound.Call, server: str, between_tokens_s: float
+    ) -> None:
+        """Records that the whole answer reached the caller."""
+        self._metrics.answered(call.request_class.name)
+        if between_tokens_s:
+            self._metrics.between_tokens(
+                call.request_class.name, between_tokens_s
+            )
+        total_s = self._clock.now() - call.arrived
+        self._of_call(call, "answered", "", server, f"total_s={total_s:.3f}")
+
+    def caller_gone(self, call: inbound.Call) -> None:
+        """Records that the caller closed the connection."""
+        self._metrics.event("caller_gone")
+        self._of_call(call, "caller_gone", "", "", "")
+
+    def _of_call(
+        self,
+        call: inbound.Call,
+        decision: str,
+        reason: str,
+        server: str,
+        detail: str,
+    ) -> None:
+        self._add(
+            call.request_id,
+            call.identity.customer,
+            call.request_class.name,
+            decision,
+            reason,
+            server,
+            detail,
+        )
+
+    def _add(
+        self,
+        request_id: str,
+        customer: str,
+        request_class: str,
+        decision: str,
+        reason: str,
+        server: str,
+        detail: str,
+    ) -> None:
+        record = explain.DecisionRecord(
+            self._clock.wall(),
+            request_id,
+            customer,
+            request_class,
+            decision,
+            reason,
+            server,
+            detail,
+        )
+        self._decisions.add(record)
+        logs.debug(
+            decision,
+            request=request_id,
+            customer=customer,
+            request_class=request_class,
+            reason=reason,
+            server=server,
+            detail=detail,
+        )
--- a/figstream/standin_engine.py
+++ b/figstream/standin_engine.py
@@ -121,7 +121,10 @@
             raise EngineCrashError("the engine is dead")
         path = scope["path"]
         if path == engine_protocol.LOAD_PATH:
-            await self._json(send, serialization.to_json(self.load))
+            headers = self._answer_headers("")
+            await asgi.send_whole(
+                send, 200, headers, serialization.to_json(self.load)
+            )
         elif path == "/faults":
             body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
             self.faults = serialization.from_json(body, EngineFaults)
