Answer a caller's request end to end

Cause: no daemon ran yet. Change: the daemon, 'figstream serve', and a whole system in one process for tests and the demo.

--- /dev/null
+++ b/figstream/daemon.py
@@ -0,0 +1,177 @@
+"""One daemon: builds its parts, runs them, and shuts down gracefully."""
+
+from collections.abc import Sequence
+import random
+import time
+from typing import Final
+
+import anyio
+
+from figstream import authentication
+from figstream import backend_client
+from figstream import blame_api
+from figstream import caller_app
+from figstream import claims_api
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import daemon_context
+from figstream import dispatch_gate
+from figstream import errors
+from figstream import explain
+from figstream import http_server
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import options as options_lib
+from figstream import platform_api
+from figstream import reasons
+from figstream import request_path
+from figstream import request_records
+from figstream import retry_policy
+from figstream import scheduler
+from figstream import server_health
+from figstream import usage_totals
+
+_HEADER_HEADROOM: Final = 2
+_HAND_OVER_LIMIT_S: Final = 10.0
+
+
+class _NoClaims:
+    async def claim(
+        self, customer: str, idempotency_key: str, fingerprint: int
+    ) -> claims_api.ClaimOutcome:
+        return errors.Refusal(reasons.RefusalReason.CLAIM_UNAVAILABLE)
+
+    async def complete(
+        self, claim: claims_api.Claimed, result: claims_api.StoredResult
+    ) -> bool:
+        return False
+
+    async def release(self, claim: claims_api.Claimed) -> bool:
+        return False
+
+
+class _NoBlame:
+    def started(self, fingerprint: int, server: str, now: float) -> None:
+        pass
+
+    def ended(self, fingerprint: int, server: str, now: float) -> None:
+        pass
+
+    def crashed(self, server: str, now: float) -> None:
+        pass
+
+    def verdict(self, fingerprint: int, now: float) -> blame_api.Verdict:
+        return blame_api.Verdict.CLEAR
+
+
+def make_context(
+    options: options_lib.Options,
+    platform: platform_api.Platform,
+    metrics: metrics_lib.Metrics,
+) -> daemon_context.DaemonContext:
+    """Creates what the parts of a daemon share."""
+    clock = clock_lib.SystemClock()
+    context = daemon_context.DaemonContext(
+        options,
+        clock,
+        time.time_ns(),
+        platform,
+        configuration_holder.ConfigurationHolder(clock),
+        scheduler.make_scheduler(options.zone),
+        explain.DecisionLog(options.explain_records),
+        metrics,
+    )
+    context.holder.subscribe(context.scheduler.set_configuration)
+    return context
+
+
+class Daemon:
+    """The parts of one daemon and their order of start and stop."""
+
+    def __init__(self, context: daemon_context.DaemonContext) -> None:
+        """Builds every part; nothing runs yet."""
+        self.context = context
+        self.usage = usage_totals.UsageTotals()
+        self._roles: Sequence[daemon_context.Role] = ()
+        self._gate = dispatch_gate.DispatchGate(
+            context.scheduler, context.clock
+        )
+        blame = _NoBlame()
+        self._health = server_health.ServerHealth(
+            context.scheduler,
+            context.holder,
+            blame,
+            context.clock,
+            context.metrics,
+        )
+        self._backends = backend_client.BackendClient(self._health.on_load)
+        authenticator = authentication.Authenticator(
+            context.holder, context.options.key_trust_s
+        )
+        records = request_records.RequestRecords(
+            context.clock, context.metrics, context.decisions
+        )
+        services = request_path.RequestServices(
+            context.clock,
+            authenticator,
+            self._gate,
+            self._backends,
+            self._health,
+            retry_policy.RetryPolicy(random.Random()),
+            _NoClaims(),
+            blame,
+            self.usage,
+            records,
+        )
+        self.app = caller_app.CallerApp(
+            context.options,
+            context.clock,
+            context.holder,
+            authenticator,
+            request_path.RequestPath(services),
+            records,
+        )
+        self._server = http_server.HttpServer(
+            self.app.application,
+            context.options.address,
+            context.options.caller_port,
+            context.options.shutdown_limit_s,
+            context.options.header_limit_bytes * _HEADER_HEADROOM,
+        )
+
+    @property
+    def caller_port(self) -> int:
+        """Returns the port that callers use."""
+        return self._server.port
+
+    async def run(self) -> None:
+        """Runs until `shut_down`, then finishes what is in flight."""
+        options = self.context.options
+        async with anyio.create_task_group() as group:
+            for role in self._roles:
+                group.start_soon(role.run)
+            group.start_soon(self._gate.run)
+            group.start_soon(self._health.run, self._backends)
+            logs.info(
+                "daemon_started",
+                vm=options.name,
+                zone=options.zone,
+                caller_port=self.caller_port,
+            )
+            await self._server.serve()
+            await self._hand_over()
+            group.cancel_scope.cancel()
+        await self._backends.close()
+        logs.info("daemon_stopped", vm=options.name)
+
+    async def shut_down(self) -> None:
+        """Fails readiness, then stops accepting and lets requests finish."""
+        self.app.leaving = True
+        logs.info("daemon_leaving", vm=self.context.options.name)
+        await anyio.sleep(self.context.options.drain_delay_s)
+        self._server.shut_down()
+
+    async def _hand_over(self) -> None:
+        with anyio.move_on_after(_HAND_OVER_LIMIT_S):
+            for role in self._roles:
+                await role.hand_over()
--- a/figstream/defaults.py
+++ b/figstream/defaults.py
@@ -11,6 +11,7 @@
 KEY_TRUST_S: Final = 600.0
 SHUTDOWN_LIMIT_S: Final = 600.0
 LOG_LEVEL: Final = "info"
+DRAIN_DELAY_S: Final = 3.0
 WINDOW_S: Final = 60.0
 LEASE_S: Final = 6.0
 PLATFORM_TIMEOUT_S: Final = 2.0
--- /dev/null
+++ b/figstream/demo_stack.py
@@ -0,0 +1,215 @@
+"""A whole system in one process: platform, backend servers and daemons.
+
+The demo, the benchmarks and the tests of the whole path use it. Everything
+talks over loopback as separate processes would.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import contextlib
+import functools
+from typing import Final
+
+import anyio
+import attrs
+
+from figstream import api_key
+from figstream import backend_server
+from figstream import configuration as configuration_lib
+from figstream import customer
+from figstream import daemon as daemon_lib
+from figstream import http_server
+from figstream import metrics as metrics_lib
+from figstream import options as options_lib
+from figstream import platform_http
+from figstream import platform_memory
+from figstream import request_class
+from figstream import route
+from figstream import standin_engine
+from figstream import standin_platform
+from figstream import standin_service
+
+HOST: Final = "127.0.0.1"
+ZONES: Final = ("zone-a", "zone-b", "zone-c")
+MODEL: Final = "caption-1"
+SERVICE: Final = "bookings"
+
+CHAT: Final = request_class.RequestClass(
+    "chat",
+    tier=0,
+    minimum_share=0.2,
+    service_level=request_class.ServiceLevel(0.43, 0.051, 30.0),
+)
+BATCH: Final = request_class.RequestClass(
+    "batch",
+    tier=2,
+    minimum_share=0.1,
+    service_level=request_class.ServiceLevel(2.0, 0.2, 60.0),
+    preemptible=True,
+)
+CALLS: Final = request_class.RequestClass(
+    "calls", tier=1, service_level=request_class.ServiceLevel(1.0, 0.0, 20.0)
+)
+
+
+@attrs.define
+class Stack:
+    """The running parts.
+
+    Attributes:
+      platform: the stand-in platform.
+      platform_url: its base address.
+      engines: the stand-in engines.
+      service: the stand-in plain service.
+      daemons: the daemons.
+      keys: a key for each customer, by name.
+      configuration: the configuration in force at the start.
+    """
+
+    platform: platform_memory.MemoryPlatform
+    platform_url: str
+    engines: list[standin_engine.StandInEngine]
+    service: standin_service.StandInService
+    daemons: list[daemon_lib.Daemon]
+    keys: dict[str, str]
+    configuration: configuration_lib.Configuration
+
+    def url(self, number: int) -> str:
+        """Returns the address for callers of one daemon."""
+        return f"http://{HOST}:{self.daemons[number].caller_port}"
+
+
+@attrs.frozen
+class StackOptions:
+    """How large a stack is to be.
+
+    Attributes:
+      daemons: number of daemons, spread over the zones.
+      engines: options of the engines, spread over the zones.
+      customers: names of the customers.
+      log_level: lowest level that the daemons log.
+    """
+
+    daemons: int = 3
+    engines: Sequence[standin_engine.EngineOptions] = tuple(
+        standin_engine.EngineOptions(f"engine-{number}", (MODEL,))
+        for number in range(3)
+    )
+    customers: Sequence[str] = ("studio", "trader")
+    log_level: str = "warning"
+
+
+@contextlib.asynccontextmanager
+async def run_stack(wanted: StackOptions) -> AsyncIterator[Stack]:
+    """Runs a stack within the block."""
+    platform = platform_memory.MemoryPlatform()
+    service = standin_service.StandInService(SERVICE)
+    engines = [standin_engine.StandInEngine(item) for item in wanted.engines]
+    async with contextlib.AsyncExitStack() as running:
+        serve = functools.partial(_serve, running)
+        platform_port = await serve(standin_platform.make_app(platform))
+        engine_ports = [await serve(item.application) for item in engines]
+        service_port = await serve(service.application)
+        issued = [api_key.issue(name) for name in wanted.customers]
+        configuration = make_configuration(
+            wanted, [item.record for item in issued], engine_ports, service_port
+        )
+        metrics = metrics_lib.make_metrics()
+        url = f"http://{HOST}:{platform_port}"
+        daemons = [
+            _make_daemon(number, url, wanted.log_level, metrics)
+            for number in range(wanted.daemons)
+        ]
+        stack = Stack(
+            platform,
+            url,
+            engines,
+            service,
+            daemons,
+            {item.record.customer: item.text for item in issued},
+            configuration,
+        )
+        group = await running.enter_async_context(anyio.create_task_group())
+        for daemon in daemons:
+            daemon.context.holder.replace(configuration)
+            daemon.context.holder.confirm(configuration.generation)
+            group.start_soon(daemon.run)
+        yield stack
+        group.cancel_scope.cancel()
+
+
+def make_configuration(
+    wanted: StackOptions,
+    keys: Sequence[api_key.KeyRecord],
+    engine_ports: Sequence[int],
+    service_port: int,
+) -> configuration_lib.Configuration:
+    """Returns the configuration that a stack starts with."""
+    engines = tuple(
+        backend_server.BackendServer(
+            options.name,
+            f"http://{HOST}:{port}",
+            ZONES[number % len(ZONES)],
+            models=options.models,
+            slots=options.slots,
+        )
+        for number, (options, port) in enumerate(
+            zip(wanted.engines, engine_ports, strict=True)
+        )
+    )
+    plain = backend_server.BackendServer(
+        SERVICE,
+        f"http://{HOST}:{service_port}",
+        ZONES[0],
+        kind=backend_server.ServerKind.SERVICE,
+        service=SERVICE,
+    )
+    return configuration_lib.Configuration(
+        generation=1,
+        customers=tuple(
+            customer.Customer(name, classes=("chat", "batch", "calls"))
+            for name in wanted.customers
+        ),
+        keys=tuple(keys),
+        classes=(CHAT, BATCH, CALLS),
+        servers=(*engines, plain),
+        routes=(
+            route.Route("/bookings", SERVICE, "calls"),
+            route.Route(
+                "/status", SERVICE, "calls", open=True, idempotent=True
+            ),
+        ),
+        default_class="chat",
+    )
+
+
+async def _serve(
+    running: contextlib.AsyncExitStack, app: http_server.Application
+) -> int:
+    return await running.enter_async_context(http_server.serve_app(app))
+
+
+def _make_daemon(
+    number: int,
+    platform_url: str,
+    log_level: str,
+    metrics: metrics_lib.Metrics,
+) -> daemon_lib.Daemon:
+    options = options_lib.Options(
+        f"entry-{number}",
+        ZONES[number % len(ZONES)],
+        "demo",
+        HOST,
+        0,
+        0,
+        0,
+        platform_url,
+        log_level=log_level,
+        drain_delay_s=0.0,
+    )
+    platform = platform_http.make_platform(
+        platform_url, options.name, options.platform_timeout_s
+    )
+    return daemon_lib.Daemon(
+        daemon_lib.make_context(options, platform, metrics)
+    )
--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -5,12 +5,14 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import socket
+from typing import Any
 from typing import Final
 
 import anyio
-from hypercorn import typing as asgi
 import hypercorn.asyncio
 import hypercorn.config
 
@@ -22,13 +24,16 @@
 GRACEFUL_TIMEOUT_S: Final = 3.0
 HEADER_LIMIT_BYTES: Final = 65_536
 
+# Any ASGI application; callers type its scope and channels as they need.
+Application = Callable[[Any, Any, Any], Awaitable[None]]
+
 
 class HttpServer:
     """One listening socket and the application behind it."""
 
     def __init__(
         self,
-        app: asgi.ASGIFramework,
+        app: Application,
         host: str,
         port: int,
         graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
@@ -95,9 +100,9 @@
 
     async def _handle(
         self,
-        scope: asgi.Scope,
-        receive: asgi.ASGIReceiveCallable,
-        send: asgi.ASGISendCallable,
+        scope: Any,
+        receive: Any,
+        send: Any,
     ) -> None:
         if scope["type"] == "lifespan":
             await _acknowledge_lifespan(receive, send)
@@ -105,9 +110,7 @@
             await self._app(scope, receive, send)
 
 
-async def _acknowledge_lifespan(
-    receive: asgi.ASGIReceiveCallable, send: asgi.ASGISendCallable
-) -> None:
+async def _acknowledge_lifespan(receive: Any, send: Any) -> None:
     while True:
         event = await receive()
         if event["type"] == "lifespan.startup":
@@ -119,7 +122,7 @@
 
 @contextlib.asynccontextmanager
 async def serve_app(
-    app: asgi.ASGIFramework, host: str = "127.0.0.1", port: int = 0
+    app: Application, host: str = "127.0.0.1", port: int = 0
 ) -> AsyncIterator[int]:
     """Serves an application within the block; yields the bound port."""
     server = HttpServer(app, host, port)
--- a/figstream/main.py
+++ b/figstream/main.py
@@ -10,6 +10,7 @@
 
 from figstream import errors
 from figstream import options
+from figstream import serve
 from figstream import standin_cli
 
 EXIT_INVALID: Final = 2
@@ -57,6 +58,13 @@
     """A router for language-model traffic with service levels."""
 
 
+@app.command("serve")
+def run_serve(config: ConfigFile) -> None:
+    """Run one daemon until SIGTERM, then finish what is in flight."""
+    found = load_options(config)
+    serve.run(found)
+
+
 @app.command("check-config")
 def check_config(
     file: Annotated[pathlib.Path, typer.Argument(help="The INI file.")],
--- a/figstream/options.py
+++ b/figstream/options.py
@@ -40,6 +40,8 @@
       max_patience_s: longest deadline a caller may ask for.
       key_trust_s: seconds that keys go on working in a cut-off zone.
       shutdown_limit_s: seconds a graceful shutdown may take.
+      drain_delay_s: seconds between failing readiness and closing the
+        listening socket, for the balancer to take notice.
       window_s: length of a usage window.
       lease_s: length of a lease.
       heartbeat_s: seconds between heartbeats.
@@ -62,6 +64,7 @@
     max_patience_s: float = defaults.MAX_PATIENCE_S
     key_trust_s: float = defaults.KEY_TRUST_S
     shutdown_limit_s: float = defaults.SHUTDOWN_LIMIT_S
+    drain_delay_s: float = defaults.DRAIN_DELAY_S
     window_s: float = defaults.WINDOW_S
     lease_s: float = defaults.LEASE_S
     heartbeat_s: float = defaults.HEARTBEAT_S
@@ -101,6 +104,7 @@
     _seconds_field(
         "callers", "shutdown_limit_s", 1, 86_400, defaults.SHUTDOWN_LIMIT_S
     ),
+    _seconds_field("callers", "drain_delay_s", 0, 300, defaults.DRAIN_DELAY_S),
     _whole_field("peers", "peer_port", 0, 65535, defaults.PEER_PORT),
     _seconds_field("peers", "heartbeat_s", 0.05, 10, defaults.HEARTBEAT_S),
     _whole_field("peers", "neighbours", 1, 64, defaults.NEIGHBOURS),
--- /dev/null
+++ b/figstream/serve.py
@@ -0,0 +1,38 @@
+"""Runs one daemon until it is told to stop."""
+
+import signal
+
+import anyio
+
+from figstream import daemon as daemon_lib
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import options as options_lib
+from figstream import platform_http
+
+
+def run(options: options_lib.Options) -> None:
+    """Runs a daemon until SIGTERM or SIGINT."""
+    logs.configure(options.log_level)
+    anyio.run(_serve, options)
+
+
+async def _serve(options: options_lib.Options) -> None:
+    platform = platform_http.make_platform(
+        options.platform_url, options.name, options.platform_timeout_s
+    )
+    context = daemon_lib.make_context(
+        options, platform, metrics_lib.make_metrics()
+    )
+    daemon = daemon_lib.Daemon(context)
+    async with anyio.create_task_group() as group:
+        group.start_soon(_stop_on_signal, daemon)
+        await daemon.run()
+        group.cancel_scope.cancel()
+
+
+async def _stop_on_signal(daemon: daemon_lib.Daemon) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            await daemon.shut_down()
+            return
