--- /dev/null
+++ b/figstream/class_queue.py
@@ -0,0 +1,119 @@
+"""The waiting requests of one class for one target.
+
+Customers inside the queue are served by virtual token counter, the requests
+of one customer in order of arrival.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import attrs
+
+from figstream import fair_share
+from figstream import request_class as request_class_lib
+from figstream import request_target
+from figstream import scheduler_api
+
+_Requests = collections.OrderedDict[str, scheduler_api.PendingRequest]
+
+
+@attrs.define
+class _Line:
+    """The waiting requests of one customer, and what they will cost."""
+
+    weight: float
+    requests: _Requests = attrs.field(factory=collections.OrderedDict)
+    cost: float = 0.0
+
+
+class ClassQueue:
+    """Waiting requests of one class for one target, fair by customer."""
+
+    def __init__(
+        self,
+        request_class: request_class_lib.RequestClass,
+        target: request_target.Target,
+        weight_of: Callable[[str], float],
+    ) -> None:
+        """Creates an empty queue; weights are looked up by customer."""
+        self.request_class = request_class
+        self.target = target
+        self.shares = fair_share.FairShare()
+        self._weight_of = weight_of
+        self._lines: dict[str, _Line] = {}
+        self._costs: dict[str, float] = {}
+        self._count = 0
+        self._active_weight = 0.0
+
+    def __len__(self) -> int:
+        """Returns the number of waiting requests."""
+        return self._count
+
+    def __contains__(self, request: scheduler_api.PendingRequest) -> bool:
+        """Returns whether the request waits here."""
+        return request.request_id in self._costs
+
+    def __iter__(self) -> Iterator[scheduler_api.PendingRequest]:
+        """Iterates over the waiting requests, customer by customer."""
+        for line in self._lines.values():
+            yield from line.requests.values()
+
+    def push(self, request: scheduler_api.PendingRequest, cost: float) -> None:
+        """Adds a request with its expected cost."""
+        name = request.customer
+        line = self._lines.get(name)
+        if line is None:
+            line = self._lines[name] = _Line(self._weight_of(name))
+            self._active_weight += line.weight
+            self.shares.start_waiting(name)
+        line.requests[request.request_id] = request
+        line.cost += cost
+        self._costs[request.request_id] = cost
+        self._count += 1
+
+    def head(self) -> scheduler_api.PendingRequest | None:
+        """Returns the request that is served next."""
+        name = self.shares.lowest()
+        if name is None:
+            return None
+        return next(iter(self._lines[name].requests.values()))
+
+    def remove(self, request: scheduler_api.PendingRequest) -> float:
+        """Removes a waiting request and returns its expected cost."""
+        name = request.customer
+        line = self._lines[name]
+        del line.requests[request.request_id]
+        cost = self._costs.pop(request.request_id)
+        line.cost -= cost
+        self._count -= 1
+        if not line.requests:
+            del self._lines[name]
+            self._active_weight -= line.weight
+            self.shares.stop_waiting(name)
+        return cost
+
+    def charge(self, customer: str, cost: float) -> None:
+        """Charges a customer; negative to give back."""
+        self.shares.charge(customer, cost / self._weight_of(customer))
+
+    def ahead_of_newest(self, customer: str) -> float:
+        """Returns how many requests go before the customer's newest one.
+
+        While the customer waits, each other one gets at most its weighted
+        share of the turns, so a customer with a short line waits less.
+        """
+        line = self._lines[customer]
+        turns = len(line.requests) * self._active_weight / line.weight
+        return min(float(self._count), turns) - 1.0
+
+    def furthest_over(self) -> scheduler_api.PendingRequest | None:
+        """Returns the newest request of the customer most over its share."""
+        if not self._lines:
+            return None
+        name = max(self._lines, key=self._claimed)
+        return next(reversed(self._lines[name].requests.values()))
+
+    def _claimed(self, name: str) -> float:
+        line = self._lines[name]
+        return self.shares.counter(name) + line.cost / line.weight
--- /dev/null
+++ b/figstream/deadline_watch.py
@@ -0,0 +1,48 @@
+"""Finds waiting requests that can't meet their deadline any more."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import heapq
+import itertools
+from typing import Final
+
+from figstream import scheduler_api
+
+_MIN_KEPT: Final = 1024
+
+_Entry = tuple[float, int, scheduler_api.PendingRequest]
+
+
+class DeadlineWatch:
+    """Requests by the time at which they must be given up.
+
+    Requests that wait no more are dropped lazily, so that long deadlines
+    don't fill the memory.
+    """
+
+    def __init__(
+        self, waits: Callable[[scheduler_api.PendingRequest], bool]
+    ) -> None:
+        """Asks the callable whether a request still waits."""
+        self._waits = waits
+        self._entries: list[_Entry] = []
+        self._sequence = itertools.count()
+        self._compact_at = _MIN_KEPT
+
+    def add(self, request: scheduler_api.PendingRequest, at: float) -> None:
+        """Watches a request that must be given up at a time."""
+        heapq.heappush(self._entries, (at, next(self._sequence), request))
+        if len(self._entries) > self._compact_at:
+            self._compact()
+
+    def due(self, now: float) -> Iterator[scheduler_api.PendingRequest]:
+        """Yields the requests to give up now."""
+        while self._entries and self._entries[0][0] <= now:
+            _, _, request = heapq.heappop(self._entries)
+            if self._waits(request):
+                yield request
+
+    def _compact(self) -> None:
+        self._entries = [item for item in self._entries if self._waits(item[2])]
+        heapq.heapify(self._entries)
+        self._compact_at = max(_MIN_KEPT, 2 * len(self._entries))
--- /dev/null
+++ b/figstream/dispatcher.py
@@ -0,0 +1,186 @@
+"""Sends waiting requests to backend servers, the highest tier first.
+
+Targets are walked in the order of the best class that waits for each, so
+that the tiers hold among targets that share backend servers too.
+"""
+
+from collections.abc import Callable
+import heapq
+import itertools
+from typing import Final
+
+import attrs
+
+from figstream import admission
+from figstream import class_queue
+from figstream import cost_estimate
+from figstream import dispatch_order
+from figstream import lone_requests
+from figstream import preemption
+from figstream import prefix_affinity
+from figstream import request_target
+from figstream import running_requests
+from figstream import scheduler_api
+from figstream import server_load
+from figstream import server_pool
+from figstream import server_selection
+from figstream import waiting_queues
+
+_BLOCKED_S: Final = 0.05
+_URGENT_SHARE: Final = 0.5
+_LONG_AGO: Final = -1e9
+
+
+@attrs.define
+class _TargetState:
+    """What is kept for one target."""
+
+    order: dispatch_order.DispatchOrder
+    blocked_until: float = _LONG_AGO
+
+
+class Dispatcher:
+    """Dispatches over all targets of a daemon."""
+
+    def __init__(
+        self,
+        queues: waiting_queues.WaitingQueues,
+        index: server_pool.PoolIndex,
+        book: server_load.LoadBook,
+        affinity: prefix_affinity.PrefixAffinity,
+        selection: server_selection.ServerSelection,
+        outputs: cost_estimate.OutputEstimates,
+        estimates: admission.Admission,
+        decided: Callable[[scheduler_api.Decision], None],
+    ) -> None:
+        """Hands each decision to the callable."""
+        self._queues = queues
+        self._index = index
+        self._book = book
+        self._affinity = affinity
+        self._selection = selection
+        self._outputs = outputs
+        self._admission = estimates
+        self._decided = decided
+        self._preemption = preemption.Preemption()
+        self.running = running_requests.RunningRequests()
+        self.lone = lone_requests.LoneRequests(book)
+        self._targets: dict[request_target.Target, _TargetState] = {}
+        self._in_zone = 1
+        self._sequence = itertools.count()
+
+    def set_live_daemons(self, in_zone: int) -> None:
+        """Takes note of how many daemons share the servers."""
+        self._in_zone = in_zone
+        for state in self._targets.values():
+            state.order.set_live_daemons(in_zone)
+
+    def unblock(self, target: request_target.Target | None = None) -> None:
+        """Tries one target, or all, again at the next dispatch."""
+        if target is not None:
+            self._state(target).blocked_until = _LONG_AGO
+            return
+        for state in self._targets.values():
+            state.blocked_until = _LONG_AGO
+
+    def dispatch(self, now: float) -> None:
+        """Dispatches whatever finds a backend server."""
+        self._dispatch_lone(now)
+        ready: list[tuple[int, int, request_target.Target]] = []
+        for target in self._queues.targets:
+            if self._state(target).blocked_until <= now:
+                self._enqueue(ready, target, now)
+        while ready:
+            _, _, target = heapq.heappop(ready)
+            if not self._dispatch_one(target, now):
+                self._state(target).blocked_until = now + _BLOCKED_S
+                self._preempt(target, now)
+            elif any(self._queues.of_target(target)):
+                self._enqueue(ready, target, now)
+
+    def _state(self, target: request_target.Target) -> _TargetState:
+        state = self._targets.get(target)
+        if state is None:
+            order = dispatch_order.DispatchOrder()
+            order.set_live_daemons(self._in_zone)
+            state = self._targets[target] = _TargetState(order)
+        return state
+
+    def _enqueue(
+        self,
+        ready: list[tuple[int, int, request_target.Target]],
+        target: request_target.Target,
+        now: float,
+    ) -> None:
+        order = self._state(target).order
+        first = order.ranked(self._queues.of_target(target), now)[0]
+        rank = -1 if order.due(first, now) else first.request_class.tier
+        heapq.heappush(ready, (rank, next(self._sequence), target))
+
+    def _dispatch_one(self, target: request_target.Target, now: float) -> bool:
+        queues = self._queues.of_target(target)
+        order = self._state(target).order
+        for queue in order.ranked(queues, now):
+            request = queue.head()
+            if request is None:
+                continue
+            pool = self._index.pool(target, queue.request_class)
+            choice = self._selection.choose(request, pool, now)
+            if choice:
+                cost = self._queues.remove(queue, request)
+                order.dispatched(queue, queues, now)
+                self._start(queue, request, cost, choice, now)
+                return True
+        return False
+
+    def _dispatch_lone(self, now: float) -> None:
+        for request, target in self.lone.waiting():
+            pool = self._index.pool(target, request.request_class)
+            server = self.lone.choose(request, pool)
+            if server:
+                self.lone.remove(request, keep_reserved=True)
+                queue = self._queues.queue(target, request.request_class)
+                cost = self._outputs.cost(request)
+                choice = server_selection.Choice(server, "alone")
+                self._start(queue, request, cost, choice, now)
+
+    def _start(
+        self,
+        queue: class_queue.ClassQueue,
+        request: scheduler_api.PendingRequest,
+        cost: float,
+        choice: server_selection.Choice,
+        now: float,
+    ) -> None:
+        server = choice.server
+        tokens = request.prompt_tokens + self._outputs.expected(request)
+        queue.charge(request.customer, cost)
+        self.running.add(
+            running_requests.RunningRequest(
+                request, server, queue, tokens, cost, now
+            )
+        )
+        self._book.dispatched(server.name, now)
+        self._index.change_own(server.name, 1)
+        self._affinity.remember(request.prefix, server.name)
+        self._admission.mix.dispatched(queue.target, queue.request_class.tier)
+        self._preemption.dispatched()
+        self._decided(scheduler_api.Dispatched(request, server, choice.reason))
+
+    def _preempt(self, target: request_target.Target, now: float) -> None:
+        """Cancels lower-tier work if a higher tier would come too late."""
+        queues = (item for item in self._queues.of_target(target) if item)
+        queue = next(iter(queues), None)
+        if queue is None:
+            return
+        running = list(self.running.of_target(target))
+        pending = sum(item.preempted for item in running)
+        wait_s = self._admission.expected_wait_s(queue, len(queue) - 1.0, now)
+        allowed_s = self._admission.times.allowed_wait_s(queue)
+        if pending >= len(queue) or wait_s < _URGENT_SHARE * allowed_s:
+            return
+        pool = self._index.pool(target, queue.request_class)
+        tier = queue.request_class.tier
+        chosen = self._preemption.choose(running, tier, pool)
+        if chosen:
+            self._decided(scheduler_api.Preempt(chosen.request, chosen.server))
--- /dev/null
+++ b/figstream/lone_requests.py
@@ -0,0 +1,104 @@
+"""Requests that must run with nothing else of this daemon on their server.
+
+A request suspected of crashing backend servers runs alone, so that a further
+crash proves it guilty and harms no other request. A server is reserved for
+it, gets no new work, and is used once this daemon's requests there ended.
+"""
+
+from collections.abc import Sequence
+
+from figstream import backend_server
+from figstream import request_target
+from figstream import scheduler_api
+from figstream import server_load
+from figstream import server_pool
+
+
+class LoneRequests:
+    """Waiting requests that must run alone."""
+
+    def __init__(self, book: server_load.LoadBook) -> None:
+        """Reserves servers in the load book."""
+        self._book = book
+        self._waiting: dict[
+            str, tuple[scheduler_api.PendingRequest, request_target.Target]
+        ] = {}
+        self._reserved: dict[str, str] = {}
+
+    def __len__(self) -> int:
+        """Returns the number of waiting requests."""
+        return len(self._waiting)
+
+    def add(
+        self,
+        request: scheduler_api.PendingRequest,
+        target: request_target.Target,
+    ) -> None:
+        """Adds a request."""
+        self._waiting[request.request_id] = (request, target)
+
+    def waiting(
+        self,
+    ) -> Sequence[tuple[scheduler_api.PendingRequest, request_target.Target]]:
+        """Returns the waiting requests, oldest first."""
+        return list(self._waiting.values())
+
+    def overdue(self, now: float) -> Sequence[scheduler_api.PendingRequest]:
+        """Removes and returns the requests whose deadline passed."""
+        found = [
+            request
+            for request, _ in self._waiting.values()
+            if request.deadline <= now
+        ]
+        for request in found:
+            self.remove(request)
+        return found
+
+    def remove(
+        self,
+        request: scheduler_api.PendingRequest,
+        keep_reserved: bool = False,
+    ) -> bool:
+        """Removes a request; returns whether it waited."""
+        found = self._waiting.pop(request.request_id, None)
+        server = self._reserved.pop(request.request_id, "")
+        if server and not keep_reserved:
+            self._book.state(server).reserved_for = ""
+        return found is not None
+
+    def choose(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+    ) -> backend_server.BackendServer | None:
+        """Returns an idle server, or reserves one and returns None."""
+        held = self._reserved.get(request.request_id, "")
+        if held not in pool.names:
+            held = self._reserve(request, pool)
+        if not held or self._book.state(held).own:
+            return None
+        return next(
+            item
+            for group in pool.groups
+            for item in group.servers
+            if item.name == held
+        )
+
+    def _reserve(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+    ) -> str:
+        free = [
+            item.name
+            for group in pool.groups
+            for item in group.servers
+            if not self._book.state(item.name).reserved_for
+            and item.name not in request.tried
+        ]
+        if not free:
+            return ""
+        chosen = min(free, key=lambda name: self._book.state(name).own)
+        self._book.state(chosen).reserved_for = request.request_id
+        self._reserved[request.request_id] = chosen
+        return chosen
--- /dev/null
+++ b/figstream/rate_limit.py
@@ -0,0 +1,179 @@
+"""Limits on the use of one customer, held over the fleet approximately.
+
+Limits are stated for the whole fleet, and no daemon asks another one per
+request: each of n live daemons grants 1/n of a rate, with a burst of one
+second and of one request at least. In any span of T seconds the fleet admits
+at most limit * T + n * max(1, limit / n) requests, and for tokens the same
+sum plus n times the largest request, since the length is known only
+afterwards and the excess is paid back before the next request is admitted.
+Each daemon grants ceil(limit / n) concurrent requests, so the fleet exceeds a
+concurrency limit by less than n.
+"""
+
+import math
+
+import attrs
+
+from figstream import customer as customer_lib
+from figstream import errors
+from figstream import reasons
+
+_R = reasons.RefusalReason
+
+
+@attrs.define
+class TokenBucket:
+    """A rate with a burst; the level may fall below zero.
+
+    Attributes:
+      rate: units gained a second.
+      burst: most units held.
+      level: units held.
+      updated: when the level was right, in seconds.
+    """
+
+    rate: float
+    burst: float
+    level: float
+    updated: float
+
+    def refill(self, now: float) -> None:
+        """Adds what was gained since the last update."""
+        gained = max(0.0, now - self.updated) * self.rate
+        self.level = min(self.burst, self.level + gained)
+        self.updated = max(now, self.updated)
+
+    def seconds_until(self, level: float) -> float:
+        """Returns the seconds until the level is reached."""
+        return max(0.0, (level - self.level) / self.rate)
+
+
+@attrs.define
+class _Use:
+    """What one customer uses at this daemon."""
+
+    requests: TokenBucket | None = None
+    tokens: TokenBucket | None = None
+    concurrent: int = 0
+
+
+class CustomerLimits:
+    """Holds the limits of all customers at one daemon."""
+
+    def __init__(self) -> None:
+        """Starts with no use, as the only daemon of the fleet."""
+        self._limits: dict[str, customer_lib.CustomerLimits] = {}
+        self._uses: dict[str, _Use] = {}
+        self._daemons = 1
+
+    def set_customers(
+        self, customers: tuple[customer_lib.Customer, ...], now: float
+    ) -> None:
+        """Takes the limits of the configuration in force."""
+        self._limits = {item.name: item.limits for item in customers}
+        self._uses = {
+            name: use
+            for name, use in self._uses.items()
+            if name in self._limits or use.concurrent
+        }
+        self._resize(now)
+
+    def set_live_daemons(self, in_fleet: int, now: float) -> None:
+        """Takes note of how many daemons share the limits."""
+        if max(1, in_fleet) != self._daemons:
+            self._daemons = max(1, in_fleet)
+            self._resize(now)
+
+    def admit(
+        self, customer: str, tokens: float, now: float
+    ) -> errors.Refusal | None:
+        """Counts a request against the limits, or refuses it."""
+        limits = self._limits.get(customer)
+        if limits is None:
+            return None
+        use = self._use(customer, limits, now)
+        refusal = self._check(use, limits, now)
+        if refusal:
+            return refusal
+        if use.requests:
+            use.requests.level -= 1.0
+        if use.tokens:
+            use.tokens.level -= tokens
+        use.concurrent += 1
+        return None
+
+    def resume(self, customer: str, tokens: float) -> None:
+        """Counts a repeated attempt, which is not checked again."""
+        if customer not in self._limits:
+            return
+        use = self._uses.setdefault(customer, _Use())
+        use.concurrent += 1
+        if use.tokens:
+            use.tokens.level -= tokens
+
+    def release(self, customer: str, unused_tokens: float = 0.0) -> None:
+        """Takes note that a request ended; gives unused tokens back."""
+        use = self._uses.get(customer)
+        if use is None:
+            return
+        use.concurrent = max(0, use.concurrent - 1)
+        if use.tokens:
+            use.tokens.level += unused_tokens
+
+    def _check(
+        self, use: _Use, limits: customer_lib.CustomerLimits, now: float
+    ) -> errors.Refusal | None:
+        if limits.concurrency:
+            granted = math.ceil(limits.concurrency / self._daemons)
+            if use.concurrent >= granted:
+                return errors.Refusal(
+                    _R.CONCURRENCY_EXCEEDED, retry_after_s=1.0
+                )
+        if use.requests:
+            use.requests.refill(now)
+            if use.requests.level < 1.0:
+                wait_s = use.requests.seconds_until(1.0)
+                return errors.Refusal(
+                    _R.REQUEST_RATE_EXCEEDED, retry_after_s=wait_s
+                )
+        if use.tokens:
+            use.tokens.refill(now)
+            if use.tokens.level <= 0.0:
+                wait_s = use.tokens.seconds_until(1.0)
+                return errors.Refusal(
+                    _R.TOKEN_RATE_EXCEEDED, retry_after_s=wait_s
+                )
+        return None
+
+    def _use(
+        self, customer: str, limits: customer_lib.CustomerLimits, now: float
+    ) -> _Use:
+        use = self._uses.setdefault(customer, _Use())
+        if use.requests is None and limits.requests_per_s:
+            use.requests = self._bucket(limits.requests_per_s, now)
+        if use.tokens is None and limits.tokens_per_s:
+            use.tokens = self._bucket(limits.tokens_per_s, now)
+        return use
+
+    def _bucket(self, limit: float, now: float) -> TokenBucket:
+        rate = limit / self._daemons
+        burst = max(1.0, rate)
+        return TokenBucket(rate, burst, burst, now)
+
+    def _resize(self, now: float) -> None:
+        for name, use in self._uses.items():
+            limits = self._limits.get(name, customer_lib.CustomerLimits())
+            use.requests = self._resized(
+                use.requests, limits.requests_per_s, now
+            )
+            use.tokens = self._resized(use.tokens, limits.tokens_per_s, now)
+
+    def _resized(
+        self, old: TokenBucket | None, limit: float, now: float
+    ) -> TokenBucket | None:
+        if old is None or not limit:
+            return None
+        old.refill(now)
+        made = self._bucket(limit, now)
+        made.level = min(made.burst, old.level)
+        return made
--- /dev/null
+++ b/figstream/request_target.py
@@ -0,0 +1,38 @@
+"""What a request asks a backend server for.
+
+Requests with the same target compete for the same backend servers, so queues,
+estimates and candidate lists are kept by target.
+"""
+
+import attrs
+
+from figstream import backend_server
+from figstream import scheduler_api
+
+
+@attrs.frozen(cache_hash=True)
+class Target:
+    """A model with an adapter, or a plain service.
+
+    Attributes:
+      model: the model, or "".
+      service: the plain service, or "".
+      adapter: the adapter, or "".
+    """
+
+    model: str = ""
+    service: str = ""
+    adapter: str = ""
+
+    def served_by(self, server: backend_server.BackendServer) -> bool:
+        """Returns whether the backend server offers this target."""
+        if self.service:
+            return server.service == self.service
+        if self.adapter and self.adapter not in server.adapters:
+            return False
+        return self.model in server.models
+
+
+def target_of(request: scheduler_api.PendingRequest) -> Target:
+    """Returns the target of a request."""
+    return Target(request.model, request.service, request.adapter)
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -1,74 +1,158 @@
-"""The scheduler of one daemon: queues, limits and the choice of servers."""
+"""The scheduler of one daemon: queues, limits and the choice of servers.
+
+This is the aggregate that the request path calls. A request passes the
+customer's limits, gets its place in the queue of its class and target, and
+leaves it for a backend server in the order of tiers, guaranteed shares and
+fairness among customers. Each rule has a module of its own; the scheduler
+does no input or output and holds no clock.
+"""
 
-import collections
 from collections.abc import Iterable
+import random
+from typing import Final
 
+from figstream import admission
 from figstream import backend_server
 from figstream import configuration as configuration_lib
+from figstream import cost_estimate
+from figstream import dispatcher
 from figstream import errors
+from figstream import prefix_affinity
+from figstream import rate_limit
 from figstream import reasons
+from figstream import refusals
+from figstream import request_target
+from figstream import running_requests
 from figstream import scheduler_api
+from figstream import server_load
+from figstream import server_pool
+from figstream import server_selection
+from figstream import straggler_api
+from figstream import waiting_queues
+from figstream import waiting_room
+
+_BUSY_POLL_S: Final = 0.05
+_IDLE_POLL_S: Final = 1.0
+_NO_SERVER_RETRY_S: Final = 2.0
 
-_POLL_INTERVAL_S = 0.25
+_Result = scheduler_api.AttemptResult
 
 
 class Scheduler:
-    """First come, first served; the server with the fewest of our requests."""
+    """Queues requests and decides when and where they run."""
 
-    def __init__(self, zone: str) -> None:
-        """Prefers servers of the given availability zone."""
-        self._zone = zone
+    def __init__(
+        self,
+        index: server_pool.PoolIndex,
+        book: server_load.LoadBook,
+        affinity: prefix_affinity.PrefixAffinity,
+        selection: server_selection.ServerSelection,
+        detector: straggler_api.StragglerDetector,
+    ) -> None:
+        """Composes the parts; `make_scheduler` does so for the daemon."""
+        self._index = index
+        self._book = book
+        self._detector = detector
         self._configuration = configuration_lib.Configuration()
         self._leaving: frozenset[str] = frozenset()
-        self._queue: list[scheduler_api.PendingRequest] = []
-        self._running: collections.Counter[str] = collections.Counter()
+        self._in_zone = 1
+        self._now = 0.0
+        self._decided: list[scheduler_api.Decision] = []
+        self._queues = waiting_queues.WaitingQueues(self._weight)
+        self._limits = rate_limit.CustomerLimits()
+        self._outputs = cost_estimate.OutputEstimates()
+        self._admission = admission.Admission(
+            self._queues, index, selection, self._outputs
+        )
+        self._room = waiting_room.WaitingRoom(
+            self._queues, index, self._admission, self._drop
+        )
+        self._dispatcher = dispatcher.Dispatcher(
+            self._queues,
+            index,
+            book,
+            affinity,
+            selection,
+            self._outputs,
+            self._admission,
+            self._decide,
+        )
 
     def set_configuration(
         self, configuration: configuration_lib.Configuration
     ) -> None:
         """Takes a new configuration into force."""
         self._configuration = configuration
+        self._index.set_configuration(configuration)
+        self._limits.set_customers(configuration.customers, self._now)
+        self._book.forget_except(frozenset(configuration.servers_by_name))
+        self._dispatcher.unblock()
 
     def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
         """Takes note of how many daemons share servers and limits."""
+        self._in_zone = in_zone
+        self._index.set_live_daemons(in_zone, in_fleet)
+        self._limits.set_live_daemons(in_fleet, self._now)
+        self._dispatcher.set_live_daemons(in_zone)
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Takes note of servers that the platform is taking back."""
         self._leaving = servers
+        self._leave_out()
 
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
         """Queues a request, or refuses it at once."""
-        if len(self._queue) >= request.request_class.queue_limit:
-            return errors.Refusal(reasons.RefusalReason.QUEUE_COUNT_FULL)
-        self._queue.append(request)
+        self._now = now
+        target = request_target.target_of(request)
+        if not self._index.pool(target, request.request_class).groups:
+            reason = reasons.RefusalReason.NO_BACKEND_SERVER
+            return refusals.make_refusal(request, reason, _NO_SERVER_RETRY_S)
+        output_tokens = self._outputs.expected(request)
+        refusal = self._admit(request, output_tokens, now)
+        if refusal:
+            return refusal
+        if request.alone:
+            self._dispatcher.lone.add(request, target)
+            return None
+        cost = cost_estimate.cost_of(request.prompt_tokens, output_tokens)
+        refusal = self._room.enter(request, target, cost, now)
+        if refusal:
+            self._release(request)
+            return refusal
+        self._dispatcher.unblock(target)
         return None
 
     def poll(self, now: float) -> Iterable[scheduler_api.Decision]:
         """Returns the decisions that are due."""
-        for request in list(self._queue):
-            if request.deadline <= now:
-                self._queue.remove(request)
-                refusal = errors.Refusal(reasons.RefusalReason.DEADLINE_PASSED)
-                yield scheduler_api.Dropped(request, refusal)
-                continue
-            server = self._choose(request)
-            if server:
-                self._queue.remove(request)
-                self._running[server.name] += 1
-                yield scheduler_api.Dispatched(request, server, "fewest")
+        self._now = now
+        self._leave_out()
+        self._room.tidy(now)
+        for request in self._dispatcher.lone.overdue(now):
+            reason = reasons.RefusalReason.DEADLINE_PASSED
+            refusal = refusals.make_refusal(request, reason, None)
+            self._drop(scheduler_api.Dropped(request, refusal))
+        self._dispatcher.dispatch(now)
+        decided = list(self._decided)
+        self._decided.clear()
+        return decided
 
     def next_poll_at(self, now: float) -> float:
         """Returns when to poll next if nothing else happens."""
-        return now + _POLL_INTERVAL_S
+        if self._decided:
+            return now
+        waiting = any(self._queues.targets) or len(self._dispatcher.lone) > 0
+        return now + (_BUSY_POLL_S if waiting else _IDLE_POLL_S)
 
     def withdraw(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> None:
         """Removes a queued request whose caller went away."""
-        if request in self._queue:
-            self._queue.remove(request)
+        self._now = now
+        waited = self._dispatcher.lone.remove(request)
+        if waited or self._room.withdraw(request):
+            self._release(request)
 
     def finish(
         self,
@@ -78,45 +162,103 @@
         now: float,
     ) -> None:
         """Takes note that an attempt ended."""
-        self._running[server.name] -= 1
+        self._now = now
+        item = self._dispatcher.running.pop(request)
+        if item is None:
+            return
+        self._book.finished(server.name, report.result, now)
+        self._index.change_own(server.name, -1)
+        state = self._book.state(server.name)
+        if state.reserved_for == request.request_id:
+            state.reserved_for = ""
+        self._settle(item, report)
+        if report.result is _Result.ANSWERED:
+            self._learn(item, report, now)
+        self._dispatcher.unblock()
 
     def report_load(self, load: scheduler_api.ServerLoad) -> None:
         """Takes note of a load report."""
+        self._book.report(load)
+        self._dispatcher.unblock()
 
-    def _choose(
-        self, request: scheduler_api.PendingRequest
-    ) -> backend_server.BackendServer | None:
-        able = [
-            item
-            for item in self._configuration.servers
-            if self._running[item.name] < item.slots
-            and item.state is backend_server.ServerState.ACTIVE
-            and item.name not in self._leaving
-            and item.name not in request.tried
-            and _serves(item, request)
-        ]
-        return min(
-            able,
-            key=lambda item: (
-                item.zone != self._zone,
-                self._running[item.name],
-            ),
-            default=None,
-        )
+    def _weight(self, customer: str) -> float:
+        known = self._configuration.customers_by_name.get(customer)
+        return known.weight if known else 1.0
+
+    def _decide(self, decision: scheduler_api.Decision) -> None:
+        self._decided.append(decision)
+
+    def _drop(self, dropped: scheduler_api.Dropped) -> None:
+        self._release(dropped.request)
+        self._decided.append(dropped)
+
+    def _release(self, request: scheduler_api.PendingRequest) -> None:
+        tokens = request.prompt_tokens + self._outputs.expected(request)
+        self._limits.release(request.customer, tokens)
+
+    def _leave_out(self) -> None:
+        stragglers = self._detector.stragglers()
+        if self._index.set_left_out(self._leaving, stragglers):
+            self._dispatcher.unblock()
+
+    def _admit(
+        self,
+        request: scheduler_api.PendingRequest,
+        output_tokens: float,
+        now: float,
+    ) -> errors.Refusal | None:
+        tokens = request.prompt_tokens + output_tokens
+        if request.attempt:
+            self._limits.resume(request.customer, tokens)
+            return None
+        return self._limits.admit(request.customer, tokens, now)
 
+    def _settle(
+        self,
+        item: running_requests.RunningRequest,
+        report: scheduler_api.AttemptReport,
+    ) -> None:
+        """Replaces the expected cost by the actual one."""
+        request = item.request
+        whole = report.result in (_Result.ANSWERED, _Result.CANCELLED)
+        prompt = report.prompt_tokens or request.prompt_tokens
+        tokens = prompt + report.output_tokens if whole else 0
+        cost = cost_estimate.cost_of(prompt, report.output_tokens)
+        actual = cost if whole else 0.0
+        item.queue.charge(request.customer, actual - item.charged)
+        self._limits.release(request.customer, item.expected_tokens - tokens)
+
+    def _learn(
+        self,
+        item: running_requests.RunningRequest,
+        report: scheduler_api.AttemptReport,
+        now: float,
+    ) -> None:
+        queue, name = item.queue, item.server.name
+        self._outputs.observe(item.request, report.output_tokens)
+        self._admission.times.observe(
+            queue.target, queue.request_class.name, report
+        )
+        seconds = report.total_s / max(1, report.output_tokens)
+        pool = queue.target.service or queue.target.model
+        batch = int(self._book.estimate(name, self._in_zone, now)) + 1
+        self._detector.observe(name, pool, seconds, batch, now)
 
-def _serves(
-    server: backend_server.BackendServer,
-    request: scheduler_api.PendingRequest,
-) -> bool:
-    name = request.request_class.name
-    if server.classes and name not in server.classes:
-        return False
-    if request.service:
-        return server.service == request.service
-    return request.model in server.models
 
+def make_scheduler(
+    zone: str, seed: int | None = None
+) -> scheduler_api.Scheduler:
+    """Creates the scheduler that `figstream serve` runs.
 
-def make_scheduler(zone: str) -> scheduler_api.Scheduler:
-    """Creates the scheduler that `figstream serve` runs."""
-    return Scheduler(zone)
+    Args:
+      zone: availability zone of the daemon.
+      seed: makes the choices repeatable; without one they differ by daemon.
+    """
+    if seed is None:
+        seed = random.SystemRandom().getrandbits(64)
+    book = server_load.LoadBook()
+    affinity = prefix_affinity.PrefixAffinity()
+    selection = server_selection.make_selection(book, affinity, seed)
+    index = server_pool.PoolIndex(zone)
+    detector = straggler_api.NoDetector()
+    return Scheduler(index, book, affinity, selection, detector)
--- /dev/null
+++ b/figstream/server_load.py
@@ -0,0 +1,130 @@
+"""What one daemon knows about the load of each backend server.
+
+Load reports lag, and other daemons send as well. The load is estimated as
+the requests this daemon has there now, plus what the report showed beyond
+this daemon's own requests when it was measured.
+"""
+
+import bisect
+import collections
+from typing import Final
+
+import attrs
+
+from figstream import scheduler_api
+
+_HISTORY: Final = 64
+_REPORT_LIFETIME_S: Final = 10.0
+_REFUSED_PAUSE_S: Final = 0.25
+_FAILED_PAUSE_S: Final = 0.5
+_MAX_PAUSE_S: Final = 30.0
+
+
+def _history() -> collections.deque[tuple[float, int]]:
+    return collections.deque(maxlen=_HISTORY)
+
+
+@attrs.define
+class ServerState:
+    """What is known about one backend server.
+
+    Attributes:
+      own: requests of this daemon running there.
+      others: requests of other daemons, as of the last report.
+      reported: running and waiting requests, as reported.
+      measured_at: when the last report was measured.
+      failures: failed attempts in a row.
+      paused_until: until when it gets no new work after failures.
+      reserved_for: id of the request that must run there alone, or "".
+    """
+
+    own: int = 0
+    others: float = 0.0
+    reported: float = 0.0
+    measured_at: float = -1e9
+    failures: int = 0
+    paused_until: float = -1e9
+    reserved_for: str = ""
+    _events: collections.deque[tuple[float, int]] = attrs.field(
+        factory=_history
+    )
+
+    def change_own(self, by: int, now: float) -> None:
+        """Adds to the requests of this daemon running there."""
+        self.own += by
+        self._events.append((now, self.own))
+
+    def own_at(self, moment: float) -> int:
+        """Returns the requests of this daemon running there at a moment."""
+        at = bisect.bisect_right(self._events, moment, key=lambda e: e[0])
+        if at:
+            return self._events[at - 1][1]
+        return self._events[0][1] if self._events else self.own
+
+
+class LoadBook:
+    """The load of all backend servers as one daemon knows it."""
+
+    def __init__(self) -> None:
+        """Starts with no server known."""
+        self._states: collections.defaultdict[str, ServerState] = (
+            collections.defaultdict(ServerState)
+        )
+
+    def state(self, server: str) -> ServerState:
+        """Returns what is known about a server."""
+        return self._states[server]
+
+    def forget_except(self, servers: frozenset[str]) -> None:
+        """Forgets servers that are gone and idle."""
+        for name in list(self._states):
+            if name not in servers and not self._states[name].own:
+                del self._states[name]
+
+    def dispatched(self, server: str, now: float) -> None:
+        """Takes note that this daemon sent a request."""
+        self._states[server].change_own(1, now)
+
+    def finished(
+        self, server: str, result: scheduler_api.AttemptResult, now: float
+    ) -> None:
+        """Takes note that a request of this daemon ended."""
+        state = self._states[server]
+        state.change_own(-1, now)
+        if result is scheduler_api.AttemptResult.ANSWERED:
+            state.failures = 0
+        elif result is scheduler_api.AttemptResult.REFUSED:
+            state.paused_until = max(state.paused_until, now + _REFUSED_PAUSE_S)
+        elif result is scheduler_api.AttemptResult.FAILED:
+            state.failures += 1
+            pause_s = _FAILED_PAUSE_S * 2.0 ** min(state.failures - 1, 10)
+            until = now + min(pause_s, _MAX_PAUSE_S)
+            state.paused_until = max(state.paused_until, until)
+
+    def report(self, load: scheduler_api.ServerLoad) -> None:
+        """Takes note of a load report."""
+        state = self._states[load.server]
+        if load.measured_at < state.measured_at:
+            return
+        state.measured_at = load.measured_at
+        state.reported = load.running + load.waiting
+        own = state.own_at(load.measured_at)
+        state.others = max(0.0, state.reported - own)
+
+    def fresh(self, server: str, now: float) -> bool:
+        """Returns whether the server's last report can still be used."""
+        return now - self._states[server].measured_at <= _REPORT_LIFETIME_S
+
+    def estimate(self, server: str, sharers: int, now: float) -> float:
+        """Returns the expected number of requests at a server.
+
+        Args:
+          server: the backend server.
+          sharers: daemons that send to it; without a fresh report they are
+            taken to send as much as this one does.
+          now: the time in seconds.
+        """
+        state = self._states[server]
+        if now - state.measured_at <= _REPORT_LIFETIME_S:
+            return state.own + state.others
+        return float(state.own * sharers)
--- /dev/null
+++ b/figstream/server_pool.py
@@ -0,0 +1,210 @@
+"""Which backend servers a class may use for a target, in order of preference.
+
+Candidates are grouped: servers of the own availability zone come before those
+of others; work that can lose its place goes to reclaimable servers first, and
+other work to servers that stay. Draining, leaving and straggling servers are
+in no group. Groups with the same servers are one object, so that its count of
+running requests is kept once.
+"""
+
+from collections.abc import Iterable
+import math
+from typing import Final
+
+import attrs
+
+from figstream import backend_server
+from figstream import configuration as configuration_lib
+from figstream import request_class as request_class_lib
+from figstream import request_target
+
+_KEPT_SHARE: Final = 0.5
+
+
+@attrs.define(eq=False)
+class ServerGroup:
+    """Backend servers that are alike for the choice.
+
+    Attributes:
+      servers: the servers.
+      names: their names.
+      slots: sum of their slots.
+      local: whether they stand in the daemon's availability zone.
+      reclaimable: whether the platform may take them back.
+      sharers: daemons that send to them.
+      own: requests of this daemon running there.
+    """
+
+    servers: tuple[backend_server.BackendServer, ...]
+    names: frozenset[str]
+    slots: int
+    local: bool
+    reclaimable: bool
+    sharers: int = 1
+    own: int = 0
+
+    @property
+    def share(self) -> int:
+        """Returns the slots that fall to this daemon."""
+        return math.ceil(self.slots / self.sharers)
+
+
+@attrs.frozen
+class ServerPool:
+    """The candidates of one class for one target.
+
+    Attributes:
+      groups: groups in order of preference.
+      names: names of all candidates.
+    """
+
+    groups: tuple[ServerGroup, ...]
+    names: frozenset[str]
+
+
+_EMPTY: Final = ServerPool((), frozenset())
+
+
+class PoolIndex:
+    """Finds the candidates for a target and class."""
+
+    def __init__(self, zone: str) -> None:
+        """Prefers servers of the given availability zone."""
+        self._zone = zone
+        self._configuration = configuration_lib.Configuration()
+        self._leaving: frozenset[str] = frozenset()
+        self._stragglers: frozenset[str] = frozenset()
+        self._sharers = (1, 1)
+        self._pools: dict[tuple[request_target.Target, str], ServerPool] = {}
+        self._groups: dict[frozenset[str], ServerGroup] = {}
+        self._groups_of: dict[str, list[ServerGroup]] = {}
+        self._own: dict[str, int] = {}
+        self._overlaps: dict[
+            tuple[request_target.Target, request_target.Target], bool
+        ] = {}
+
+    def set_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Takes a new configuration into force."""
+        self._configuration = configuration
+        self._clear()
+
+    def set_left_out(
+        self, leaving: frozenset[str], stragglers: frozenset[str]
+    ) -> bool:
+        """Leaves servers out; returns whether anything changed."""
+        if (leaving, stragglers) == (self._leaving, self._stragglers):
+            return False
+        self._leaving, self._stragglers = leaving, stragglers
+        self._clear()
+        return True
+
+    def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
+        """Takes note of how many daemons share the servers."""
+        sharers = (max(1, in_zone), max(1, in_fleet))
+        if sharers != self._sharers:
+            self._sharers = sharers
+            for group in self._groups.values():
+                group.sharers = sharers[0 if group.local else 1]
+
+    def pool(
+        self,
+        target: request_target.Target,
+        request_class: request_class_lib.RequestClass,
+    ) -> ServerPool:
+        """Returns the candidates of a class for a target."""
+        key = (target, request_class.name)
+        found = self._pools.get(key)
+        if found is None:
+            found = self._pools[key] = self._build(target, request_class)
+        return found
+
+    def change_own(self, server: str, by: int) -> None:
+        """Counts a request of this daemon at a server."""
+        self._own[server] = self._own.get(server, 0) + by
+        for group in self._groups_of.get(server, ()):
+            group.own += by
+
+    def share_servers(
+        self, one: request_target.Target, other: request_target.Target
+    ) -> bool:
+        """Returns whether two targets have a backend server in common."""
+        if one == other:
+            return True
+        found = self._overlaps.get((one, other))
+        if found is None:
+            found = self._overlaps[one, other] = any(
+                one.served_by(item) and other.served_by(item)
+                for item in self._configuration.servers
+            )
+        return found
+
+    def _clear(self) -> None:
+        self._overlaps.clear()
+        self._pools.clear()
+        self._groups.clear()
+        self._groups_of.clear()
+
+    def _build(
+        self,
+        target: request_target.Target,
+        request_class: request_class_lib.RequestClass,
+    ) -> ServerPool:
+        able = [
+            item
+            for item in self._configuration.servers
+            if item.state is backend_server.ServerState.ACTIVE
+            and item.name not in self._leaving
+            and (not item.classes or request_class.name in item.classes)
+            and target.served_by(item)
+        ]
+        able = self._without_stragglers(able)
+        if not able:
+            return _EMPTY
+        cheap_first = request_class.preemptible
+        places = [
+            (local, reclaimable)
+            for local in (True, False)
+            for reclaimable in (cheap_first, not cheap_first)
+        ]
+        groups = (self._group(able, *place) for place in places)
+        names = frozenset(item.name for item in able)
+        return ServerPool(tuple(item for item in groups if item), names)
+
+    def _without_stragglers(
+        self, able: list[backend_server.BackendServer]
+    ) -> list[backend_server.BackendServer]:
+        most = int(len(able) * (1.0 - _KEPT_SHARE))
+        slow = [item.name for item in able if item.name in self._stragglers]
+        left_out = frozenset(sorted(slow)[:most])
+        return [item for item in able if item.name not in left_out]
+
+    def _group(
+        self,
+        able: Iterable[backend_server.BackendServer],
+        local: bool,
+        reclaimable: bool,
+    ) -> ServerGroup | None:
+        servers = tuple(
+            item
+            for item in able
+            if (item.zone == self._zone) == local
+            and item.reclaimable == reclaimable
+        )
+        if not servers:
+            return None
+        names = frozenset(item.name for item in servers)
+        if names not in self._groups:
+            self._groups[names] = ServerGroup(
+                servers=servers,
+                names=names,
+                slots=sum(item.slots for item in servers),
+                local=local,
+                reclaimable=reclaimable,
+                sharers=self._sharers[0 if local else 1],
+                own=sum(self._own.get(name, 0) for name in names),
+            )
+            for name in names:
+                self._groups_of.setdefault(name, []).append(self._groups[names])
+        return self._groups[names]
--- /dev/null
+++ b/figstream/server_selection.py
@@ -0,0 +1,194 @@
+"""The choice of a backend server, and the ways to share servers.
+
+Several daemons send to the same servers without asking each other. Whatever
+the way, a daemon keeps more than its part of a group busy only while fresh
+load reports show room, so that a burst waits in the daemons' queues, where
+tiers and fairness order it, rather than in the engines.
+
+The default way takes the less loaded of two random servers of the first group
+with room, by its own running requests and by reports corrected for what this
+daemon sent since they were measured.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import math
+import random
+from typing import Final
+from typing import Protocol
+
+import attrs
+
+from figstream import backend_server
+from figstream import prefix_affinity
+from figstream import scheduler_api
+from figstream import server_load
+from figstream import server_pool
+
+BORROW_BELOW: Final = 0.75
+SPILL_BELOW: Final = 0.7
+_KEPT_FOR_HIGHER_TIERS: Final = 0.1
+_AFFINITY_SLACK: Final = 0.15
+_SCAN_LIMIT: Final = 8
+_PROBES: Final = 2
+_MORE_PROBES: Final = 6
+
+
+@attrs.frozen
+class Choice:
+    """A backend server and a word that says why."""
+
+    server: backend_server.BackendServer
+    reason: str
+
+
+class ServerSelection(Protocol):
+    """A way to share backend servers among daemons."""
+
+    def choose(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        now: float,
+    ) -> Choice | None:
+        """Returns the server for a request, or None if it has to wait."""
+
+    def slots(self, pool: server_pool.ServerPool, now: float) -> float:
+        """Returns how many slots of a pool this daemon may count on."""
+
+
+class TwoChoices:
+    """The less loaded of two random servers, within the daemon's part."""
+
+    def __init__(
+        self,
+        book: server_load.LoadBook,
+        affinity: prefix_affinity.PrefixAffinity,
+        source: random.Random,
+    ) -> None:
+        """Reads the load book and the prefixes; draws from the source."""
+        self._book = book
+        self._affinity = affinity
+        self._random = source
+
+    def choose(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        now: float,
+    ) -> Choice | None:
+        """Returns the server for a request, or None if it has to wait."""
+        avoid = request.tried if not request.tried >= pool.names else set()
+        for group in pool.groups:
+            if not self._may_use(request, pool, group):
+                continue
+            choice = self._choose_in(request, group, avoid, now)
+            if choice:
+                return choice
+        return None
+
+    def slots(self, pool: server_pool.ServerPool, now: float) -> float:
+        """Returns how many slots of a pool this daemon may count on."""
+        local = sum(item.share for item in pool.groups if item.local)
+        return float(local or sum(item.share for item in pool.groups))
+
+    def _may_use(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        group: server_pool.ServerGroup,
+    ) -> bool:
+        """Keeps room on servers that stay free of work that can move."""
+        if not request.request_class.preemptible or group.reclaimable:
+            return True
+        if not any(item.reclaimable for item in pool.groups):
+            return True
+        kept = math.floor(group.share * _KEPT_FOR_HIGHER_TIERS)
+        return group.own < group.share - kept
+
+    def _choose_in(
+        self,
+        request: scheduler_api.PendingRequest,
+        group: server_pool.ServerGroup,
+        avoid: set[str],
+        now: float,
+    ) -> Choice | None:
+        ceiling = self._ceiling(group)
+        found = self._probe(group, avoid, ceiling, now)
+        if found is None:
+            return None
+        load, server = found
+        preferred = self._preferred(request, group, avoid)
+        if preferred:
+            wanted = self._load(preferred, group, now)
+            if wanted < ceiling and wanted <= load + _AFFINITY_SLACK:
+                return Choice(preferred, "prefix")
+        return Choice(server, "two_choices" if group.local else "other_zone")
+
+    def _ceiling(self, group: server_pool.ServerGroup) -> float:
+        """Returns the load, as a share of slots, up to which to send."""
+        if not group.local:
+            return SPILL_BELOW
+        return 1.0 if group.own < group.share else BORROW_BELOW
+
+    def _probe(
+        self,
+        group: server_pool.ServerGroup,
+        avoid: set[str],
+        ceiling: float,
+        now: float,
+    ) -> tuple[float, backend_server.BackendServer] | None:
+        best: tuple[float, backend_server.BackendServer] | None = None
+        for seen, server in enumerate(self._candidates(group.servers)):
+            if best and seen >= _PROBES:
+                break
+            if server.name in avoid:
+                continue
+            load = self._load(server, group, now)
+            if load < ceiling and (best is None or load < best[0]):
+                best = (load, server)
+        return best
+
+    def _candidates(
+        self, servers: Sequence[backend_server.BackendServer]
+    ) -> Iterable[backend_server.BackendServer]:
+        if len(servers) <= _SCAN_LIMIT:
+            return self._random.sample(servers, len(servers))
+        draw = self._random.random
+        count = len(servers)
+        return (
+            servers[int(draw() * count)] for _ in range(_PROBES + _MORE_PROBES)
+        )
+
+    def _load(
+        self,
+        server: backend_server.BackendServer,
+        group: server_pool.ServerGroup,
+        now: float,
+    ) -> float:
+        """Returns the expected load as a share of slots; inf if closed."""
+        state = self._book.state(server.name)
+        if state.reserved_for or state.paused_until > now:
+            return math.inf
+        load = self._book.estimate(server.name, group.sharers, now)
+        return load / server.slots
+
+    def _preferred(
+        self,
+        request: scheduler_api.PendingRequest,
+        group: server_pool.ServerGroup,
+        avoid: set[str],
+    ) -> backend_server.BackendServer | None:
+        name = self._affinity.server(request.prefix)
+        if name is None or name not in group.names or name in avoid:
+            return None
+        return next(item for item in group.servers if item.name == name)
+
+
+def make_selection(
+    book: server_load.LoadBook,
+    affinity: prefix_affinity.PrefixAffinity,
+    seed: int,
+) -> ServerSelection:
+    """Creates the way that `figstream serve` uses."""
+    return TwoChoices(book, affinity, random.Random(seed))
--- /dev/null
+++ b/figstream/straggler_api.py
@@ -0,0 +1,28 @@
+"""The interface between the scheduler and the detection of stragglers."""
+
+from typing import Protocol
+
+
+class StragglerDetector(Protocol):
+    """Finds backend servers that are slower than their pool."""
+
+    def observe(
+        self, server: str, pool: str, seconds: float, batch: int, now: float
+    ) -> None:
+        """Takes note of the seconds per token that a server needed."""
+
+    def stragglers(self) -> frozenset[str]:
+        """Returns the servers that are stragglers at present."""
+
+
+class NoDetector:
+    """Finds no straggler."""
+
+    def observe(
+        self, server: str, pool: str, seconds: float, batch: int, now: float
+    ) -> None:
+        """Ignores the observation."""
+
+    def stragglers(self) -> frozenset[str]:
+        """Returns no server."""
+        return frozenset()
--- /dev/null
+++ b/figstream/waiting_room.py
@@ -0,0 +1,185 @@
+"""Keeps the waiting requests of a daemon within their bounds.
+
+A request enters if its class's bounds on count, bytes and expected wait allow
+it, or if work that comes before it in the order of shedding is shed instead.
+A request that can't meet its deadline any more gets its refusal at once.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+from figstream import admission
+from figstream import class_queue
+from figstream import deadline_watch
+from figstream import errors
+from figstream import reasons
+from figstream import refusals
+from figstream import request_target
+from figstream import scheduler_api
+from figstream import server_pool
+from figstream import shedding
+from figstream import waiting_queues
+
+_TRIM_INTERVAL_S: Final = 0.25
+_NO_SERVER_RETRY_S: Final = 2.0
+_MIN_RETRY_AFTER_S: Final = 0.1
+
+_R = reasons.RefusalReason
+
+
+class WaitingRoom:
+    """The queues of a daemon and the rules for entering and leaving them."""
+
+    def __init__(
+        self,
+        queues: waiting_queues.WaitingQueues,
+        index: server_pool.PoolIndex,
+        estimates: admission.Admission,
+        dropped: Callable[[scheduler_api.Dropped], None],
+    ) -> None:
+        """Hands each refusal of a waiting request to the callable."""
+        self._queues = queues
+        self._index = index
+        self._admission = estimates
+        self._dropped = dropped
+        self._shedding = shedding.Shedding(queues, index)
+        self._watch = deadline_watch.DeadlineWatch(self._waits)
+        self._trimmed_at = 0.0
+
+    def enter(
+        self,
+        request: scheduler_api.PendingRequest,
+        target: request_target.Target,
+        cost: float,
+        now: float,
+    ) -> errors.Refusal | None:
+        """Queues a request, or returns its refusal."""
+        queue = self._queues.push(request, target, cost)
+        refusal = None if request.attempt else self._fit(queue, request, now)
+        if refusal is None:
+            self._watch.add(request, self._admission.give_up_at(request))
+        return refusal
+
+    def withdraw(self, request: scheduler_api.PendingRequest) -> bool:
+        """Removes a request; returns whether it waited."""
+        queue = self._queues.find(request)
+        if queue is None:
+            return False
+        self._queues.remove(queue, request)
+        return True
+
+    def tidy(self, now: float) -> None:
+        """Refuses what can't be served any more."""
+        for request in self._watch.due(now):
+            self._give_up(request, now)
+        if now - self._trimmed_at >= _TRIM_INTERVAL_S:
+            self._trimmed_at = now
+            self._trim(now)
+
+    def _waits(self, request: scheduler_api.PendingRequest) -> bool:
+        return self._queues.find(request) is not None
+
+    def _fit(
+        self,
+        queue: class_queue.ClassQueue,
+        request: scheduler_api.PendingRequest,
+        now: float,
+    ) -> errors.Refusal | None:
+        """Sheds until all bounds hold; returns the newcomer's refusal."""
+        late_s = self._admission.refuse_after_s(queue, request, now)
+        if late_s is not None:
+            return self._turn_away(
+                queue, request, _R.DEADLINE_UNREACHABLE, late_s
+            )
+        reason = self._shedding.bound_reached(queue)
+        if reason:
+            retry_s = self._retry_after_s(queue, now)
+            for victim in self._shedding.for_bound(queue, request):
+                if victim.request is request:
+                    return self._turn_away(queue, request, reason, retry_s)
+                self._drop(victim, _R.SHED_FOR_OTHERS, retry_s)
+        return self._shorten(queue, request, now)
+
+    def _shorten(
+        self,
+        queue: class_queue.ClassQueue,
+        newcomer: scheduler_api.PendingRequest | None,
+        now: float,
+    ) -> errors.Refusal | None:
+        """Sheds from a queue until its expected wait is within bounds."""
+        while queue:
+            excess_s = self._admission.excess_wait_s(queue, now)
+            victim = queue.furthest_over()
+            if excess_s <= 0.0 or victim is None:
+                return None
+            retry_s = max(_MIN_RETRY_AFTER_S, excess_s)
+            if victim is newcomer:
+                return self._turn_away(
+                    queue, victim, _R.DEADLINE_UNREACHABLE, retry_s
+                )
+            self._shed_below(queue, retry_s)
+            self._drop(
+                shedding.Victim(queue, victim), _R.SHED_FOR_OTHERS, retry_s
+            )
+        return None
+
+    def _turn_away(
+        self,
+        queue: class_queue.ClassQueue,
+        request: scheduler_api.PendingRequest,
+        reason: reasons.RefusalReason,
+        retry_s: float,
+    ) -> errors.Refusal:
+        """Refuses a newcomer that already stands in its queue."""
+        self._shed_below(queue, retry_s)
+        self._queues.remove(queue, request)
+        return refusals.make_refusal(request, reason, retry_s)
+
+    def _give_up(
+        self, request: scheduler_api.PendingRequest, now: float
+    ) -> None:
+        queue = self._queues.find(request)
+        if queue is None:
+            return
+        passed = request.deadline <= now
+        reason = _R.DEADLINE_PASSED if passed else _R.DEADLINE_UNREACHABLE
+        retry_s = self._retry_after_s(queue, now)
+        self._shed_below(queue, retry_s)
+        self._drop(shedding.Victim(queue, request), reason, retry_s)
+
+    def _trim(self, now: float) -> None:
+        for target in list(self._queues.targets):
+            for queue in self._queues.of_target(target):
+                if not queue:
+                    continue
+                if self._index.pool(target, queue.request_class).groups:
+                    self._shorten(queue, None, now)
+                else:
+                    self._drop_all(queue)
+
+    def _drop_all(self, queue: class_queue.ClassQueue) -> None:
+        for request in list(queue):
+            victim = shedding.Victim(queue, request)
+            self._drop(victim, _R.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S)
+
+    def _shed_below(
+        self, queue: class_queue.ClassQueue, retry_s: float
+    ) -> None:
+        for victim in self._shedding.below(queue):
+            self._drop(victim, _R.SHED_FOR_OTHERS, retry_s)
+
+    def _drop(
+        self,
+        victim: shedding.Victim,
+        reason: reasons.RefusalReason,
+        retry_s: float,
+    ) -> None:
+        self._queues.remove(victim.queue, victim.request)
+        refusal = refusals.make_refusal(victim.request, reason, retry_s)
+        self._dropped(scheduler_api.Dropped(victim.request, refusal))
+
+    def _retry_after_s(
+        self, queue: class_queue.ClassQueue, now: float
+    ) -> float:
+        wait_s = self._admission.expected_wait_s(queue, 0.0, now)
+        return max(_MIN_RETRY_AFTER_S, wait_s)
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,283 @@
+"""Tests of the scheduler: what must hold, whatever the traffic."""
+
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from figstream import backend_server
+from figstream import customer as customer_lib
+from figstream import reasons
+from figstream import scheduler_api
+from tests import scheduling
+
+_PREEMPTED = scheduler_api.AttemptReport(
+    scheduler_api.AttemptResult.PREEMPTED, 3, 0, 0.1, 0.5
+)
+_LOAD = {
+    reasons.RefusalReason.QUEUE_COUNT_FULL,
+    reasons.RefusalReason.QUEUE_BYTES_FULL,
+    reasons.RefusalReason.DEADLINE_UNREACHABLE,
+    reasons.RefusalReason.DEADLINE_PASSED,
+    reasons.RefusalReason.SHED_FOR_OTHERS,
+}
+
+
+class _Traffic:
+    """Drives a scheduler and knows what waits and what runs."""
+
+    def __init__(self, scheduler: scheduler_api.Scheduler) -> None:
+        self.scheduler = scheduler
+        self.waiting: dict[str, scheduler_api.PendingRequest] = {}
+        self.running: list[scheduler_api.Dispatched] = []
+        self.preempts: list[scheduler_api.Preempt] = []
+        self.lost: list[scheduler_api.PendingRequest] = []
+
+    def offer(self, request: scheduler_api.PendingRequest, now: float) -> None:
+        refusal = self.scheduler.offer(request, now)
+        if refusal is None:
+            self.waiting[request.request_id] = request
+        elif refusal.reason in _LOAD:
+            self.lost.append(request)
+
+    def poll(self, now: float) -> None:
+        for item in self.scheduler.poll(now):
+            if isinstance(item, scheduler_api.Preempt):
+                self.preempts.append(item)
+                continue
+            del self.waiting[item.request.request_id]
+            if isinstance(item, scheduler_api.Dispatched):
+                self.running.append(item)
+            elif item.refusal.reason in _LOAD:
+                self.lost.append(item.request)
+
+    def finish(self, index: int, now: float) -> None:
+        item = self.running.pop(index % len(self.running))
+        report = scheduling.ANSWERED
+        self.scheduler.finish(item.request, item.server, report, now)
+
+
+@hypothesis.given(
+    steps=st.lists(
+        st.tuples(st.integers(0, 4), st.integers(0, 3), st.integers(0, 2)),
+        max_size=120,
+    )
+)
+@hypothesis.settings(deadline=None, max_examples=60)
+def test_no_request_is_shed_while_lower_tier_work_waits(
+    steps: list[tuple[int, int, int]],
+) -> None:
+    """Break: yield nothing in `Shedding.below`.
+
+    The next request of each class is kept: it has the guaranteed turn.
+    """
+    classes = [
+        scheduling.make_class(
+            tier, queue_limit=4, deadline_s=12.0, preemptible=tier > 2
+        )
+        for tier in range(5)
+    ]
+    traffic = _Traffic(
+        scheduling.make_scheduler(
+            scheduling.make_server("s1"), scheduling.make_server("s2")
+        )
+    )
+    for number, (tier, customer, ends) in enumerate(steps):
+        now = number * 0.2
+        traffic.lost.clear()
+        for _ in range(min(ends, len(traffic.running))):
+            traffic.finish(number, now)
+        traffic.offer(
+            scheduling.make_request(classes[tier], f"c{customer}", now), now
+        )
+        traffic.poll(now)
+        if not traffic.lost:
+            continue
+        highest = min(item.request_class.tier for item in traffic.lost)
+        below = collections.Counter(
+            item.request_class.tier
+            for item in traffic.waiting.values()
+            if item.request_class.tier > highest
+        )
+        assert max(below.values(), default=0) <= 1
+        assert all(
+            item.request.request_class.tier > 2 for item in traffic.preempts
+        )
+
+
+def test_a_full_class_displaces_the_lowest_tier_waiting() -> None:
+    """Break: let `Shedding.for_bound` start from the queue itself."""
+    high = scheduling.make_class(0, queue_limit=3)
+    low = scheduling.make_class(4)
+    traffic = _Traffic(
+        scheduling.make_scheduler(scheduling.make_server("s", slots=1))
+    )
+    for request_class in (high, low, low, high, high, high, high, high):
+        traffic.offer(scheduling.make_request(request_class), 0.0)
+        traffic.poll(0.0)
+    assert [item.request_class.tier for item in traffic.lost] == [4, 4]
+    traffic.offer(scheduling.make_request(high), 0.0)
+    assert [item.request_class.tier for item in traffic.lost] == [4, 4, 0]
+
+
+def test_every_class_progresses_under_a_flood_of_the_top_tier() -> None:
+    """Break: drop the deficit and the time limit in `DispatchOrder.due`."""
+    classes = [scheduling.make_class(tier) for tier in range(5)]
+    traffic = _Traffic(scheduling.make_scheduler(scheduling.make_server("s")))
+    served: collections.Counter[int] = collections.Counter()
+    for number in range(200):
+        now = number * 0.1
+        for tier in (0, 0, number % 5):
+            traffic.offer(scheduling.make_request(classes[tier], now=now), now)
+        traffic.poll(now)
+        if traffic.running:
+            served[traffic.running[0].request.request_class.tier] += 1
+            traffic.finish(0, now)
+    assert all(served[tier] >= 2 for tier in range(5)), served
+    assert served[0] > 150
+
+
+@pytest.mark.parametrize("how", ["draining", "leaving", "platform"])
+def test_a_server_that_goes_away_gets_no_new_work(how: str) -> None:
+    """Break: skip the state or the leaving set in `PoolIndex._build`."""
+    level = scheduling.make_class(1)
+    going = scheduling.make_server("going", slots=50)
+    if how != "platform":
+        state = backend_server.ServerState(how)
+        going = backend_server.BackendServer(
+            "going", "", "a", models=("m",), slots=50, state=state
+        )
+    traffic = _Traffic(
+        scheduling.make_scheduler(going, scheduling.make_server("stays"))
+    )
+    if how == "platform":
+        traffic.scheduler.set_leaving(frozenset({"going"}))
+    for _ in range(30):
+        traffic.offer(scheduling.make_request(level), 0.0)
+    traffic.poll(0.0)
+    assert {item.server.name for item in traffic.running} == {"stays"}
+    assert len(traffic.running) == 2
+
+
+def test_a_deadline_out_of_reach_is_refused_early_as_not_run() -> None:
+    """Break: return None in `Admission.refuse_after_s`."""
+    level = scheduling.make_class(1, deadline_s=4.0)
+    traffic = _Traffic(
+        scheduling.make_scheduler(scheduling.make_server("s", slots=1))
+    )
+    traffic.offer(scheduling.make_request(level), 0.0)
+    traffic.poll(0.0)
+    traffic.finish(0, 1.0)
+    refusals = [
+        traffic.scheduler.offer(scheduling.make_request(level, now=1.0), 1.0)
+        for _ in range(6)
+    ]
+    found = [item for item in refusals if item]
+    assert 1 <= len(found) <= 4
+    for refusal in found:
+        assert refusal.reason is reasons.RefusalReason.DEADLINE_UNREACHABLE
+        assert refusal.run_state is reasons.RunState.NOT_RUN
+        assert refusal.retry_after_s
+    tried = scheduling.make_request(level, now=1.0, attempt=1)
+    assert traffic.scheduler.offer(tried, 1.0) is None
+    dropped = [
+        item
+        for item in traffic.scheduler.poll(9.0)
+        if isinstance(item, scheduler_api.Dropped) and item.request is tried
+    ]
+    assert dropped[0].refusal.run_state is reasons.RunState.MAY_HAVE_RUN
+
+
+def test_preemption_cancels_only_lower_repeatable_work() -> None:
+    """Break: a condition in `preemption._yields`."""
+    high = scheduling.make_class(1, first_token_s=0.5)
+    kinds = [
+        scheduling.make_request(scheduling.make_class(0, preemptible=True)),
+        scheduling.make_request(scheduling.make_class(3)),
+        scheduling.make_request(
+            scheduling.make_class(4, preemptible=True), idempotent=False
+        ),
+        scheduling.make_request(scheduling.make_class(4, preemptible=True)),
+        scheduling.make_request(
+            scheduling.make_class(4, preemptible=True), resumable=True
+        ),
+    ]
+    traffic = _Traffic(
+        scheduling.make_scheduler(scheduling.make_server("s", slots=6))
+    )
+    for request in (scheduling.make_request(high), *kinds):
+        traffic.offer(request, 0.0)
+    traffic.poll(0.0)
+    assert len(traffic.running) == 6
+    first = [item.request.request_class for item in traffic.running]
+    traffic.finish(first.index(high), 1.0)
+    for _ in range(9):
+        traffic.offer(scheduling.make_request(high, now=1.0), 1.0)
+    for tenth in range(20):
+        traffic.poll(1.0 + tenth / 10)
+    cancelled = [item.request for item in traffic.preempts]
+    assert cancelled == [kinds[4], kinds[3]]
+
+
+def test_a_suspect_runs_alone_on_its_server() -> None:
+    """Break: ignore `reserved_for` in `TwoChoices._load`."""
+    level = scheduling.make_class(1)
+    traffic = _Traffic(
+        scheduling.make_scheduler(
+            scheduling.make_server("s1"), scheduling.make_server("s2")
+        )
+    )
+    for _ in range(4):
+        traffic.offer(scheduling.make_request(level), 0.0)
+    traffic.poll(0.0)
+    suspect = scheduling.make_request(level, alone=True)
+    traffic.offer(suspect, 0.0)
+    for _ in range(19):
+        traffic.offer(scheduling.make_request(level), 0.0)
+        traffic.poll(0.0)
+        on_server = collections.defaultdict(list)
+        for item in traffic.running:
+            on_server[item.server.name].append(item.request)
+        for requests in on_server.values():
+            assert suspect not in requests or requests == [suspect]
+        if any(item.request is suspect for item in traffic.running):
+            return
+        traffic.finish(0, 0.0)
+    pytest.fail("the suspect never ran")
+
+
+def test_limits_over_the_fleet_overshoot_within_the_bound() -> None:
+    """Break: leave out the division by the daemons in `CustomerLimits`."""
+    limits = customer_lib.CustomerLimits(requests_per_s=5.0, concurrency=4)
+    customer = customer_lib.Customer("one", limits=limits)
+    level = scheduling.make_class(1)
+    for daemons in (1, 3, 9):
+        fleet = [
+            scheduling.make_scheduler(
+                scheduling.make_server("s", slots=50), customers=(customer,)
+            )
+            for _ in range(daemons)
+        ]
+        admitted = peak = 0
+        for scheduler in fleet:
+            scheduler.set_live_daemons(daemons, daemons)
+        for tick in range(200):
+            now = tick * 0.1
+            held = 0
+            for scheduler in fleet:
+                ours = [
+                    scheduling.make_request(level, now=now) for _ in range(6)
+                ]
+                held += sum(not scheduler.offer(item, now) for item in ours)
+                for item in scheduling.dispatched(list(scheduler.poll(now))):
+                    scheduler.finish(
+                        item.request, item.server, scheduling.ANSWERED, now
+                    )
+                for request in ours:
+                    scheduler.withdraw(request, now)
+            admitted += held
+            peak = max(peak, held)
+        burst = daemons * max(1.0, 5.0 / daemons)
+        assert 0.8 * 5.0 * 20.0 <= admitted <= 5.0 * 20.0 + burst
+        assert peak < 4 + daemons
