--- /dev/null
+++ b/figstream/claim_group_commit.py
@@ -0,0 +1,284 @@
+"""Group commit of claims to the page of one key range.
+
+One task writes each range. While a write is under way further changes wait,
+and the next write carries all of them. The conditional update decides between
+daemons. A lost answer is resolved by reading the page and looking for the
+claim's id. A claim that may have been written and was not confirmed in time
+is refused and withdrawn: the writer removes it as soon as the platform
+answers, and until the page has moved past the version of the doubtful write
+it does not trust that write to be dead.
+"""
+
+from collections.abc import Sequence
+import random
+from typing import Final
+
+import anyio
+import attrs
+
+from figstream import claim_record
+from figstream import clock as clock_lib
+from figstream import platform_api
+
+BATCH_LIMIT: Final = 256
+COMMIT_ATTEMPTS: Final = 8
+CACHE_S: Final = 1.0
+PENDING_LIMIT: Final = 1_000
+PENDING_RESULTS_LIMIT: Final = 200
+_FIRST_BACKOFF_S: Final = 0.05
+_LAST_BACKOFF_S: Final = 2.0
+
+
+@attrs.frozen
+class NotCommitted:
+    """A change that is not known to be on the page."""
+
+    detail: str
+
+
+@attrs.define(eq=False)
+class ClaimChange:
+    """A claim that waits for the next write.
+
+    Attributes:
+      record: the claim.
+      outcome: the record the page holds for the key, once known.
+      abandoned: whether nobody waits for the outcome any more.
+      done: set together with the outcome.
+    """
+
+    record: claim_record.ClaimRecord
+    outcome: claim_record.ClaimRecord | NotCommitted | None = None
+    abandoned: bool = False
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+
+    def settle(self, outcome: claim_record.ClaimRecord | NotCommitted) -> None:
+        """Sets the outcome and wakes whoever waits."""
+        self.outcome = outcome
+        self.done.set()
+
+
+@attrs.define(eq=False)
+class ResultChange:
+    """An answer that waits for the next write; None withdraws the claim."""
+
+    digest: str
+    claim_id: str
+    result: claim_record.KeptResult | None
+    kept: bool = False
+    done: anyio.Event = attrs.field(factory=anyio.Event)
+
+
+class RangeWriter:
+    """Writes the page of one key range."""
+
+    def __init__(
+        self,
+        objects: platform_api.ObjectStore,
+        clock: clock_lib.Clock,
+        name: str,
+        timeout_s: float,
+        jitter: random.Random,
+    ) -> None:
+        """Starts with an empty queue and without a copy of the page."""
+        self._objects = objects
+        self._clock = clock
+        self._name = name
+        self._timeout_s = timeout_s
+        self._jitter = jitter
+        self._claims: list[ClaimChange] = []
+        self._results: list[ResultChange] = []
+        self._wakeup = anyio.Event()
+        self._cached: platform_api.Found | None = None
+        self._cached_at = 0.0
+        self._highest_version = platform_api.ABSENT_VERSION
+        self._doubtful_version: int | None = None
+        self._garbage: list[str] = []
+
+    @property
+    def idle(self) -> bool:
+        """Returns whether nothing waits to be written or deleted."""
+        return not (self._must_write or self._garbage)
+
+    @property
+    def _must_write(self) -> bool:
+        in_doubt = self._doubtful_version is not None
+        return bool(self._claims or self._results or in_doubt)
+
+    def add_claim(self, change: ClaimChange) -> None:
+        """Queues a claim for the next write."""
+        if len(self._results) >= PENDING_LIMIT:
+            change.settle(NotCommitted("too many changes wait"))
+            return
+        self._claims.append(change)
+        self._wakeup.set()
+
+    def add_result(self, change: ResultChange) -> bool:
+        """Queues an answer or a withdrawal; returns whether there is room."""
+        kept = sum(item.result is not None for item in self._results)
+        if change.result is not None and kept >= PENDING_RESULTS_LIMIT:
+            return False
+        self._results.append(change)
+        self._wakeup.set()
+        return True
+
+    async def run(self) -> None:
+        """Writes until nothing waits and the copy of the page is old."""
+        failures = 0
+        while not await self._unneeded():
+            if not self._must_write:
+                await self._delete_result(self._garbage.pop())
+                continue
+            failure = await self._commit(self._next_claims())
+            failures = failures + 1 if failure else 0
+            if failure:
+                await self._clock.sleep(self._backoff_s(failures))
+
+    def _next_claims(self) -> list[ClaimChange]:
+        batch = self._claims[:BATCH_LIMIT]
+        del self._claims[:BATCH_LIMIT]
+        return [change for change in batch if not change.abandoned]
+
+    async def _unneeded(self) -> bool:
+        if self.idle:
+            self._wakeup = anyio.Event()
+            with anyio.move_on_after(CACHE_S):
+                await self._wakeup.wait()
+        return self.idle
+
+    def _backoff_s(self, failures: int) -> float:
+        ceiling_s = min(_LAST_BACKOFF_S, _FIRST_BACKOFF_S * 2**failures)
+        return self._jitter.uniform(0, ceiling_s)
+
+    async def _commit(self, claims: Sequence[ClaimChange]) -> bool:
+        """Writes the changes; returns whether they are not known written."""
+        for attempt in range(COMMIT_ATTEMPTS):
+            page = await self._page(fresh=attempt > 0)
+            if page is None:
+                break
+            draft, records, results = self._draft(page, claims)
+            if page is self._cached and self._must_read_again(claims, records):
+                continue
+            if not draft.changed and page.version != self._doubtful_version:
+                self._settle(claims, records, results)
+                return False
+            outcome = await self._write(draft.encode(), page.version)
+            if isinstance(outcome, platform_api.Written):
+                self._settle(claims, records, results)
+                self._garbage.extend(draft.expired_results)
+                return False
+            if isinstance(outcome, platform_api.Unavailable):
+                break
+        self._fail(claims)
+        return True
+
+    def _draft(
+        self, page: platform_api.Found, claims: Sequence[ClaimChange]
+    ) -> tuple[
+        claim_record.PageDraft,
+        list[claim_record.ClaimRecord | None],
+        list[ResultChange],
+    ]:
+        draft = claim_record.PageDraft(page.body)
+        results = list(self._results)
+        for change in results:
+            if change.result is None:
+                draft.withdraw(change.digest, change.claim_id)
+            else:
+                change.kept = draft.complete(
+                    change.digest, change.claim_id, change.result
+                )
+        draft.expire(self._clock.wall())
+        return draft, [draft.claim(item.record) for item in claims], results
+
+    def _must_read_again(
+        self,
+        claims: Sequence[ClaimChange],
+        records: Sequence[claim_record.ClaimRecord | None],
+    ) -> bool:
+        """Returns whether an old copy may miss an answer or a withdrawal."""
+        return any(
+            found is not None
+            and found.result is None
+            and found.claim_id != change.record.claim_id
+            for change, found in zip(claims, records, strict=True)
+        )
+
+    def _settle(
+        self,
+        claims: Sequence[ClaimChange],
+        records: Sequence[claim_record.ClaimRecord | None],
+        results: Sequence[ResultChange],
+    ) -> None:
+        self._doubtful_version = None
+        for result in results:
+            self._results.remove(result)
+            result.done.set()
+        for change, found in zip(claims, records, strict=True):
+            change.settle(found or NotCommitted("the journal is full"))
+            if (
+                change.abandoned
+                and found is not None
+                and found.claim_id == change.record.claim_id
+            ):
+                self._withdraw(change.record)
+
+    def _fail(self, claims: Sequence[ClaimChange]) -> None:
+        in_doubt = self._doubtful_version is not None
+        for change in claims:
+            change.settle(NotCommitted("the platform does not answer"))
+            if in_doubt:
+                self._withdraw(change.record)
+
+    def _withdraw(self, record: claim_record.ClaimRecord) -> None:
+        self._results.append(ResultChange(record.digest, record.claim_id, None))
+
+    async def _page(self, *, fresh: bool) -> platform_api.Found | None:
+        age_s = self._clock.now() - self._cached_at
+        if self._cached is not None and not fresh and age_s < CACHE_S:
+            return self._cached
+        self._cached = None
+        outcome: platform_api.ReadOutcome | None = None
+        with anyio.move_on_after(self._timeout_s):
+            outcome = await self._objects.read(self._name)
+        if isinstance(outcome, platform_api.Absent):
+            outcome = platform_api.Found(
+                self._name, platform_api.ABSENT_VERSION, b""
+            )
+        if not isinstance(outcome, platform_api.Found):
+            return None
+        if outcome.version < self._highest_version:
+            return None
+        self._highest_version = outcome.version
+        return outcome
+
+    async def _write(
+        self, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        outcome: platform_api.WriteOutcome = platform_api.Unknown("timeout")
+        # Until an answer says otherwise the write may take effect, also when
+        # this task is cancelled while it waits.
+        earlier, self._doubtful_version = (
+            self._doubtful_version,
+            expected_version,
+        )
+        with anyio.move_on_after(self._timeout_s):
+            outcome = await self._objects.write(
+                self._name, body, expected_version
+            )
+        self._cached = None
+        if isinstance(
+            outcome, platform_api.Unavailable | platform_api.Conflict
+        ):
+            self._doubtful_version = earlier
+        if isinstance(outcome, platform_api.Written):
+            self._highest_version = outcome.version
+            self._cached = platform_api.Found(self._name, outcome.version, body)
+            self._cached_at = self._clock.now()
+        return outcome
+
+    async def _delete_result(self, name: str) -> None:
+        with anyio.move_on_after(self._timeout_s):
+            found = await self._objects.read(name)
+            if isinstance(found, platform_api.Found):
+                await self._objects.delete(name, found.version)
--- /dev/null
+++ b/figstream/claim_record.py
@@ -0,0 +1,191 @@
+"""Records of claims and the journal pages that hold them.
+
+A page is one object of the platform and holds the claims of one key range.
+Each of its lines is a digest of the key, the second at which the claim
+expires, and the record as JSON, so that a page is searched and expired
+without decoding it.
+"""
+
+from collections.abc import Iterable
+import hashlib
+from typing import Final
+
+import attrs
+import xxhash
+
+from figstream import claims_api
+from figstream import serialization
+
+RANGE_COUNT: Final = 256
+RETENTION_S: Final = 6 * 3600
+# New claims stop at the first limit and answers lose their bodies at the
+# second, so that the answers of every open claim still fit a megabyte.
+CLAIM_LIMIT_BYTES: Final = 500_000
+ANSWER_LIMIT_BYTES: Final = 700_000
+INLINE_RESULT_BYTES: Final = 512
+RESULT_LIMIT_BYTES: Final = 900_000
+_CONTENT_TYPE_LIMIT: Final = 100
+
+
+@attrs.frozen
+class KeptResult:
+    """The answer to a claimed call, as a page holds it.
+
+    Attributes:
+      status: HTTP status code.
+      content_type: media type of the body.
+      body: the body, when it is short.
+      object_name: object that holds a longer body, or "".
+      whole: whether the body is kept; very long ones are not.
+    """
+
+    status: int
+    content_type: str
+    body: bytes = b""
+    object_name: str = ""
+    whole: bool = True
+
+
+@attrs.frozen
+class ClaimRecord:
+    """One claim.
+
+    Attributes:
+      digest: digest of customer and idempotency key.
+      fingerprint: hash of the request, to tell another request apart.
+      claim_id: unique; starts with the owner's name and start number.
+      claimed_at: Unix time in seconds.
+      result: the answer, or None while it is not known.
+    """
+
+    digest: str
+    fingerprint: int
+    claim_id: str
+    claimed_at: float
+    result: KeptResult | None = None
+
+    def line(self) -> bytes:
+        """Returns the line of a page that holds the record."""
+        expires_at = int(self.claimed_at) + RETENTION_S
+        head = f"{self.digest} {expires_at} ".encode()
+        return head + serialization.to_json(self)
+
+
+def key_digest(customer: str, idempotency_key: str) -> str:
+    """Returns a digest that no caller can make collide with another's."""
+    text = f"{len(customer)}:{customer}{idempotency_key}"
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def range_of(digest: str, range_count: int) -> int:
+    """Returns the key range of a digest."""
+    return xxhash.xxh3_64_intdigest(digest.encode()) % range_count
+
+
+def page_name(key_range: int) -> str:
+    """Returns the name of the object that holds a key range."""
+    return f"claims/range-{key_range:04d}"
+
+
+def result_name(claim_id: str) -> str:
+    """Returns the name of the object that holds a long answer."""
+    return f"claims/result/{claim_id}"
+
+
+def keep_result(
+    claim_id: str, result: claims_api.StoredResult
+) -> tuple[KeptResult, bytes]:
+    """Splits an answer into what the page and what an own object holds."""
+    kept = KeptResult(result.status, result.content_type[:_CONTENT_TYPE_LIMIT])
+    size = len(result.body)
+    if size <= INLINE_RESULT_BYTES:
+        return attrs.evolve(kept, body=result.body), b""
+    if size > RESULT_LIMIT_BYTES:
+        return attrs.evolve(kept, whole=False), b""
+    name = result_name(claim_id)
+    return attrs.evolve(kept, object_name=name), result.body
+
+
+class PageDraft:
+    """The next content of a page, built from the content last read."""
+
+    def __init__(self, body: bytes) -> None:
+        """Starts from the stored content."""
+        self._lines = {
+            line[: line.index(b" ")].decode(): line
+            for line in body.splitlines()
+        }
+        self._size_bytes = len(body)
+        self.changed = False
+        self.expired_results: list[str] = []
+
+    def find(self, digest: str) -> ClaimRecord | None:
+        """Returns the record of a key."""
+        line = self._lines.get(digest)
+        if line is None:
+            return None
+        data = line.split(b" ", 2)[2]
+        return serialization.from_json(data, ClaimRecord)
+
+    def claim(self, record: ClaimRecord) -> ClaimRecord | None:
+        """Adds a claim unless the key has one; returns the one it has.
+
+        None means that the page is full.
+        """
+        found = self.find(record.digest)
+        if found is not None:
+            return found
+        if self._size_bytes + len(record.line()) > CLAIM_LIMIT_BYTES:
+            return None
+        self._put(record)
+        return record
+
+    def complete(self, digest: str, claim_id: str, result: KeptResult) -> bool:
+        """Stores the answer; returns whether the claim is still there."""
+        found = self.find(digest)
+        if found is None or found.claim_id != claim_id:
+            return False
+        if found.result is not None:
+            return True
+        done = attrs.evolve(found, result=result)
+        if self._size_bytes + len(done.line()) > ANSWER_LIMIT_BYTES:
+            cut = KeptResult(result.status, "", whole=False)
+            done = attrs.evolve(found, result=cut)
+        self._put(done)
+        return True
+
+    def withdraw(self, digest: str, claim_id: str) -> None:
+        """Removes a claim whose call was not sent."""
+        found = self.find(digest)
+        if found is not None and found.claim_id == claim_id:
+            self._remove(digest)
+
+    def expire(self, wall_s: float) -> None:
+        """Removes the claims whose retention time is over."""
+        for digest in list(self._expired_digests(wall_s)):
+            found = self.find(digest)
+            if found and found.result and found.result.object_name:
+                self.expired_results.append(found.result.object_name)
+            self._remove(digest)
+
+    def encode(self) -> bytes:
+        """Returns the content to store."""
+        return b"\n".join(self._lines.values())
+
+    def _expired_digests(self, wall_s: float) -> Iterable[str]:
+        return (
+            digest
+            for digest, line in self._lines.items()
+            if int(line.split(b" ", 2)[1]) <= wall_s
+        )
+
+    def _put(self, record: ClaimRecord) -> None:
+        line = record.line()
+        old = self._lines.get(record.digest, b"")
+        self._lines[record.digest] = line
+        self._size_bytes += len(line) - len(old) + 1
+        self.changed = True
+
+    def _remove(self, digest: str) -> None:
+        self._size_bytes -= len(self._lines.pop(digest)) + 1
+        self.changed = True
