--- /dev/null
+++ b/figstream/configuration_shards.py
@@ -0,0 +1,214 @@
+"""Cuts a configuration into content-addressed shards and a root.
+
+A change touches few shards, so few bytes are written and passed on. The name
+of a shard carries the generation that first had it and the digest of its
+bytes; the root lists the names. Shards are decoded once and kept by content.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import functools
+import hashlib
+import itertools
+from typing import Final
+
+import attrs
+import xxhash
+
+from figstream import api_key
+from figstream import backend_server
+from figstream import configuration as configuration_lib
+from figstream import customer as customer_lib
+from figstream import errors
+from figstream import platform_api
+from figstream import request_class as request_class_lib
+from figstream import route as route_lib
+from figstream import serialization
+
+SHARD_TARGET_BYTES: Final = 16_000
+_MAX_PARTS: Final = 1024
+_DIGEST_CHARS: Final = 32
+_DECODED_SHARDS: Final = 4096
+
+
+@attrs.frozen
+class Shard:
+    """A part of a configuration.
+
+    Attributes:
+      customers: customers whose names hash to the part.
+      keys: keys whose ids hash to the part.
+      classes: request classes whose names hash to the part.
+      routes: routes whose prefixes hash to the part.
+      servers: backend servers whose names hash to the part.
+    """
+
+    customers: tuple[customer_lib.Customer, ...] = ()
+    keys: tuple[api_key.KeyRecord, ...] = ()
+    classes: tuple[request_class_lib.RequestClass, ...] = ()
+    routes: tuple[route_lib.Route, ...] = ()
+    servers: tuple[backend_server.BackendServer, ...] = ()
+
+
+@attrs.frozen
+class AcceptedWrite:
+    """A change that was accepted, by the id of its write."""
+
+    generation: int
+    write_id: str
+
+
+@attrs.frozen
+class Root:
+    """What a generation consists of.
+
+    Attributes:
+      generation: rises by one with each accepted change.
+      default_class: class of requests that name none.
+      shards: names of the shards.
+      accepted: the latest accepted changes, newest last, so that a writer
+        whose answer was lost can tell whether its own is among them.
+    """
+
+    generation: int = 0
+    default_class: str = ""
+    shards: tuple[str, ...] = ()
+    accepted: tuple[AcceptedWrite, ...] = ()
+
+
+@attrs.frozen
+class Snapshot:
+    """A root and the bytes of all its shards by name."""
+
+    root: Root = Root()
+    bodies: Mapping[str, bytes] = attrs.field(factory=dict)
+
+
+def digest(body: bytes) -> str:
+    """Returns the digest by which a shard is addressed."""
+    return hashlib.sha256(body).hexdigest()[:_DIGEST_CHARS]
+
+
+def digest_in(name: str) -> str:
+    """Returns the digest that the name of a shard carries."""
+    return name.rpartition("/")[2]
+
+
+def shard_name(generation: int, body: bytes) -> str:
+    """Returns the name of a shard that a generation introduces."""
+    return f"{generation}/{digest(body)}"
+
+
+def generation_in(name: str) -> int:
+    """Returns the generation that introduced a shard."""
+    return int(name.partition("/")[0])
+
+
+def split(configuration: configuration_lib.Configuration) -> Sequence[bytes]:
+    """Cuts a configuration into the bodies of its shards.
+
+    Raises:
+      errors.ConfigurationError: one item is too large for the platform.
+    """
+    kinds = (
+        Shard(customers=configuration.customers),
+        Shard(keys=configuration.keys),
+        Shard(classes=configuration.classes, routes=configuration.routes),
+        Shard(servers=configuration.servers),
+    )
+    bodies = [*itertools.chain.from_iterable(map(_split_kind, kinds))]
+    if any(len(body) > platform_api.MAX_OBJECT_BYTES for body in bodies):
+        raise errors.ConfigurationError(
+            "an entry exceeds a megabyte; shorten its lists"
+        )
+    return bodies
+
+
+def snapshot(
+    configuration: configuration_lib.Configuration,
+    previous: Root,
+    accepted: Sequence[AcceptedWrite],
+) -> Snapshot:
+    """Cuts a configuration, keeping the names of shards that stay the same.
+
+    Raises:
+      errors.ConfigurationError: one item is too large for the platform.
+    """
+    known = {digest_in(name): name for name in previous.shards}
+    bodies = {
+        known.get(digest(body))
+        or shard_name(configuration.generation, body): body
+        for body in split(configuration)
+    }
+    root = Root(
+        configuration.generation,
+        configuration.default_class,
+        tuple(bodies),
+        tuple(accepted),
+    )
+    return Snapshot(root, bodies)
+
+
+def assemble(found: Snapshot) -> configuration_lib.Configuration:
+    """Puts a configuration together from its root and its shards.
+
+    Raises:
+      errors.ConfigurationError: a shard is missing or can't be read.
+    """
+    missing = [name for name in found.root.shards if name not in found.bodies]
+    if missing:
+        raise errors.ConfigurationError(
+            f"shard {missing[0]!r} is missing; read the root again"
+        )
+    shards = [_decode(found.bodies[name]) for name in found.root.shards]
+    chain = itertools.chain.from_iterable
+    return configuration_lib.Configuration(
+        generation=found.root.generation,
+        customers=tuple(
+            sorted(chain(s.customers for s in shards), key=lambda c: c.name)
+        ),
+        keys=tuple(
+            sorted(chain(s.keys for s in shards), key=lambda k: k.key_id)
+        ),
+        classes=tuple(
+            sorted(chain(s.classes for s in shards), key=lambda c: c.name)
+        ),
+        servers=tuple(
+            sorted(chain(s.servers for s in shards), key=lambda s: s.name)
+        ),
+        routes=tuple(
+            sorted(chain(s.routes for s in shards), key=lambda r: r.prefix)
+        ),
+        default_class=found.root.default_class,
+    )
+
+
+@functools.lru_cache(maxsize=_DECODED_SHARDS)
+def _decode(body: bytes) -> Shard:
+    return serialization.from_json(body, Shard)
+
+
+def _split_kind(whole: Shard) -> Iterable[bytes]:
+    if whole == Shard():
+        return ()
+    encoded = serialization.to_json(whole)
+    wanted = -(-len(encoded) // SHARD_TARGET_BYTES)
+    count = min(_MAX_PARTS, 1 << (wanted - 1).bit_length())
+    if count == 1:
+        return (encoded,)
+    parts = (_part(whole, index, count) for index in range(count))
+    return [serialization.to_json(part) for part in parts if part != Shard()]
+
+
+def _part(whole: Shard, index: int, count: int) -> Shard:
+    def here(key: str) -> bool:
+        return xxhash.xxh3_64_intdigest(key.encode()) % count == index
+
+    return Shard(
+        customers=tuple(c for c in whole.customers if here(c.name)),
+        keys=tuple(k for k in whole.keys if here(k.key_id)),
+        classes=tuple(c for c in whole.classes if here(c.name)),
+        routes=tuple(r for r in whole.routes if here(r.prefix)),
+        servers=tuple(s for s in whole.servers if here(s.name)),
+    )
--- /dev/null
+++ b/figstream/configuration_store.py
@@ -0,0 +1,344 @@
+"""Keeps the configuration in the platform's object API.
+
+Shards are written first, then the root by conditional update: that update is
+the moment of acceptance. A change names the generation that it was made on;
+of two that race, one gets a conflict. After a lost answer the same
+conditional update is repeated until it is decided, and the ids of accepted
+writes in the root tell whose it was.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
+import random
+from typing import Final
+import uuid
+
+import anyio
+import attrs
+
+from figstream import clock as clock_lib
+from figstream import configuration as configuration_lib
+from figstream import configuration_shards as shards_lib
+from figstream import errors
+from figstream import message_texts
+from figstream import platform_api
+from figstream import serialization
+
+PREFIX: Final = "configuration/"
+ROOT: Final = PREFIX + "root"
+SHARDS: Final = PREFIX + "shards/"
+_ATTEMPTS: Final = 6
+_FIRST_DELAY_S: Final = 0.05
+_ACCEPTED_KEPT: Final = 64
+_PARALLEL_READS: Final = 16
+
+Change = Callable[
+    [configuration_lib.Configuration], configuration_lib.Configuration
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The change is accepted as this generation."""
+
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GenerationConflict:
+    """Another change came first; nothing was changed by this one."""
+
+    current: int
+
+    @property
+    def message(self) -> str:
+        """Returns the sentence for the operator, which names the remedy."""
+        return message_texts.GENERATION_CONFLICT.format(current=self.current)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedChange:
+    """The change breaks a rule; nothing was changed."""
+
+    why: str
+
+    @property
+    def message(self) -> str:
+        """Returns the sentence for the operator, which names the remedy."""
+        return self.why
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformDown:
+    """The platform can't be reached; nothing was changed."""
+
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """Returns the sentence for the operator, which names the remedy."""
+        return message_texts.CHANGE_NOT_MADE.format(detail=self.detail)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The change may have been accepted or may yet be."""
+
+    write_id: str
+    detail: str
+
+    @property
+    def message(self) -> str:
+        """Returns the sentence for the operator, which names the remedy."""
+        return message_texts.CHANGE_UNKNOWN.format(
+            write_id=self.write_id, detail=self.detail
+        )
+
+
+AcceptOutcome = (
+    Accepted
+    | GenerationConflict
+    | RefusedChange
+    | PlatformDown
+    | OutcomeUnknown
+)
+
+
+@attrs.frozen
+class StoredRoot:
+    """The root as stored; version 0 if there is none yet."""
+
+    root: shards_lib.Root
+    version: int
+
+
+class ConfigurationStore:
+    """Reads and changes the configuration in the object API."""
+
+    def __init__(
+        self, objects: platform_api.ObjectStore, clock: clock_lib.Clock
+    ) -> None:
+        """Uses the object API; the clock paces repeated calls."""
+        self._objects = objects
+        self._clock = clock
+        self._random = random.Random(uuid.uuid4().int)
+
+    async def read_root(self) -> StoredRoot | platform_api.Unavailable:
+        """Reads the root; generation 0 if there is none yet."""
+        found = await self._objects.read(ROOT)
+        if isinstance(found, platform_api.Unavailable):
+            return found
+        if isinstance(found, platform_api.Absent):
+            return StoredRoot(shards_lib.Root(), platform_api.ABSENT_VERSION)
+        try:
+            root = serialization.from_json(found.body, shards_lib.Root)
+        except errors.ConfigurationError as error:
+            return platform_api.Unavailable(str(error))
+        return StoredRoot(root, found.version)
+
+    async def read_newest(
+        self, known: Mapping[str, bytes] | None = None
+    ) -> shards_lib.Snapshot | platform_api.Unavailable:
+        """Reads the newest generation.
+
+        Args:
+          known: shards at hand, which are not read again.
+        """
+        for _ in range(_ATTEMPTS):
+            stored = await self.read_root()
+            if isinstance(stored, platform_api.Unavailable):
+                return stored
+            bodies = await self._read_shards(stored.root, known or {})
+            if isinstance(bodies, platform_api.Unavailable):
+                return bodies
+            if bodies is not None:
+                return shards_lib.Snapshot(stored.root, bodies)
+        return platform_api.Unavailable("the root keeps changing")
+
+    async def accept(
+        self, change: Change, base_generation: int, write_id: str = ""
+    ) -> AcceptOutcome:
+        """Makes a change on the generation named.
+
+        Args:
+          change: makes the new configuration from the current one; may raise
+            errors.ConfigurationError.
+          base_generation: generation the change was made on.
+          write_id: unique id of the change; a repeat with the same id never
+            makes the change twice.
+        """
+        write_id = write_id or uuid.uuid4().hex
+        stored = await self.read_root()
+        if isinstance(stored, platform_api.Unavailable):
+            return PlatformDown(stored.detail)
+        if earlier := _accepted_as(stored.root, write_id):
+            return Accepted(earlier)
+        if stored.root.generation != base_generation:
+            return GenerationConflict(stored.root.generation)
+        bodies = await self._read_shards(stored.root, {})
+        if isinstance(bodies, platform_api.Unavailable):
+            return PlatformDown(bodies.detail)
+        if bodies is None:
+            return await self._settle(write_id)
+        try:
+            new = _apply(change, stored.root, bodies, write_id)
+        except errors.ConfigurationError as error:
+            return RefusedChange(str(error))
+        added = {k: v for k, v in new.bodies.items() if k not in bodies}
+        if failed := await self._write_shards(added):
+            return PlatformDown(failed.detail)
+        return await self._write_root(new.root, stored.version, write_id)
+
+    async def remove_unreferenced(self) -> int:
+        """Removes shards that no generation can refer to any more.
+
+        A writer relies only on shards of the root it read and on shards that
+        carry the next generation. So one that carries the root's generation
+        or an earlier one, and that the root doesn't list, stays unused.
+
+        Returns:
+          The number of shards removed.
+        """
+        stored = await self.read_root()
+        names = await self._objects.list_names(SHARDS)
+        if isinstance(stored, platform_api.Unavailable) or isinstance(
+            names, platform_api.Unavailable
+        ):
+            return 0
+        listed = set(stored.root.shards)
+        unused = [
+            name
+            for name in (item.removeprefix(SHARDS) for item in names)
+            if name not in listed
+            and shards_lib.generation_in(name) <= stored.root.generation
+        ]
+        return sum([await self._remove(name) for name in unused])
+
+    async def _remove(self, name: str) -> bool:
+        found = await self._objects.read(SHARDS + name)
+        if not isinstance(found, platform_api.Found):
+            return False
+        gone = await self._objects.delete(SHARDS + name, found.version)
+        return isinstance(gone, platform_api.Written)
+
+    async def _read_shards(
+        self, root: shards_lib.Root, known: Mapping[str, bytes]
+    ) -> dict[str, bytes] | platform_api.Unavailable | None:
+        """Returns the bodies, or None if one was removed meanwhile."""
+        found: dict[str, platform_api.ReadOutcome] = {}
+        limiter = anyio.CapacityLimiter(_PARALLEL_READS)
+
+        async def read(name: str) -> None:
+            async with limiter:
+                found[name] = await self._objects.read(SHARDS + name)
+
+        async with anyio.create_task_group() as group:
+            for name in root.shards:
+                if name not in known:
+                    group.start_soon(read, name)
+        outcomes = list(found.values())
+        for outcome in outcomes:
+            if isinstance(outcome, platform_api.Unavailable):
+                return outcome
+        read_bodies = {
+            name: outcome.body
+            for name, outcome in found.items()
+            if isinstance(outcome, platform_api.Found)
+        }
+        if len(read_bodies) < len(found):
+            return None
+        return {
+            name: known[name] if name in known else read_bodies[name]
+            for name in root.shards
+        }
+
+    async def _write_shards(
+        self, bodies: Mapping[str, bytes]
+    ) -> platform_api.Unavailable | None:
+        for name, body in bodies.items():
+            if failed := await self._write_shard(name, body):
+                return failed
+        return None
+
+    async def _write_shard(
+        self, name: str, body: bytes
+    ) -> platform_api.Unavailable | None:
+        """Writes a shard; one that exists has the same content."""
+        for attempt in range(_ATTEMPTS):
+            outcome = await self._objects.write(
+                SHARDS + name, body, platform_api.ABSENT_VERSION
+            )
+            match outcome:
+                case platform_api.Written() | platform_api.Conflict():
+                    return None
+                case platform_api.Unavailable():
+                    return outcome
+            await self._pause(attempt)
+        return platform_api.Unavailable("answers to writes keep getting lost")
+
+    async def _write_root(
+        self, root: shards_lib.Root, version: int, write_id: str
+    ) -> AcceptOutcome:
+        body = serialization.to_json(root)
+        detail = ""
+        for attempt in range(_ATTEMPTS):
+            outcome = await self._objects.write(ROOT, body, version)
+            match outcome:
+                case platform_api.Written():
+                    return Accepted(root.generation)
+                case platform_api.Conflict():
+                    return await self._settle(write_id)
+                case platform_api.Unavailable() if not detail:
+                    return PlatformDown(outcome.detail)
+                case _:
+                    detail = outcome.detail
+            await self._pause(attempt)
+        return OutcomeUnknown(write_id, detail)
+
+    async def _settle(self, write_id: str) -> AcceptOutcome:
+        """Tells whether the change that moved the root was this one."""
+        detail = ""
+        for attempt in range(_ATTEMPTS):
+            stored = await self.read_root()
+            if isinstance(stored, StoredRoot):
+                earlier = _accepted_as(stored.root, write_id)
+                if earlier:
+                    return Accepted(earlier)
+                return GenerationConflict(stored.root.generation)
+            detail = stored.detail
+            await self._pause(attempt)
+        return OutcomeUnknown(write_id, detail)
+
+    async def _pause(self, attempt: int) -> None:
+        longest = _FIRST_DELAY_S * 2**attempt
+        await self._clock.sleep(self._random.uniform(0, longest))
+
+
+def _accepted_as(root: shards_lib.Root, write_id: str) -> int | None:
+    return next(
+        (
+            item.generation
+            for item in root.accepted
+            if item.write_id == write_id
+        ),
+        None,
+    )
+
+
+def _apply(
+    change: Change,
+    root: shards_lib.Root,
+    bodies: Mapping[str, bytes],
+    write_id: str,
+) -> shards_lib.Snapshot:
+    generation = root.generation + 1
+    current = shards_lib.assemble(shards_lib.Snapshot(root, bodies))
+    new = attrs.evolve(change(current), generation=generation)
+    configuration_lib.check(new)
+    accepted: Sequence[shards_lib.AcceptedWrite] = (
+        *root.accepted[1 - _ACCEPTED_KEPT :],
+        shards_lib.AcceptedWrite(generation, write_id),
+    )
+    return shards_lib.snapshot(new, root, accepted)
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -9,6 +9,19 @@
 
 SETTINGS_FAULT: Final = "[{section}] {key}: found {found!r}; allowed: {allowed}"
 
+GENERATION_CONFLICT: Final = (
+    "Another change came first; read generation {current}, make the change "
+    "on it and send it again."
+)
+CHANGE_NOT_MADE: Final = (
+    "The platform can't be reached and nothing was changed; try again later "
+    "({detail})."
+)
+CHANGE_UNKNOWN: Final = (
+    "The change may have been accepted; send it again with write id "
+    "{write_id}, which never makes it twice ({detail})."
+)
+
 REFUSALS: Final[Mapping[reasons.RefusalReason, str]] = {
     _R.MISSING_KEY: "No key was sent; add 'Authorization: Bearer KEY'.",
     _R.UNKNOWN_KEY: "The key is not known; ask the operator for a valid key.",
