Bound retries by a budget for each class and by the deadline

Cause: the thin policy had no budget, repeated up to three times whatever share of requests failed, and a broken stream was decided on twice. Change: token bucket by class (a tenth of admitted requests, burst of ten), full jitter below an exponential ceiling and the deadline, Retry-After kept; the request path asks once for each failed attempt.

--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -146,11 +146,6 @@
             outcome = await self._on_server(progress, dispatched)
             if isinstance(outcome, attempt_outcome.Answered):
                 return outcome
-            decision = self._services.retries.decide(
-                progress.pending, outcome, self._services.clock.now()
-            )
-            if isinstance(decision, retry_policy.GiveUp):
-                return _final(decision.refusal, progress)
             if progress.relay.events_relayed:
                 # The caller has a part, which no other server can go on with.
                 return errors.Refusal(
@@ -158,6 +153,11 @@
                     reasons.RunState.RAN,
                     detail=outcome.reason.value,
                 )
+            decision = self._services.retries.decide(
+                progress.pending, outcome, self._services.clock.now()
+            )
+            if isinstance(decision, retry_policy.GiveUp):
+                return _final(decision.refusal, progress)
             progress.pending.tried.add(dispatched.server.name)
             self._retried(progress, outcome, dispatched.server)
             await self._services.clock.sleep(decision.delay_s)
--- a/figstream/retry_policy.py
+++ b/figstream/retry_policy.py
@@ -1,5 +1,12 @@
-"""Decides what follows a failed attempt: a retry, a resume or giving up."""
+"""Decides whether a failed attempt is repeated, resumed or given up.
 
+A repeat must be safe, in time and within the retry budget of its class. The
+budget is a token bucket filled by admitted requests, so that in a fault the
+repeats stay a small share of the load. Delays are drawn with full jitter
+below an exponential ceiling and end before the caller's deadline.
+"""
+
+import collections
 import dataclasses
 import random
 from typing import Final
@@ -9,13 +16,25 @@
 from figstream import reasons
 from figstream import scheduler_api
 
-_MAX_ATTEMPTS: Final = 3
-_BASE_DELAY_S: Final = 0.05
+BUDGET_SHARE: Final = 0.1
+BUDGET_BURST: Final = 10.0
+ATTEMPT_LIMIT: Final = 4
+FIRST_CEILING_S: Final = 0.025
+LAST_CEILING_S: Final = 2.0
+
+_REFUSALS: Final = {
+    reasons.RetryReason.REFUSED_BY_SERVER: (
+        reasons.RefusalReason.BACKEND_SERVER_REFUSED
+    ),
+    reasons.RetryReason.ANSWER_TRUNCATED: (
+        reasons.RefusalReason.ANSWER_INCOMPLETE
+    ),
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryAfter:
-    """Try again from the start, on any backend server."""
+    """The request goes back to the scheduler after the delay."""
 
     delay_s: float
     reason: reasons.RetryReason
@@ -23,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Resume:
-    """Go on with the stream at the same engine."""
+    """The stream goes on at the engine after the delay."""
 
     delay_s: float
     reason: reasons.RetryReason
@@ -31,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GiveUp:
-    """Refuse the request now."""
+    """The caller gets this refusal, or an error event in its stream."""
 
     refusal: errors.Refusal
 
@@ -40,14 +59,19 @@
 
 
 class RetryPolicy:
-    """Retries within the deadline, a few times."""
+    """The retry rules of one daemon and its budgets."""
 
-    def __init__(self, source: random.Random) -> None:
-        """Draws delays from a source of random numbers."""
-        self._random = source
+    def __init__(self, jitter: random.Random) -> None:
+        """Starts every class with a full budget."""
+        self._jitter = jitter
+        self._budgets: dict[str, float] = collections.defaultdict(
+            lambda: BUDGET_BURST
+        )
 
-    def admitted(self, request_class: str) -> None:
-        """Takes note of a request, which earns its class retry budget."""
+    def admitted(self, class_name: str) -> None:
+        """Adds a request's share to the retry budget of its class."""
+        budget = self._budgets[class_name] + BUDGET_SHARE
+        self._budgets[class_name] = min(budget, BUDGET_BURST)
 
     def decide(
         self,
@@ -56,29 +80,67 @@
         now: float,
     ) -> RetryDecision:
         """Decides what follows a failed attempt."""
-        delay_s = self._random.uniform(0, _BASE_DELAY_S * 2**request.attempt)
-        safe = request.idempotent or (
-            outcome.run_state is reasons.RunState.NOT_RUN
-        )
-        in_time = now + delay_s < request.deadline
-        if not safe or not in_time or request.attempt >= _MAX_ATTEMPTS:
-            return GiveUp(_refusal(outcome))
-        if not outcome.events_relayed:
-            return RetryAfter(delay_s, outcome.reason)
-        if request.resumable:
+        if outcome.events_relayed and not request.resumable:
+            return _give_up(outcome, _failure(outcome))
+        ran = outcome.run_state is not reasons.RunState.NOT_RUN
+        if ran and not request.idempotent:
+            return _give_up(outcome, _failure(outcome))
+        # A preemption is the daemon's own doing and no sign of a fault.
+        preempted = outcome.reason is reasons.RetryReason.PREEMPTED
+        if request.attempt >= ATTEMPT_LIMIT and not preempted:
+            return _give_up(outcome, _failure(outcome))
+        delay_s = self._delay_s(request, outcome, now)
+        if delay_s is None:
+            return _give_up(outcome, reasons.RefusalReason.DEADLINE_PASSED)
+        if not preempted and not self._spend(request.request_class.name):
+            return _give_up(outcome, reasons.RefusalReason.RETRY_BUDGET_SPENT)
+        if outcome.events_relayed:
             return Resume(delay_s, outcome.reason)
-        return GiveUp(_refusal(outcome))
-
+        return RetryAfter(delay_s, outcome.reason)
 
-def _refusal(outcome: attempt_outcome.Failed) -> errors.Refusal:
-    reason = reasons.RefusalReason.BACKEND_SERVER_FAILED
-    if outcome.events_relayed:
-        reason = reasons.RefusalReason.ANSWER_INCOMPLETE
-    return errors.Refusal(
-        reason, outcome.run_state, detail=outcome.reason.value
-    )
+    def _delay_s(
+        self,
+        request: scheduler_api.PendingRequest,
+        outcome: attempt_outcome.Failed,
+        now: float,
+    ) -> float | None:
+        """Returns the delay, or None if it would end past the deadline."""
+        left_s = request.deadline - now
+        least_s = outcome.retry_after_s or 0.0
+        if left_s <= least_s:
+            return None
+        doublings = max(request.attempt - 1, 0)
+        ceiling_s = min(LAST_CEILING_S, FIRST_CEILING_S * 2.0**doublings)
+        highest_s = min(least_s + ceiling_s, left_s)
+        return least_s + (highest_s - least_s) * self._jitter.random()
+
+    def _spend(self, class_name: str) -> bool:
+        if self._budgets[class_name] < 1.0:
+            return False
+        self._budgets[class_name] -= 1.0
+        return True
 
 
 def make_retry_policy() -> RetryPolicy:
     """Creates the policy that `figstream serve` runs."""
     return RetryPolicy(random.Random())
+
+
+def _failure(outcome: attempt_outcome.Failed) -> reasons.RefusalReason:
+    if outcome.events_relayed:
+        return reasons.RefusalReason.ANSWER_INCOMPLETE
+    return _REFUSALS.get(
+        outcome.reason, reasons.RefusalReason.BACKEND_SERVER_FAILED
+    )
+
+
+def _give_up(
+    outcome: attempt_outcome.Failed, reason: reasons.RefusalReason
+) -> GiveUp:
+    refusal = errors.Refusal(
+        reason,
+        outcome.run_state,
+        outcome.reason.value,
+        outcome.retry_after_s,
+    )
+    return GiveUp(refusal)
