Spread the configuration along two trees in each zone

Two watchers a zone read the root after each watch, since a watch may skip; only such a read confirms a generation, and the age of the confirmation travels with announcements and pulls. A status counts as sent at the last check but one, so that one that waited while its receiver was paused confirms nothing new.

--- /dev/null
+++ b/figstream/configuration_copy.py
@@ -0,0 +1,111 @@
+"""The copy of the configuration that one daemon holds and hands on.
+
+The generation only rises. The shards stay at hand as bytes, so that peers
+that are behind get just those they lack.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import configuration_shards as shards_lib
+from figstream import errors
+from figstream import logs
+from figstream import metrics as metrics_lib
+
+_GENERATIONS_REMEMBERED: Final = 64
+
+
+class ConfigurationCopy:
+    """The newest snapshot that this daemon has, behind the holder."""
+
+    def __init__(
+        self,
+        holder: configuration_holder.ConfigurationHolder,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Starts with generation 0."""
+        self._holder = holder
+        self._clock = clock
+        self._metrics = metrics
+        self._assembler = shards_lib.Assembler()
+        self._snapshot = shards_lib.Snapshot()
+        self._shards_of: dict[int, frozenset[str]] = {}
+
+    @property
+    def generation(self) -> int:
+        """Returns the generation in force."""
+        return self._snapshot.root.generation
+
+    @property
+    def snapshot(self) -> shards_lib.Snapshot:
+        """Returns the root in force and its shards."""
+        return self._snapshot
+
+    @property
+    def unconfirmed_s(self) -> float:
+        """Returns seconds since no higher generation had been accepted."""
+        return self._holder.unconfirmed_s
+
+    def take(
+        self, found: shards_lib.Snapshot, confirmed_at: float, source: str
+    ) -> bool:
+        """Puts a snapshot in force, unless its generation is lower.
+
+        Args:
+          found: the root and its shards.
+          confirmed_at: clock time at which it was the newest.
+          source: name of the peer it came from, or "platform".
+
+        Returns:
+          Whether the generation in force is now the one found.
+        """
+        generation = found.root.generation
+        if generation < self.generation:
+            self._refuse_lower(generation, source)
+            return False
+        if generation > self.generation and not self._replace(found, source):
+            return False
+        self.confirm(generation, self._clock.now() - confirmed_at)
+        return True
+
+    def confirm(self, generation: int, age_s: float) -> None:
+        """Notes that a generation was the newest some seconds ago."""
+        self._holder.confirm(generation, age_s)
+
+    def missing_in(self, generation: int) -> Mapping[str, bytes]:
+        """Returns the shards that a lower generation doesn't have."""
+        known = self._shards_of.get(generation, frozenset())
+        bodies = self._snapshot.bodies
+        return {name: bodies[name] for name in bodies if name not in known}
+
+    def _replace(self, found: shards_lib.Snapshot, source: str) -> bool:
+        try:
+            configuration = self._assembler.assemble(found)
+        except errors.ConfigurationError as error:
+            self._metrics.event("configuration_unreadable")
+            logs.error("configuration_unreadable", why=error, source=source)
+            return False
+        self._snapshot = found
+        self._shards_of[found.root.generation] = frozenset(found.root.shards)
+        while len(self._shards_of) > _GENERATIONS_REMEMBERED:
+            del self._shards_of[min(self._shards_of)]
+        self._holder.replace(configuration)
+        self._metrics.event("configuration_taken")
+        logs.info(
+            "configuration_taken",
+            generation=configuration.generation,
+            source=source,
+        )
+        return True
+
+    def _refuse_lower(self, generation: int, source: str) -> None:
+        self._metrics.event("configuration_lower_refused")
+        logs.warning(
+            "configuration_lower_refused",
+            generation=generation,
+            in_force=self.generation,
+            source=source,
+        )
--- a/figstream/configuration_holder.py
+++ b/figstream/configuration_holder.py
@@ -51,7 +51,11 @@
         return True
 
     def confirm(self, generation: int, age_s: float = 0.0) -> None:
-        """Notes that the generation was the newest some seconds ago."""
-        if generation == self._current.generation:
+        """Notes that the generation was the newest some seconds ago.
+
+        A lower generation confirms too: what is in force is then newer than
+        everything that had been accepted at that time.
+        """
+        if generation <= self._current.generation:
             confirmed_at = self._clock.now() - age_s
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
--- /dev/null
+++ b/figstream/configuration_peer.py
@@ -0,0 +1,133 @@
+"""Calls between daemons about the configuration, over gRPC."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+from typing import Final
+from typing import Protocol
+
+import attrs
+import grpc
+
+from figstream import configuration_shards as shards_lib
+from figstream import errors
+from figstream import membership_api
+from figstream import serialization
+from figstream.rpc import configuration_pb2
+from figstream.rpc import configuration_pb2_grpc
+
+ANNOUNCE_TIMEOUT_S: Final = 1.0
+_PULL_TIMEOUT_S: Final = 5.0
+
+Status = configuration_pb2.GenerationStatus
+
+
+@attrs.frozen
+class Pulled:
+    """What a peer handed over.
+
+    Attributes:
+      snapshot: a higher generation, with shards that the puller had.
+      confirmed_age_s: seconds ago at which it was the newest.
+    """
+
+    snapshot: shards_lib.Snapshot
+    confirmed_age_s: float
+
+
+async def announce(
+    members: membership_api.Members,
+    member: membership_api.Member,
+    status: Status,
+) -> Status | None:
+    """Sends a status to a peer; returns the peer's, or None if silent."""
+    stub = configuration_pb2_grpc.ConfigurationSpreadStub(
+        members.channel(member)
+    )
+    try:
+        answer: Status = await stub.Announce(status, timeout=ANNOUNCE_TIMEOUT_S)
+    except grpc.aio.AioRpcError:
+        return None
+    return answer
+
+
+async def pull(
+    members: membership_api.Members,
+    member: membership_api.Member,
+    known: shards_lib.Snapshot,
+) -> Pulled | None:
+    """Takes a higher generation from a peer; None if it gave none."""
+    stub = configuration_pb2_grpc.ConfigurationSpreadStub(
+        members.channel(member)
+    )
+    request = configuration_pb2.PullRequest(generation=known.root.generation)
+    try:
+        parts = stub.Pull(request, timeout=_PULL_TIMEOUT_S)
+        return await _collect(parts, known.bodies)
+    except (grpc.aio.AioRpcError, errors.ConfigurationError):
+        return None
+
+
+async def _collect(
+    parts: AsyncIterator[configuration_pb2.PullPart],
+    known: Mapping[str, bytes],
+) -> Pulled | None:
+    bodies = dict(known)
+    root_part: configuration_pb2.RootPart | None = None
+    async for part in parts:
+        if part.HasField("root"):
+            root_part = part.root
+        elif shards_lib.digest(part.shard.body) == shards_lib.digest_in(
+            part.shard.name
+        ):
+            bodies[part.shard.name] = part.shard.body
+    if root_part is None:
+        return None
+    root = serialization.from_json(root_part.body, shards_lib.Root)
+    if any(name not in bodies for name in root.shards):
+        return None
+    needed = {name: bodies[name] for name in root.shards}
+    return Pulled(shards_lib.Snapshot(root, needed), root_part.confirmed_age_s)
+
+
+@attrs.frozen
+class Handover:
+    """What a peer lacks: the root and the missing shards by name."""
+
+    root: configuration_pb2.RootPart
+    bodies: Mapping[str, bytes]
+
+
+class SpreadHandler(Protocol):
+    """What answers the calls of peers."""
+
+    def receive(self, status: Status) -> Status:
+        """Takes note of a peer's status; returns this daemon's."""
+
+    def parts_for(self, generation: int) -> Handover | None:
+        """Returns what a peer with a lower generation lacks."""
+
+
+class SpreadServicer(configuration_pb2_grpc.ConfigurationSpreadServicer):
+    """Serves the calls of peers from a handler."""
+
+    def __init__(self, handler: SpreadHandler) -> None:
+        """Answers from the given handler."""
+        self._handler = handler
+
+    async def Announce(  # noqa: N802
+        self, request: Status, context: object
+    ) -> Status:
+        """Takes note of a peer's status; returns this daemon's."""
+        return self._handler.receive(request)
+
+    async def Pull(  # noqa: N802
+        self, request: configuration_pb2.PullRequest, context: object
+    ) -> AsyncIterator[configuration_pb2.PullPart]:
+        """Hands over the root and the shards that the caller lacks."""
+        found = self._handler.parts_for(request.generation)
+        if found is None:
+            return
+        yield configuration_pb2.PullPart(root=found.root)
+        for name, body in found.bodies.items():
+            shard = configuration_pb2.ShardPart(name=name, body=body)
+            yield configuration_pb2.PullPart(shard=shard)
--- /dev/null
+++ b/figstream/configuration_peers.py
@@ -0,0 +1,190 @@
+"""What a daemon learns about the configuration from its peers and tells them.
+
+Announcements travel along two trees (see `configuration_tree`); whoever is
+announced a higher generation pulls it from the daemon that announced it.
+"""
+
+import random
+from typing import Final
+
+import anyio
+
+from figstream import clock as clock_lib
+from figstream import configuration_copy
+from figstream import configuration_peer
+from figstream import configuration_tree
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+
+_TREES_REMEMBERED: Final = 64
+_PEERS_TRIED: Final = 3
+_NEVER: Final = float("-inf")
+
+
+class ConfigurationPeers:
+    """Exchanges the configuration with the live daemons."""
+
+    def __init__(
+        self,
+        copy: configuration_copy.ConfigurationCopy,
+        members: membership_api.Members,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+        rng: random.Random,
+        announce_s: float,
+    ) -> None:
+        """Passes an unchanged generation on once in `announce_s` seconds."""
+        self._copy = copy
+        self._members = members
+        self._clock = clock
+        self._metrics = metrics
+        self._random = rng
+        self._announce_s = announce_s
+        self._passed_on: dict[str, tuple[int, float]] = {}
+        self._pulling = anyio.Lock()
+
+    def status(
+        self, tree_root: str = "", *, backwards: bool = False
+    ) -> configuration_peer.Status:
+        """Returns what this daemon tells its peers."""
+        return configuration_peer.Status(
+            daemon=self._members.this().name,
+            generation=self._copy.generation,
+            confirmed_age_s=self._copy.unconfirmed_s,
+            tree_root=tree_root,
+            backwards=backwards,
+        )
+
+    def root_status(self) -> configuration_peer.Status:
+        """Returns the status that this daemon sends as root of a tree."""
+        this = self._members.this()
+        chosen = configuration_tree.watchers(self._members, this.zone)
+        first = chosen[0].name if chosen else this.name
+        return self.status(this.name, backwards=this.name != first)
+
+    async def handle(
+        self, status: configuration_peer.Status, sent_at: float
+    ) -> None:
+        """Learns from an announcement and passes it on along its tree.
+
+        Args:
+          status: what was announced.
+          sent_at: clock time before which it was surely not sent.
+        """
+        sender = self._member(status.daemon)
+        if sender and not await self._learn(sender, status, sent_at):
+            return
+        if status.tree_root and self._is_news(status.tree_root):
+            await self._pass_on(status.tree_root, backwards=status.backwards)
+
+    async def pull_from_ahead(self) -> bool:
+        """Pulls from a peer whose heartbeat shows a higher generation.
+
+        Returns:
+          Whether nobody is known to be ahead any more.
+        """
+        live = self._members.live()
+        highest = max((item.generation for item in live), default=0)
+        if highest <= self._copy.generation:
+            return True
+        ahead = [item for item in self._peers() if item.generation == highest]
+        for member in ahead[:_PEERS_TRIED]:
+            if await self._pull_from(member):
+                return True
+        return False
+
+    async def ask(self) -> None:
+        """Asks one peer of this zone and one of another what they know."""
+        zone = self._members.this().zone
+        peers = self._peers()
+        here = [item for item in peers if item.zone == zone][:1]
+        elsewhere = [item for item in peers if item.zone != zone][:1]
+        for member in (*here, *elsewhere):
+            await self._announce_to(member, self.status())
+
+    def _member(self, name: str) -> membership_api.Member | None:
+        live = self._members.live()
+        return next((item for item in live if item.name == name), None)
+
+    def _peers(self) -> list[membership_api.Member]:
+        """Returns the peers in random order, those of this zone first."""
+        this = self._members.this()
+        peers = [m for m in self._members.live() if m.name != this.name]
+        self._random.shuffle(peers)
+        return sorted(peers, key=lambda item: item.zone != this.zone)
+
+    async def _learn(
+        self,
+        member: membership_api.Member,
+        status: configuration_peer.Status,
+        sent_at: float,
+    ) -> bool:
+        """Takes over what a peer knows; returns whether that succeeded."""
+        if status.generation > self._copy.generation:
+            return await self._pull_from(member)
+        age_s = status.confirmed_age_s + self._clock.now() - sent_at
+        self._copy.confirm(status.generation, age_s)
+        return True
+
+    async def _pull_from(self, member: membership_api.Member) -> bool:
+        started_from = self._copy.generation
+        async with self._pulling:
+            if self._copy.generation > started_from:
+                return True
+            asked_at = self._clock.now()
+            found = await configuration_peer.pull(
+                self._members, member, self._copy.snapshot
+            )
+        if found is None:
+            self._metrics.event("configuration_pull_failed")
+            return False
+        confirmed_at = asked_at - found.confirmed_age_s
+        return self._copy.take(found.snapshot, confirmed_at, member.name)
+
+    def _is_news(self, tree_root: str) -> bool:
+        """Tells whether this tree has not yet carried what is known."""
+        confirmed_at = self._clock.now() - self._copy.unconfirmed_s
+        generation, earlier = self._passed_on.get(tree_root, (0, _NEVER))
+        fresh = confirmed_at > earlier + self._announce_s / 2
+        if self._copy.generation <= generation and not fresh:
+            return False
+        if len(self._passed_on) >= _TREES_REMEMBERED:
+            self._passed_on.clear()
+        self._passed_on[tree_root] = (self._copy.generation, confirmed_at)
+        return True
+
+    async def _pass_on(self, tree_root: str, *, backwards: bool) -> None:
+        children = configuration_tree.children(
+            self._members, tree_root, backwards=backwards
+        )
+        async with anyio.create_task_group() as group:
+            for child in children:
+                status = self.status(tree_root, backwards=backwards)
+                group.start_soon(self._announce_to, child, status)
+
+    async def _announce_to(
+        self,
+        member: membership_api.Member,
+        status: configuration_peer.Status,
+    ) -> None:
+        asked_at = self._clock.now()
+        answer = await configuration_peer.announce(
+            self._members, member, status
+        )
+        if answer is None:
+            self._metrics.event("configuration_announce_failed")
+        else:
+            await self._learn(member, answer, asked_at)
+
+
+def make_configuration_peers(
+    copy: configuration_copy.ConfigurationCopy,
+    members: membership_api.Members,
+    clock: clock_lib.Clock,
+    metrics: metrics_lib.Metrics,
+    seed: int,
+    announce_s: float,
+) -> ConfigurationPeers:
+    """Creates the exchange with the live daemons."""
+    rng = random.Random(seed)
+    return ConfigurationPeers(copy, members, clock, metrics, rng, announce_s)
--- a/figstream/configuration_shards.py
+++ b/figstream/configuration_shards.py
@@ -2,13 +2,12 @@
 
 A change touches few shards, so few bytes are written and passed on. The name
 of a shard carries the generation that first had it and the digest of its
-bytes; the root lists the names. Shards are decoded once and kept by content.
+bytes; the root lists the names.
 """
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
-import functools
 import hashlib
 import itertools
 from typing import Final
@@ -29,7 +28,6 @@
 SHARD_TARGET_BYTES: Final = 16_000
 _MAX_PARTS: Final = 1024
 _DIGEST_CHARS: Final = 32
-_DECODED_SHARDS: Final = 4096
 
 
 @attrs.frozen
@@ -150,43 +148,70 @@
     return Snapshot(root, bodies)
 
 
+class Assembler:
+    """Puts configurations together, decoding each shard in use once."""
+
+    def __init__(self) -> None:
+        """Has decoded nothing yet."""
+        self._decoded: dict[str, Shard] = {}
+
+    def assemble(self, found: Snapshot) -> configuration_lib.Configuration:
+        """Puts a configuration together from its root and its shards.
+
+        Raises:
+          errors.ConfigurationError: a shard is missing or can't be read.
+        """
+        self._decoded = {
+            name: self._decoded.get(name) or _decode(found, name)
+            for name in found.root.shards
+        }
+        shards = self._decoded.values()
+        chain = itertools.chain.from_iterable
+        customers = sorted(
+            chain(shard.customers for shard in shards),
+            key=lambda item: item.name,
+        )
+        keys = sorted(
+            chain(shard.keys for shard in shards), key=lambda item: item.key_id
+        )
+        classes = sorted(
+            chain(shard.classes for shard in shards),
+            key=lambda item: item.name,
+        )
+        servers = sorted(
+            chain(shard.servers for shard in shards),
+            key=lambda item: item.name,
+        )
+        routes = sorted(
+            chain(shard.routes for shard in shards),
+            key=lambda item: item.prefix,
+        )
+        return configuration_lib.Configuration(
+            found.root.generation,
+            tuple(customers),
+            tuple(keys),
+            tuple(classes),
+            tuple(servers),
+            tuple(routes),
+            found.root.default_class,
+        )
+
+
 def assemble(found: Snapshot) -> configuration_lib.Configuration:
-    """Puts a configuration together from its root and its shards.
+    """Puts one configuration together.
 
     Raises:
       errors.ConfigurationError: a shard is missing or can't be read.
     """
-    missing = [name for name in found.root.shards if name not in found.bodies]
-    if missing:
-        raise errors.ConfigurationError(
-            f"shard {missing[0]!r} is missing; read the root again"
-        )
-    shards = [_decode(found.bodies[name]) for name in found.root.shards]
-    chain = itertools.chain.from_iterable
-    return configuration_lib.Configuration(
-        generation=found.root.generation,
-        customers=tuple(
-            sorted(chain(s.customers for s in shards), key=lambda c: c.name)
-        ),
-        keys=tuple(
-            sorted(chain(s.keys for s in shards), key=lambda k: k.key_id)
-        ),
-        classes=tuple(
-            sorted(chain(s.classes for s in shards), key=lambda c: c.name)
-        ),
-        servers=tuple(
-            sorted(chain(s.servers for s in shards), key=lambda s: s.name)
-        ),
-        routes=tuple(
-            sorted(chain(s.routes for s in shards), key=lambda r: r.prefix)
-        ),
-        default_class=found.root.default_class,
-    )
+    return Assembler().assemble(found)
 
 
-@functools.lru_cache(maxsize=_DECODED_SHARDS)
-def _decode(body: bytes) -> Shard:
-    return serialization.from_json(body, Shard)
+def _decode(found: Snapshot, name: str) -> Shard:
+    if name not in found.bodies:
+        raise errors.ConfigurationError(
+            f"shard {name!r} is missing; read the root again"
+        )
+    return serialization.from_json(found.bodies[name], Shard)
 
 
 def _split_kind(whole: Shard) -> Iterable[bytes]:
