--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,10 @@
 import sys
 from typing import Final
 
-BENCHMARKS: Final[tuple[str, ...]] = ("claims",)
+BENCHMARKS: Final[tuple[str, ...]] = (
+    "claims",
+    "scenarios",
+)
 
 
 def main() -> None:
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,166 @@
+"""What a benchmark run is judged by."""
+
+import collections
+from collections.abc import Mapping
+from collections.abc import Sequence
+import itertools
+from typing import Final
+
+import attrs
+
+from bench import fleet as fleet_lib
+from bench import traffic
+from figstream import cost_estimate
+
+_WINDOW_S: Final = 5.0
+_MIN_REQUESTS: Final = 20
+
+
+@attrs.frozen
+class Measures:
+    """The figures of one run.
+
+    Attributes:
+      attainment: share of requests that met their service level, by class.
+      goodput: cost units of whole answers within the deadline, a second.
+      answered: whole answers within the deadline, a second.
+      wasted: share of the engines' work that reached no caller.
+      worst: lowest share that a customer got of what fair sharing within its
+        class would have given it.
+      cost: price of the backend servers for 1000 answers.
+      inversions: see `fleet.Work`.
+      longest_gap_s: longest time in which a class that had requests arriving
+        or waiting got nothing dispatched.
+    """
+
+    attainment: Mapping[str, float]
+    goodput: float
+    answered: float
+    wasted: float
+    worst: float
+    cost: float
+    inversions: int
+    longest_gap_s: float
+
+
+def measure(fleet: fleet_lib.Fleet) -> Measures:
+    """Computes the figures of a finished run."""
+    records = fleet.records
+    duration = fleet.setting.duration_s
+    good = [item for item in records if item.result == "answered"]
+    work = fleet.work
+    price = sum(
+        item.cost * fleet.engines[item.name].up_s(duration) / 3600.0
+        for item in fleet.setting.servers
+    )
+    return Measures(
+        attainment={
+            item.name: _attainment(records, item.name)
+            for item in traffic.CLASSES
+        },
+        goodput=sum(_cost(item) for item in good) / duration,
+        answered=len(good) / duration,
+        wasted=work.wasted / max(1e-9, work.wasted + work.useful),
+        worst=min(
+            (_worst(records, item.name) for item in traffic.CLASSES),
+            default=1.0,
+        ),
+        cost=1000.0 * price / max(1, len(good)),
+        inversions=work.inversions,
+        longest_gap_s=max(
+            _longest_gap(records, item.name, duration)
+            for item in traffic.CLASSES
+        ),
+    )
+
+
+def _met(record: fleet_lib.Record) -> bool:
+    level = record.arrival.stream.request_class.service_level
+    if record.result != "answered" or record.first_byte_at is None:
+        return False
+    wait_s = record.first_byte_at - record.arrival.at
+    return not level.first_token_s or wait_s <= level.first_token_s
+
+
+def _attainment(records: Sequence[fleet_lib.Record], name: str) -> float:
+    ours = [
+        item
+        for item in records
+        if item.arrival.stream.request_class.name == name
+        and not item.arrival.stream.crashes
+    ]
+    return sum(_met(item) for item in ours) / max(1, len(ours))
+
+
+def _cost(record: fleet_lib.Record) -> float:
+    arrival = record.arrival
+    return cost_estimate.cost_of(
+        arrival.stream.prompt_tokens, arrival.output_tokens
+    )
+
+
+def _worst(records: Sequence[fleet_lib.Record], name: str) -> float:
+    """Returns the worst customer's part of its max-min share, by windows."""
+    asked: dict[int, dict[str, float]] = {}
+    given: dict[int, dict[str, float]] = {}
+    counts: collections.Counter[str] = collections.Counter()
+    for record in records:
+        stream = record.arrival.stream
+        if stream.request_class.name != name or stream.crashes:
+            continue
+        window = int(record.arrival.at / _WINDOW_S)
+        who, cost = record.arrival.customer, _cost(record)
+        counts[who] += 1
+        row = asked.setdefault(window, collections.defaultdict(float))
+        row[who] += cost
+        if record.result == "answered":
+            row = given.setdefault(window, collections.defaultdict(float))
+            row[who] += cost
+    fair: dict[str, float] = collections.defaultdict(float)
+    got: dict[str, float] = collections.defaultdict(float)
+    for window, demand in asked.items():
+        served = given.get(window, {})
+        for who, amount in _max_min(demand, sum(served.values())).items():
+            fair[who] += amount
+            got[who] += min(amount, served.get(who, 0.0))
+    return min(
+        (
+            got[who] / amount
+            for who, amount in fair.items()
+            if amount > 0 and counts[who] >= _MIN_REQUESTS
+        ),
+        default=1.0,
+    )
+
+
+def _max_min(demand: Mapping[str, float], total: float) -> dict[str, float]:
+    shares: dict[str, float] = {}
+    left = total
+    for rank, (who, amount) in enumerate(
+        sorted(demand.items(), key=lambda item: item[1])
+    ):
+        shares[who] = min(amount, left / (len(demand) - rank))
+        left -= shares[who]
+    return shares
+
+
+def _longest_gap(
+    records: Sequence[fleet_lib.Record], name: str, duration: float
+) -> float:
+    ours = [
+        item
+        for item in records
+        if item.arrival.stream.request_class.name == name
+    ]
+    dispatched = sorted(
+        item.dispatched_at for item in ours if item.dispatched_at is not None
+    )
+    if not ours:
+        return 0.0
+    first = min(item.arrival.at for item in ours)
+    last = max(item.arrival.at for item in ours)
+    moments = [first, *(t for t in dispatched if first <= t <= last), last]
+    return max(
+        (late - early for early, late in itertools.pairwise(moments)),
+        default=0.0,
+    )
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,111 @@
+"""Synthetic traffic: classes, customers, arrivals and lengths, from a seed."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import math
+import random
+from typing import Final
+
+import attrs
+
+from figstream import request_class as request_class_lib
+
+_SIGMA: Final = 0.7
+_PREFIXES: Final = 4
+
+
+def _make_class(
+    name: str,
+    tier: int,
+    deadline_s: float,
+    first_token_s: float = 0.0,
+    preemptible: bool = False,
+) -> request_class_lib.RequestClass:
+    return request_class_lib.RequestClass(
+        name,
+        tier=tier,
+        preemptible=preemptible,
+        queue_limit=300,
+        service_level=request_class_lib.ServiceLevel(
+            first_token_s=first_token_s, deadline_s=deadline_s
+        ),
+    )
+
+
+CLASSES: Final = (
+    _make_class("chat", 0, 20.0, first_token_s=1.0),
+    _make_class("status", 1, 20.0, first_token_s=2.0),
+    _make_class("caption", 2, 30.0),
+    _make_class("listing", 3, 60.0, preemptible=True),
+    _make_class("rewrite", 4, 90.0, preemptible=True),
+)
+
+
+@attrs.frozen
+class Stream:
+    """Requests of one class from several customers.
+
+    Attributes:
+      request_class: the class.
+      rate: requests a second over all customers, by time.
+      customers: names; each sends the same share.
+      mean_output: mean number of output tokens.
+      prompt_tokens: length of the prompts.
+      crashes: whether the requests crash engines.
+    """
+
+    request_class: request_class_lib.RequestClass
+    rate: Callable[[float], float]
+    customers: Sequence[str]
+    mean_output: float = 100.0
+    prompt_tokens: int = 400
+    crashes: bool = False
+
+
+@attrs.frozen
+class Arrival:
+    """One request of the synthetic traffic."""
+
+    at: float
+    stream: Stream
+    customer: str
+    output_tokens: int
+    prefix: int
+
+
+def steady(rate: float) -> Callable[[float], float]:
+    """Returns a rate that does not change."""
+    return lambda now: rate
+
+
+def burst(
+    rate: float, factor: float, start: float, end: float
+) -> Callable[[float], float]:
+    """Returns a rate that is higher by a factor for a time."""
+    return lambda now: rate * factor if start <= now < end else rate
+
+
+def arrivals(
+    streams: Sequence[Stream], duration_s: float, seed: int
+) -> Sequence[Arrival]:
+    """Draws Poisson arrivals with lognormal output lengths."""
+    found: list[Arrival] = []
+    for number, stream in enumerate(streams):
+        source = random.Random(seed * 1000 + number)
+        peak = max(stream.rate(t / 4) for t in range(int(duration_s * 4) + 1))
+        now = 0.0
+        while peak > 0:
+            now += source.expovariate(peak)
+            if now >= duration_s:
+                break
+            if source.random() * peak <= stream.rate(now):
+                found.append(_draw(now, stream, source))
+    return sorted(found, key=lambda item: item.at)
+
+
+def _draw(now: float, stream: Stream, source: random.Random) -> Arrival:
+    mu = math.log(stream.mean_output) - _SIGMA**2 / 2
+    length = max(1, min(2000, int(source.lognormvariate(mu, _SIGMA))))
+    number = source.randrange(len(stream.customers))
+    prefix = number * _PREFIXES + source.randrange(_PREFIXES) + 1
+    return Arrival(now, stream, stream.customers[number], length, prefix)
