Keep the daemon's part of a server open whatever late reports say

Cause: a late report of other daemons' requests closed servers that had free slots; one crash that ended 16 requests counted as 16 failures and paused the server for 30 s; refused callers were told to return at once.

--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -96,10 +96,15 @@
         elif result is scheduler_api.AttemptResult.REFUSED:
             state.paused_until = max(state.paused_until, now + _REFUSED_PAUSE_S)
         elif result is scheduler_api.AttemptResult.FAILED:
-            state.failures += 1
-            pause_s = _FAILED_PAUSE_S * 2.0 ** min(state.failures - 1, 10)
-            until = now + min(pause_s, _MAX_PAUSE_S)
-            state.paused_until = max(state.paused_until, until)
+            self._pause_failed(state, now)
+
+    def _pause_failed(self, state: ServerState, now: float) -> None:
+        """Lengthens the pause; a crash that ends many requests counts once."""
+        if state.paused_until > now:
+            return
+        pause_s = _FAILED_PAUSE_S * 2.0 ** min(state.failures, 10)
+        state.failures += 1
+        state.paused_until = now + min(pause_s, _MAX_PAUSE_S)
 
     def report(self, load: scheduler_api.ServerLoad) -> None:
         """Takes note of a load report."""
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -120,8 +120,8 @@
         load, server = found
         preferred = self._preferred(request, group, avoid)
         if preferred:
-            wanted = self._load(preferred, group, now)
-            if wanted < ceiling and wanted <= load + _AFFINITY_SLACK:
+            wanted = self._load(preferred, group, ceiling, now)
+            if wanted <= load + _AFFINITY_SLACK:
                 return Choice(preferred, "prefix")
         return Choice(server, "two_choices" if group.local else "other_zone")
 
@@ -144,8 +144,8 @@
                 break
             if server.name in avoid:
                 continue
-            load = self._load(server, group, now)
-            if load < ceiling and (best is None or load < best[0]):
+            load = self._load(server, group, ceiling, now)
+            if load < math.inf and (best is None or load < best[0]):
                 best = (load, server)
         return best
 
@@ -164,14 +164,25 @@
         self,
         server: backend_server.BackendServer,
         group: server_pool.ServerGroup,
+        ceiling: float,
         now: float,
     ) -> float:
-        """Returns the expected load as a share of slots; inf if closed."""
+        """Returns the expected load as a share of slots; inf if closed.
+
+        A daemon always may use its part of a server: a late report of other
+        daemons' requests must not leave slots idle.
+        """
         state = self._book.state(server.name)
         if state.reserved_for or state.paused_until > now:
             return math.inf
-        load = self._book.estimate(server.name, group.sharers, now)
-        return load / server.slots
+        estimate = self._book.estimate(server.name, group.sharers, now)
+        load = estimate / server.slots
+        if load < ceiling:
+            return load
+        has_part = group.own < group.share and group.local
+        if has_part and state.own < max(1.0, server.slots / group.sharers):
+            return load
+        return math.inf
 
     def _preferred(
         self,
--- a/figstream/waiting_room.py
+++ b/figstream/waiting_room.py
@@ -22,7 +22,8 @@
 
 _TRIM_INTERVAL_S: Final = 0.25
 _NO_SERVER_RETRY_S: Final = 2.0
-_MIN_RETRY_AFTER_S: Final = 0.1
+_MIN_RETRY_AFTER_S: Final = 1.0
+_MAX_RETRY_AFTER_S: Final = 10.0
 
 _R = reasons.RefusalReason
 
@@ -89,14 +90,18 @@
         late_s = self._admission.refuse_after_s(queue, request, now)
         if late_s is not None:
             return self._turn_away(
-                queue, request, _R.DEADLINE_UNREACHABLE, late_s
+                queue,
+                request,
+                _R.DEADLINE_UNREACHABLE,
+                max(_MIN_RETRY_AFTER_S, late_s),
+                now,
             )
         reason = self._shedding.bound_reached(queue)
         if reason:
             retry_s = self._retry_after_s(queue, now)
             for victim in self._shedding.for_bound(queue, request):
                 if victim.request is request:
-                    return self._turn_away(queue, request, reason, retry_s)
+                    return self._turn_away(queue, request, reason, retry_s, now)
                 self._drop(victim, _R.SHED_FOR_OTHERS, retry_s)
         return self._shorten(queue, request, now)
 
@@ -112,12 +117,12 @@
             victim = queue.furthest_over()
             if excess_s <= 0.0 or victim is None:
                 return None
-            retry_s = max(_MIN_RETRY_AFTER_S, excess_s)
+            retry_s = self._retry_after_s(queue, now)
             if victim is newcomer:
                 return self._turn_away(
-                    queue, victim, _R.DEADLINE_UNREACHABLE, retry_s
+                    queue, victim, _R.DEADLINE_UNREACHABLE, retry_s, now
                 )
-            self._shed_below(queue, retry_s)
+            self._shed_below(queue, now)
             self._drop(
                 shedding.Victim(queue, victim), _R.SHED_FOR_OTHERS, retry_s
             )
@@ -129,9 +134,10 @@
         request: scheduler_api.PendingRequest,
         reason: reasons.RefusalReason,
         retry_s: float,
+        now: float,
     ) -> errors.Refusal:
         """Refuses a newcomer that already stands in its queue."""
-        self._shed_below(queue, retry_s)
+        self._shed_below(queue, now)
         self._queues.remove(queue, request)
         return refusals.make_refusal(request, reason, retry_s)
 
@@ -144,7 +150,7 @@
         passed = request.deadline <= now
         reason = _R.DEADLINE_PASSED if passed else _R.DEADLINE_UNREACHABLE
         retry_s = self._retry_after_s(queue, now)
-        self._shed_below(queue, retry_s)
+        self._shed_below(queue, now)
         self._drop(shedding.Victim(queue, request), reason, retry_s)
 
     def _trim(self, now: float) -> None:
@@ -162,10 +168,9 @@
             victim = shedding.Victim(queue, request)
             self._drop(victim, _R.NO_BACKEND_SERVER, _NO_SERVER_RETRY_S)
 
-    def _shed_below(
-        self, queue: class_queue.ClassQueue, retry_s: float
-    ) -> None:
+    def _shed_below(self, queue: class_queue.ClassQueue, now: float) -> None:
         for victim in self._shedding.below(queue):
+            retry_s = self._retry_after_s(victim.queue, now)
             self._drop(victim, _R.SHED_FOR_OTHERS, retry_s)
 
     def _drop(
@@ -181,5 +186,5 @@
     def _retry_after_s(
         self, queue: class_queue.ClassQueue, now: float
     ) -> float:
-        wait_s = self._admission.expected_wait_s(queue, 0.0, now)
-        return max(_MIN_RETRY_AFTER_S, wait_s)
+        wait_s = self._admission.expected_wait_s(queue, len(queue), now)
+        return min(max(_MIN_RETRY_AFTER_S, wait_s), _MAX_RETRY_AFTER_S)
