Refuse requests that crash backend servers, within stated bounds

Cause: a request that crashes each server it runs on is sent again and again. Change: suspects after a crash, one run alone, refusal after a second crash; standings merge among daemons by age; the request path asks again after the wait in the queue and reports cancelled attempts as ended.

--- /dev/null
+++ b/figstream/blame.py
@@ -0,0 +1,196 @@
+"""Finds requests that crash backend servers and stops them.
+
+Each request is known by its fingerprint. A crash makes suspects of all
+requests that ran on the server. A suspect runs alone, one copy at a time; a
+whole answer clears it, and a second crash while it runs alone has it refused
+for `REFUSAL_S`. After that it is a suspect again. Several servers that crash
+within `CORRELATION_S` point to a rack or a zone, and from the third on only
+requests already suspected are blamed.
+
+Standings spread among daemons as small entries, in `digest` and `merge`. What
+one daemon does not know yet costs at most two servers there, one for the
+crash and one for the run alone.
+"""
+
+import collections
+from collections.abc import Sequence
+import enum
+from typing import Final
+
+import attrs
+
+from figstream import blame_api
+
+SUSPICION_S: Final = 600.0
+REFUSAL_S: Final = 600.0
+CORRELATION_S: Final = 2.0
+CORRELATED_SERVERS: Final = 2
+ENTRY_LIMIT: Final = 4096
+DIGEST_LIMIT: Final = 32
+SPREAD_S: Final = 30.0
+
+
+class BlameState(enum.Enum):
+    """What is held against a fingerprint."""
+
+    CLEARED = "cleared"
+    SUSPECT = "suspect"
+    REFUSED = "refused"
+
+
+@attrs.frozen
+class BlameEntry:
+    """What daemons tell each other about a fingerprint.
+
+    Attributes:
+      fingerprint: hash of the request.
+      state: what is held against it.
+      age_s: seconds since that was found.
+    """
+
+    fingerprint: int
+    state: BlameState
+    age_s: float
+
+
+@attrs.frozen
+class _Standing:
+    state: BlameState
+    since: float
+
+    def at(self, now: float) -> BlameState:
+        """Returns the state, once what has lapsed is taken off."""
+        age_s = now - self.since
+        if self.state is BlameState.REFUSED:
+            if age_s < REFUSAL_S:
+                return BlameState.REFUSED
+            age_s -= REFUSAL_S
+        if self.state is BlameState.CLEARED or age_s >= SUSPICION_S:
+            return BlameState.CLEARED
+        return BlameState.SUSPECT
+
+
+class CrashBlame:
+    """What this daemon holds against requests.
+
+    Satisfies `blame_api.BlameTable`.
+    """
+
+    def __init__(self) -> None:
+        """Starts with nothing held against any request."""
+        self._running: dict[str, collections.Counter[int]] = {}
+        self._alone: dict[int, str] = {}
+        self._standings: collections.OrderedDict[int, _Standing] = (
+            collections.OrderedDict()
+        )
+        self._crashes: dict[str, float] = {}
+
+    def verdict(self, fingerprint: int, now: float) -> blame_api.Verdict:
+        """Tells what to do with a request."""
+        state = self._state(fingerprint, now)
+        if state is BlameState.CLEARED:
+            return blame_api.Verdict.CLEAR
+        if state is BlameState.REFUSED or fingerprint in self._alone:
+            return blame_api.Verdict.REFUSE
+        return blame_api.Verdict.ALONE
+
+    def started(self, fingerprint: int, server: str, now: float) -> None:
+        """Notes that a request runs on a server."""
+        running = self._running.setdefault(server, collections.Counter())
+        running[fingerprint] += 1
+        suspect = self._state(fingerprint, now) is not BlameState.CLEARED
+        if suspect and running.total() == 1:
+            self._alone[fingerprint] = server
+
+    def ended(
+        self, fingerprint: int, server: str, now: float, *, whole: bool = True
+    ) -> None:
+        """Notes that a request ended, and whether with a whole answer."""
+        running = self._running.get(server)
+        if running is None or not running[fingerprint]:
+            return
+        running[fingerprint] -= 1
+        if not running[fingerprint]:
+            del running[fingerprint]
+        if not running:
+            del self._running[server]
+        if self._alone.get(fingerprint) != server:
+            return
+        del self._alone[fingerprint]
+        if whole and self._state(fingerprint, now) is BlameState.SUSPECT:
+            self._set(fingerprint, BlameState.CLEARED, now)
+
+    def crashed(self, server: str, now: float) -> None:
+        """Blames the requests that ran on a server that died."""
+        running = self._running.pop(server, collections.Counter())
+        correlated = self._is_correlated(server, now)
+        for fingerprint in running:
+            state = self._state(fingerprint, now)
+            alone = self._alone.get(fingerprint) == server
+            if alone:
+                del self._alone[fingerprint]
+            if state is BlameState.REFUSED:
+                continue
+            if alone and len(running) == 1:
+                self._set(fingerprint, BlameState.REFUSED, now)
+            elif state is BlameState.SUSPECT or not correlated:
+                self._set(fingerprint, BlameState.SUSPECT, now)
+
+    def digest(self, now: float) -> Sequence[BlameEntry]:
+        """Returns the latest entries for other daemons, refusals first."""
+        entries = [
+            BlameEntry(fingerprint, standing.state, now - standing.since)
+            for fingerprint, standing in self._standings.items()
+            if now - standing.since < SPREAD_S
+        ]
+        entries.sort(
+            key=lambda entry: (
+                entry.state is not BlameState.REFUSED,
+                entry.age_s,
+            )
+        )
+        return entries[:DIGEST_LIMIT]
+
+    def merge(self, entries: Sequence[BlameEntry], now: float) -> None:
+        """Takes over what another daemon found; the latest finding counts.
+
+        A refusal that holds is not lifted by others' suspicion or clearance.
+        """
+        for entry in entries[:DIGEST_LIMIT]:
+            since = now - max(0.0, entry.age_s)
+            held = self._standings.get(entry.fingerprint)
+            if held is None or self._outweighs(entry, since, held, now):
+                self._set(entry.fingerprint, entry.state, since)
+
+    def _outweighs(
+        self, entry: BlameEntry, since: float, held: _Standing, now: float
+    ) -> bool:
+        if entry.state is held.state:
+            return False
+        if held.at(now) is BlameState.REFUSED:
+            return False
+        return entry.state is BlameState.REFUSED or since > held.since
+
+    def _state(self, fingerprint: int, now: float) -> BlameState:
+        held = self._standings.get(fingerprint)
+        return held.at(now) if held else BlameState.CLEARED
+
+    def _set(self, fingerprint: int, state: BlameState, since: float) -> None:
+        self._standings[fingerprint] = _Standing(state, since)
+        self._standings.move_to_end(fingerprint)
+        if len(self._standings) > ENTRY_LIMIT:
+            self._standings.popitem(last=False)
+
+    def _is_correlated(self, server: str, now: float) -> bool:
+        self._crashes = {
+            name: at
+            for name, at in self._crashes.items()
+            if now - at < CORRELATION_S
+        }
+        self._crashes[server] = now
+        return len(self._crashes) > CORRELATED_SERVERS
+
+
+def make_crash_blame() -> CrashBlame:
+    """Creates the blame table of a daemon."""
+    return CrashBlame()
--- a/figstream/blame_api.py
+++ b/figstream/blame_api.py
@@ -18,8 +18,10 @@
     def started(self, fingerprint: int, server: str, now: float) -> None:
         """Notes that a request runs on a server."""
 
-    def ended(self, fingerprint: int, server: str, now: float) -> None:
-        """Notes that a request ended on a server that lives."""
+    def ended(
+        self, fingerprint: int, server: str, now: float, *, whole: bool = True
+    ) -> None:
+        """Notes that a request ended, and whether with a whole answer."""
 
     def crashed(self, server: str, now: float) -> None:
         """Blames the requests that ran on a server that died."""
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -9,7 +9,7 @@
 
 from figstream import authentication
 from figstream import backend_client
-from figstream import blame_api
+from figstream import blame as blame_lib
 from figstream import caller_app
 from figstream import claims_api
 from figstream import clock as clock_lib
@@ -50,20 +50,6 @@
         return False
 
 
-class _NoBlame:
-    def started(self, fingerprint: int, server: str, now: float) -> None:
-        pass
-
-    def ended(self, fingerprint: int, server: str, now: float) -> None:
-        pass
-
-    def crashed(self, server: str, now: float) -> None:
-        pass
-
-    def verdict(self, fingerprint: int, now: float) -> blame_api.Verdict:
-        return blame_api.Verdict.CLEAR
-
-
 def make_context(
     options: options_lib.Options,
     platform: platform_api.Platform,
@@ -96,7 +82,7 @@
         self._gate = dispatch_gate.DispatchGate(
             context.scheduler, context.clock
         )
-        blame = _NoBlame()
+        blame = blame_lib.make_crash_blame()
         self._health = server_health.ServerHealth(
             context.scheduler,
             context.holder,
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -176,11 +176,18 @@
         verdict = await services.gate.dispatch(progress.pending)
         if isinstance(verdict, errors.Refusal):
             return _final(verdict, progress)
-        # The key may have been withdrawn while the request waited.
-        if refused := services.authenticator.still_valid(call.identity):
+        # While the request waited its key may have been withdrawn, and a
+        # copy of it may have crashed a server.
+        alone = progress.pending.alone
+        refused = services.authenticator.still_valid(call.identity)
+        refused = refused or self._blamed(progress)
+        if refused or (progress.pending.alone and not alone):
             report = scheduler_api.AttemptReport(_RESULTS.CANCELLED)
             services.gate.finish(progress.pending, verdict.server, report)
-            return _final(refused, progress)
+            if refused:
+                return _final(refused, progress)
+            progress.pending.attempt -= 1
+            return await self._dispatch(progress)
         services.records.dispatched(call, verdict)
         return verdict
 
@@ -246,6 +253,25 @@
         fingerprint = progress.pending.fingerprint
         services.blame.started(fingerprint, server.name, services.clock.now())
         outcome: attempt_outcome.AttemptOutcome | None = None
+        try:
+            outcome = await self._attempt(progress, server, resume)
+        finally:
+            services.blame.ended(
+                fingerprint,
+                server.name,
+                services.clock.now(),
+                whole=isinstance(outcome, attempt_outcome.Answered),
+            )
+        return outcome
+
+    async def _attempt(
+        self,
+        progress: _Progress,
+        server: backend_server.BackendServer,
+        resume: bool,
+    ) -> attempt_outcome.AttemptOutcome:
+        services = self._services
+        outcome: attempt_outcome.AttemptOutcome | None = None
         before = progress.run_state
         progress.run_state = reasons.RunState.MAY_HAVE_RUN
         with services.gate.preemptible(progress.pending):
@@ -262,7 +288,6 @@
             if outcome.run_state is reasons.RunState.NOT_RUN:
                 progress.run_state = before
             await self._examine(outcome, server)
-        services.blame.ended(fingerprint, server.name, services.clock.now())
         return outcome
 
     async def _examine(
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,155 @@
+"""Tests of crash blame: the bounds on servers lost and innocents refused.
+
+Let `verdict` ignore `_alone`, or `crashed` never set `REFUSED`, or `merge`
+do nothing, and a bound breaks.
+"""
+
+import random
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from figstream import blame
+from figstream import blame_api
+
+_GUILTY = 1
+_SERVERS = tuple(f"s{number}" for number in range(8))
+_V = blame_api.Verdict
+
+
+@attrs.define
+class _Outbreak:
+    """Daemons that share servers, one of which gets a crashing request."""
+
+    tables: list[blame.CrashBlame]
+    source: random.Random
+    now: float = 0.0
+    lost: int = 0
+    told_off: int = 0
+    innocents_refused: set[int] = attrs.field(factory=set)
+
+    def play_round(self) -> None:
+        """Every daemon runs some requests; one of them is guilty."""
+        self.now += 5.0
+        guilty_at = self.source.randrange(len(self.tables))
+        placed = [
+            self._place(index, table, guilty=index == guilty_at)
+            for index, table in enumerate(self.tables)
+        ]
+        dead = placed[guilty_at].get(_GUILTY, "")
+        self.lost += bool(dead)
+        self.told_off += not dead
+        for table, requests in zip(self.tables, placed, strict=True):
+            if dead:
+                table.crashed(dead, self.now)
+            for fingerprint, server in requests.items():
+                table.ended(fingerprint, server, self.now)
+
+    def spread(self) -> None:
+        digests = [table.digest(self.now) for table in self.tables]
+        for table in self.tables:
+            for entries in digests:
+                table.merge(entries, self.now)
+
+    def _place(
+        self, index: int, table: blame.CrashBlame, *, guilty: bool
+    ) -> dict[int, str]:
+        """Starts requests; each that must run alone has its own server."""
+        wanted = [100 * (index + 1) + number for number in range(6)]
+        wanted += [_GUILTY] * guilty
+        verdicts = {item: table.verdict(item, self.now) for item in wanted}
+        free = self.source.sample(_SERVERS, len(_SERVERS))
+        placed: dict[int, str] = {}
+        for item, verdict in verdicts.items():
+            if verdict is _V.ALONE:
+                placed[item] = free.pop()
+            elif verdict is _V.REFUSE and item != _GUILTY:
+                self.innocents_refused.add(item)
+        shared = {
+            item: self.source.choice(free or _SERVERS)
+            for item, verdict in verdicts.items()
+            if verdict is _V.CLEAR
+        }
+        for item, server in (placed | shared).items():
+            table.started(item, server, self.now)
+        return placed | shared
+
+
+def _outbreak(daemons: int, seed: int, *, spread: bool) -> _Outbreak:
+    tables = [blame.make_crash_blame() for _ in range(daemons)]
+    outbreak = _Outbreak(tables, random.Random(seed))
+    for _ in range(60):
+        outbreak.play_round()
+        if spread:
+            outbreak.spread()
+    return outbreak
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.integers(1, 6), st.integers(0, 10_000))
+def test_one_request_takes_down_a_bounded_number_of_servers(
+    daemons: int, seed: int
+) -> None:
+    """Two servers once all daemons know, two per daemon if none hears."""
+    told = _outbreak(daemons, seed, spread=True)
+    assert told.lost <= 2
+    assert told.told_off >= 58
+    assert len(told.innocents_refused) <= daemons - 1
+    untold = _outbreak(daemons, seed, spread=False)
+    assert untold.lost <= 2 * daemons
+    assert len(untold.innocents_refused) <= (2 * daemons) * (daemons - 1)
+
+
+def test_a_suspect_runs_alone_one_copy_at_a_time_and_is_cleared() -> None:
+    table = blame.make_crash_blame()
+    for fingerprint in (7, 8):
+        table.started(fingerprint, "s0", 0.0)
+    table.crashed("s0", 1.0)
+    assert table.verdict(7, 1.0) is _V.ALONE
+    table.started(7, "s1", 1.0)
+    assert table.verdict(7, 1.0) is _V.REFUSE
+    table.ended(7, "s1", 2.0, whole=False)
+    assert table.verdict(7, 2.0) is _V.ALONE
+    table.started(7, "s1", 2.0)
+    table.ended(7, "s1", 3.0)
+    assert table.verdict(7, 3.0) is _V.CLEAR
+    assert table.verdict(8, 3.0) is _V.ALONE
+    assert table.verdict(8, 1.0 + blame.SUSPICION_S) is _V.CLEAR
+
+
+def test_a_refusal_ends_in_suspicion_and_outweighs_a_clearance() -> None:
+    table, other = blame.make_crash_blame(), blame.make_crash_blame()
+    for at in (0.0, 10.0):
+        table.started(7, "s0", at)
+        table.crashed("s0", at)
+    assert table.verdict(7, 11.0) is _V.REFUSE
+    table.merge([blame.BlameEntry(7, blame.BlameState.CLEARED, 0.0)], 12.0)
+    other.merge(table.digest(12.0), 12.0)
+    for either in (table, other):
+        assert either.verdict(7, 12.0) is _V.REFUSE
+        assert either.verdict(7, 11.0 + blame.REFUSAL_S) is _V.ALONE
+
+
+def test_many_servers_lost_together_blame_nobody_after_the_second() -> None:
+    table = blame.make_crash_blame()
+    for number, server in enumerate(_SERVERS):
+        table.started(number, server, 0.0)
+    for server in _SERVERS:
+        table.crashed(server, 1.0)
+    verdicts = [table.verdict(number, 1.0) for number in range(8)]
+    assert verdicts == [_V.ALONE] * 2 + [_V.CLEAR] * 6
+
+
+def test_the_table_and_the_digest_are_bounded() -> None:
+    table = blame.make_crash_blame()
+    for number in range(2 * blame.ENTRY_LIMIT):
+        table.started(number, "s0", number * 10.0)
+        table.crashed("s0", number * 10.0)
+    last = (2 * blame.ENTRY_LIMIT - 1) * 10.0
+    assert len(table._standings) <= blame.ENTRY_LIMIT
+    for number in range(2 * blame.DIGEST_LIMIT):
+        table.started(number, "s1", last)
+    table.crashed("s1", last)
+    assert len(table.digest(last)) == blame.DIGEST_LIMIT
