--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 BENCHMARKS: Final[tuple[str, ...]] = (
     "claims",
     "scenarios",
+    "configuration_shards",
 )
 
 
--- a/figstream/configuration_shards.py
+++ b/figstream/configuration_shards.py
@@ -103,7 +103,10 @@
     return int(name.partition("/")[0])
 
 
-def split(configuration: configuration_lib.Configuration) -> Sequence[bytes]:
+def split(
+    configuration: configuration_lib.Configuration,
+    target_bytes: int = SHARD_TARGET_BYTES,
+) -> Sequence[bytes]:
     """Cuts a configuration into the bodies of its shards.
 
     Raises:
@@ -115,7 +118,9 @@
         Shard(classes=configuration.classes, routes=configuration.routes),
         Shard(servers=configuration.servers),
     )
-    bodies = [*itertools.chain.from_iterable(map(_split_kind, kinds))]
+    bodies = [
+        body for kind in kinds for body in _split_kind(kind, target_bytes)
+    ]
     if any(len(body) > platform_api.MAX_OBJECT_BYTES for body in bodies):
         raise errors.ConfigurationError(
             "an entry exceeds a megabyte; shorten its lists"
@@ -127,6 +132,7 @@
     configuration: configuration_lib.Configuration,
     previous: Root,
     accepted: Sequence[AcceptedWrite],
+    target_bytes: int = SHARD_TARGET_BYTES,
 ) -> Snapshot:
     """Cuts a configuration, keeping the names of shards that stay the same.
 
@@ -137,7 +143,7 @@
     bodies = {
         known.get(digest(body))
         or shard_name(configuration.generation, body): body
-        for body in split(configuration)
+        for body in split(configuration, target_bytes)
     }
     root = Root(
         configuration.generation,
@@ -214,11 +220,11 @@
     return serialization.from_json(found.bodies[name], Shard)
 
 
-def _split_kind(whole: Shard) -> Iterable[bytes]:
+def _split_kind(whole: Shard, target_bytes: int) -> Iterable[bytes]:
     if whole == Shard():
         return ()
     encoded = serialization.to_json(whole)
-    wanted = -(-len(encoded) // SHARD_TARGET_BYTES)
+    wanted = -(-len(encoded) // target_bytes)
     count = min(_MAX_PARTS, 1 << (wanted - 1).bit_length())
     if count == 1:
         return (encoded,)
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -19,6 +19,7 @@
 from figstream import clock as clock_lib
 from figstream import configuration as configuration_lib
 from figstream import configuration_holder
+from figstream import configuration_reach
 from figstream import configuration_spread
 from figstream import configuration_store
 from figstream import customer as customer_lib
@@ -264,6 +265,12 @@
         withdrawn = attrs.evolve(issued.record, withdrawn=True)
         await fleet.change(lambda old: attrs.evolve(old, keys=(withdrawn,)))
         await other.spread.watch_once()
+        members = FakeMembers(fleet, other.member.name)
+        reach = configuration_reach.reach(members, 3, fleet.cut_off_zones)
+        assert reach == [
+            configuration_reach.ZoneReach("a", reachable=False),
+            configuration_reach.ZoneReach("b", (other.member.name,)),
+        ]
         for seconds in (_KEY_TRUST_S - 1, 2.0):
             before = identify()
             fleet.clock.advance(seconds)
