Claim calls in the daemon, and show that they run at most once

Cause: the daemon refused every call with an idempotency key. Seen: tests/test_at_most_once.py over two daemons, the stand-in service and the HTTP platform: one effect for 8 calls, half of them at once, when the service dies after the effect; releasing or not claiming turns it red.

--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -1,7 +1,6 @@
 """One daemon: builds its parts, runs them, and shuts down gracefully."""
 
 from collections.abc import Sequence
-import random
 import time
 from typing import Final
 
@@ -11,19 +10,17 @@
 from figstream import backend_client
 from figstream import blame as blame_lib
 from figstream import caller_app
-from figstream import claims_api
+from figstream import claim_journal
 from figstream import clock as clock_lib
 from figstream import configuration_holder
 from figstream import daemon_context
 from figstream import dispatch_gate
-from figstream import errors
 from figstream import explain
 from figstream import http_server
 from figstream import logs
 from figstream import metrics as metrics_lib
 from figstream import options as options_lib
 from figstream import platform_api
-from figstream import reasons
 from figstream import request_path
 from figstream import request_records
 from figstream import retry_policy
@@ -35,21 +32,6 @@
 _HAND_OVER_LIMIT_S: Final = 10.0
 
 
-class _NoClaims:
-    async def claim(
-        self, customer: str, idempotency_key: str, fingerprint: int
-    ) -> claims_api.ClaimOutcome:
-        return errors.Refusal(reasons.RefusalReason.CLAIM_UNAVAILABLE)
-
-    async def complete(
-        self, claim: claims_api.Claimed, result: claims_api.StoredResult
-    ) -> bool:
-        return False
-
-    async def release(self, claim: claims_api.Claimed) -> bool:
-        return False
-
-
 def make_context(
     options: options_lib.Options,
     platform: platform_api.Platform,
@@ -78,7 +60,8 @@
         """Builds every part; nothing runs yet."""
         self.context = context
         self.usage = usage_totals.UsageTotals()
-        self._roles: Sequence[daemon_context.Role] = ()
+        claims = claim_journal.make_claim_journal(context)
+        self._roles: Sequence[daemon_context.Role] = (claims,)
         self._gate = dispatch_gate.DispatchGate(
             context.scheduler, context.clock
         )
@@ -103,8 +86,8 @@
             self._gate,
             self._backends,
             self._health,
-            retry_policy.RetryPolicy(random.Random()),
-            _NoClaims(),
+            retry_policy.make_retry_policy(),
+            claims,
             blame,
             self.usage,
             records,
