Serve peers over gRPC and run membership in each daemon

Cause: membership was not part of a daemon, and a graceful shutdown never reached the hand-over: Hypercorn leaves its task marked as cancelled, so what came after serve() was cancelled as well. Change: a peer server whose port is bound at construction, membership as the first role called by peers, Hypercorn in a task of its own. The new test fails when Hypercorn runs in the caller's task.

--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -18,8 +18,10 @@
 from figstream import explain
 from figstream import http_server
 from figstream import logs
+from figstream import membership
 from figstream import metrics as metrics_lib
 from figstream import options as options_lib
+from figstream import peer_server
 from figstream import platform_api
 from figstream import request_path
 from figstream import request_records
@@ -60,8 +62,17 @@
         """Builds every part; nothing runs yet."""
         self.context = context
         self.usage = usage_totals.UsageTotals()
+        self._peers = peer_server.PeerServer(
+            context.options.address, context.options.peer_port
+        )
+        self.members = membership.make_membership(context, self._peers.address)
+        self._rpc_roles: Sequence[daemon_context.RpcRole] = (self.members,)
         claims = claim_journal.make_claim_journal(context)
-        self._roles: Sequence[daemon_context.Role] = (claims,)
+        # Membership comes last, since the other roles hand over to members.
+        self._roles: Sequence[daemon_context.Role] = (
+            claims,
+            *self._rpc_roles,
+        )
         self._gate = dispatch_gate.DispatchGate(
             context.scheduler, context.clock
         )
@@ -108,6 +119,11 @@
             context.options.header_limit_bytes * _HEADER_HEADROOM,
         )
 
+    @property
+    def peer_address(self) -> str:
+        """Returns the address that other daemons use."""
+        return self._peers.address
+
     @property
     def caller_port(self) -> int:
         """Returns the port that callers use."""
@@ -116,20 +132,25 @@
     async def run(self) -> None:
         """Runs until `shut_down`, then finishes what is in flight."""
         options = self.context.options
-        async with anyio.create_task_group() as group:
-            for role in self._roles:
-                group.start_soon(role.run)
-            group.start_soon(self._gate.run)
-            group.start_soon(self._health.run, self._backends)
-            logs.info(
-                "daemon_started",
-                vm=options.name,
-                zone=options.zone,
-                caller_port=self.caller_port,
-            )
-            await self._server.serve()
-            await self._hand_over()
-            group.cancel_scope.cancel()
+        await self._peers.start(self._rpc_roles)
+        try:
+            async with anyio.create_task_group() as group:
+                for role in self._roles:
+                    group.start_soon(role.run)
+                group.start_soon(self._gate.run)
+                group.start_soon(self._health.run, self._backends)
+                logs.info(
+                    "daemon_started",
+                    vm=options.name,
+                    zone=options.zone,
+                    caller_port=self.caller_port,
+                )
+                await self._server.serve()
+                await self._hand_over()
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._peers.stop()
         await self._backends.close()
         logs.info("daemon_stopped", vm=options.name)
 
--- a/figstream/demo_stack.py
+++ b/figstream/demo_stack.py
@@ -21,6 +21,7 @@
 from figstream import http_server
 from figstream import metrics as metrics_lib
 from figstream import options as options_lib
+from figstream import platform_api
 from figstream import platform_http
 from figstream import platform_memory
 from figstream import request_class
@@ -120,6 +121,9 @@
             _make_daemon(number, url, wanted.log_level, metrics)
             for number in range(wanted.daemons)
         ]
+        platform.vms.vms = {
+            vm.name: vm for vm in map(_virtual_machine, daemons)
+        }
         stack = Stack(
             platform,
             url,
@@ -189,6 +193,15 @@
     return await running.enter_async_context(http_server.serve_app(app))
 
 
+def _virtual_machine(
+    daemon: daemon_lib.Daemon,
+) -> platform_api.VirtualMachine:
+    options = daemon.context.options
+    return platform_api.VirtualMachine(
+        options.name, daemon.peer_address, options.zone
+    )
+
+
 def _make_daemon(
     number: int,
     platform_url: str,
--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -76,20 +76,31 @@
 
     async def serve(self) -> None:
         """Serves until `shut_down`; when cancelled, cuts what is in flight."""
+        ended = anyio.Event()
         async with anyio.create_task_group() as group:
             group.start_soon(self._stop_when_cancelled)
+            group.start_soon(self._serve_apart, ended)
             with anyio.CancelScope(shield=True):
+                await ended.wait()
+            group.cancel_scope.cancel()
+
+    def shut_down(self) -> None:
+        """Stops accepting and lets `serve` end after requests in flight."""
+        self._stop.set()
+
+    async def _serve_apart(self, ended: anyio.Event) -> None:
+        # Hypercorn leaves its task marked as cancelled, and what its caller
+        # does next would be cancelled too; so it gets a task of its own.
+        with anyio.CancelScope(shield=True):
+            try:
                 await hypercorn.asyncio.serve(
                     self._handle,
                     self._config,
                     shutdown_trigger=self._stop.wait,
                     mode="asgi",
                 )
-            group.cancel_scope.cancel()
-
-    def shut_down(self) -> None:
-        """Stops accepting and lets `serve` end after requests in flight."""
-        self._stop.set()
+            finally:
+                ended.set()
 
     async def _stop_when_cancelled(self) -> None:
         try:
--- a/figstream/membership_streams.py
+++ b/figstream/membership_streams.py
@@ -4,6 +4,7 @@
 each stream that a peer opens.
 """
 
+import asyncio
 from collections.abc import AsyncIterable
 from collections.abc import Awaitable
 from collections.abc import Callable
@@ -24,6 +25,13 @@
 _SILENT_BEATS: Final = 5.0
 _MAX_RETRY_BEATS: Final = 4.0
 
+# What grpc.aio raises on a stream that has ended.
+_ENDED: Final = (
+    grpc.RpcError,
+    grpc.aio.BaseError,
+    asyncio.InvalidStateError,
+)
+
 Context = grpc.aio.ServicerContext[
     membership_pb2.Heartbeat, membership_pb2.Heartbeat
 ]
@@ -143,7 +151,7 @@
     write: Callable[[membership_pb2.Heartbeat], Awaitable[None]],
 ) -> None:
     # A stream that ended shows on the receiving side, which closes it.
-    with contextlib.suppress(grpc.RpcError, grpc.aio.UsageError):
+    with contextlib.suppress(*_ENDED):
         await conversation.send(write)
 
 
@@ -151,6 +159,6 @@
     conversation: membership_heartbeat.Conversation,
     messages: AsyncIterable[membership_pb2.Heartbeat],
 ) -> None:
-    with contextlib.suppress(grpc.RpcError, grpc.aio.UsageError):
+    with contextlib.suppress(*_ENDED):
         async for message in messages:
             conversation.receive(message)
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,32 @@
+"""Tests of the HTTP server's end."""
+
+from typing import Any
+
+import anyio
+import pytest
+
+from figstream import http_server
+
+
+async def _refuse(scope: Any, receive: Any, send: Any) -> None:
+    raise RuntimeError("no request is sent")
+
+
+@pytest.mark.anyio
+async def test_shut_down_ends_serve_and_lets_its_caller_go_on() -> None:
+    # Fails if Hypercorn runs in the caller's task, which it leaves cancelled.
+    server = http_server.HttpServer(_refuse, "127.0.0.1", 0)
+    went_on = False
+
+    async def serve_then_hand_over() -> None:
+        nonlocal went_on
+        await server.serve()
+        await anyio.sleep(0)
+        went_on = True
+
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            group.start_soon(serve_then_hand_over)
+            await anyio.sleep(0.05)
+            server.shut_down()
+    assert went_on
