Report the stand-in service's load in the header that probes read

Cause: the probe after a broken connection read no load header from the service, took it for crashed and left it out for good. Change: the stand-in sends the header.

--- a/figstream/standin_service.py
+++ b/figstream/standin_service.py
@@ -65,8 +65,16 @@
         headers = asgi.headers_of(scope)
         load = engine_protocol.LoadReport(self._running, 0, self._started)
         if scope["path"] == engine_protocol.LOAD_PATH:
-            kind = [(b"content-type", asgi.JSON)]
-            await asgi.send_whole(send, 200, kind, serialization.to_json(load))
+            load_headers = [
+                (b"content-type", asgi.JSON),
+                (
+                    engine_protocol.LOAD_HEADER.encode(),
+                    load.to_header().encode(),
+                ),
+            ]
+            await asgi.send_whole(
+                send, 200, load_headers, serialization.to_json(load)
+            )
             return
         body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
         if scope["path"] == "/faults":
