Pace reads from engines so that several tokens go in one write

Change: reads of a streaming connection are 19 ms apart on a grid of 3 ms, taken from the socket directly, and what is held is flushed just before each read.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     "claims",
     "scenarios",
     "configuration_shards",
+    "relay",
 )
 
 
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,168 @@
+"""Measures the relay against a plain one, and memory at 500 streams.
+
+The plain relay passes each token on in a write of its own through httpx and
+hypercorn. Processor time is that of the relaying process alone.
+"""
+
+import asyncio
+from collections.abc import Iterator
+from concurrent import futures
+import contextlib
+import itertools
+import statistics
+import subprocess
+import sys
+from typing import Final
+
+import attrs
+import psutil
+
+from bench import relay_peers
+from figstream import demo_stack
+
+_TARGET_SHARE: Final = 0.5
+_TARGET_ADDED_S: Final = 0.010
+_ROUNDS: Final = 2
+_STREAMS: Final = 50
+_MANY_STREAMS: Final = 500
+_SHORT_TOKENS: Final = 100
+_LONG_TOKENS: Final = 500
+_BODY: Final = b'{"model":"%s","stream":true,"max_tokens":%d,"messages":[]}'
+
+
+@attrs.frozen
+class Measured:
+    """What one run showed."""
+
+    streams: int
+    tokens: int
+    cpu_s: float
+    between_p95_s: float
+    between_p50_s: float
+    resident_mb: float
+    busy: float
+
+
+@contextlib.contextmanager
+def _process(*words: str) -> Iterator[tuple[int, str]]:
+    """Runs a module; yields its process id and its first line."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", *words], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        assert process.stdout
+        yield process.pid, process.stdout.readline().strip()
+    finally:
+        process.terminate()
+        process.wait()
+
+
+def _head(key: str, tokens: int) -> bytes:
+    body = _BODY % (demo_stack.MODEL.encode(), tokens)
+    return (
+        b"POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\n"
+        b"authorization: Bearer %s\r\ncontent-type: application/json\r\n"
+        b"content-length: %d\r\n\r\n%s" % (key.encode(), len(body), body)
+    )
+
+
+async def _read_all(port: int, head: bytes, streams: int) -> list[list[float]]:
+    # Starts are spread over a token's interval, as callers' are.
+    return await asyncio.gather(
+        *(
+            relay_peers.read_stream(port, head, number / streams)
+            for number in range(streams)
+        )
+    )
+
+
+def measure(kind: str, streams: int, tokens: int) -> Measured:
+    """Runs streams through one relay."""
+    with (
+        _process("bench.relay_peers") as (_, source),
+        _process("bench.relay_process", kind, source) as (pid, line),
+    ):
+        port, key = line.split()
+        process = psutil.Process(pid)
+        before = process.cpu_times()
+        times = asyncio.run(_read_all(int(port), _head(key, tokens), streams))
+        after = process.cpu_times()
+        resident_mb = process.memory_info().rss / 1e6
+    cpu_s = after.user + after.system - before.user - before.system
+    received = sum(len(item) for item in times)
+    assert received == streams * tokens, received
+    gaps = [b - a for item in times for a, b in itertools.pairwise(item)]
+    elapsed_s = max(map(max, times)) - min(map(min, times))
+    return Measured(
+        streams,
+        tokens,
+        cpu_s,
+        statistics.quantiles(gaps, n=20)[-1],
+        statistics.median(gaps),
+        resident_mb,
+        cpu_s / elapsed_s,
+    )
+
+
+@attrs.frozen
+class Cost:
+    """Processor time of one relay, from a short and a long run."""
+
+    per_token_us: float
+    per_request_ms: float
+
+
+def _cost(short: Measured, long: Measured) -> Cost:
+    extra = (long.tokens - short.tokens) * short.streams
+    per_token_s = (long.cpu_s - short.cpu_s) / extra
+    per_request_s = short.cpu_s / short.streams - per_token_s * short.tokens
+    return Cost(per_token_s * 1e6, per_request_s * 1e3)
+
+
+def _row(name: str, found: Measured) -> str:
+    return (
+        f"{name:8}{found.streams:8}{found.tokens:8}"
+        f"{found.cpu_s / found.streams / found.tokens * 1e6:12.1f}"
+        f"{found.between_p50_s * 1e3:12.1f}{found.between_p95_s * 1e3:12.1f}"
+        f"{found.resident_mb:8.0f}{found.busy:8.2f}"
+    )
+
+
+def _measure_cost(name: str) -> tuple[Cost, Measured]:
+    short = measure(name, _STREAMS, _SHORT_TOKENS)
+    long = measure(name, _STREAMS, _LONG_TOKENS)
+    print(_row(name, short))
+    print(_row(name, long))
+    return _cost(short, long), long
+
+
+def _measure_both() -> list[tuple[Cost, Measured]]:
+    # Both run at the same time, so that the machine's state is the same.
+    with futures.ThreadPoolExecutor() as pool:
+        return list(pool.map(_measure_cost, ("plain", "daemon")))
+
+
+def main() -> None:
+    """Prints the tables and whether the targets are met."""
+    print(
+        f"{'relay':8}{'streams':>8}{'tokens':>8}{'us/token':>12}"
+        f"{'gap p50 ms':>12}{'gap p95 ms':>12}{'MB':>8}{'cores':>8}"
+    )
+    pairs = [_measure_both() for _ in range(_ROUNDS)]
+    print(_row("daemon", measure("daemon", _MANY_STREAMS, _LONG_TOKENS)))
+    for plain, ours in pairs:
+        share = ours[0].per_token_us / plain[0].per_token_us
+        added_s = ours[1].between_p95_s - relay_peers.INTERVAL_S
+        print(
+            f"per token: plain {plain[0].per_token_us:.1f} us, daemon "
+            f"{ours[0].per_token_us:.1f} us, share {share:.2f} "
+            f"(target at most {_TARGET_SHARE}); per request: plain "
+            f"{plain[0].per_request_ms:.2f} ms, daemon "
+            f"{ours[0].per_request_ms:.2f} ms; added at p95 "
+            f"{added_s * 1e3:.1f} ms (target at most "
+            f"{_TARGET_ADDED_S * 1e3:.0f} ms)"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/relay_peers.py
@@ -0,0 +1,82 @@
+"""The two ends of the relay benchmark: a source of tokens and its readers.
+
+Both write and read sockets directly, so that they cost little beside the
+relay that is measured.
+"""
+
+import asyncio
+import re
+import sys
+import time
+from typing import Final
+
+HOST: Final = "127.0.0.1"
+INTERVAL_S: Final = 0.010
+_EVENT: Final = (
+    b'data: {"id":"x","model":"caption-1","choices":[{"index":0,'
+    b'"delta":{"content":"w%05d "}}]}\n\n'
+)
+_ID: Final = re.compile(rb"x-request-id: ([^\r]+)", re.IGNORECASE)
+_TOKENS: Final = re.compile(rb'"max_tokens":(\d+)')
+_LENGTH: Final = re.compile(rb"content-length: (\d+)", re.IGNORECASE)
+
+
+def _chunk(body: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(body), body)
+
+
+async def _stream_tokens(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    while True:
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            break
+        length = _LENGTH.search(head)
+        body = await reader.readexactly(int(length[1]) if length else 0)
+        request_id = _ID.search(head)
+        wanted = _TOKENS.search(body)
+        tokens = int(wanted[1]) if wanted else 0
+        writer.write(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+            b"transfer-encoding: chunked\r\nx-request-id: %s\r\n\r\n"
+            % (request_id[1] if request_id else b"")
+        )
+        due = time.monotonic()
+        for number in range(tokens):
+            writer.write(_chunk(_EVENT % number))
+            due += INTERVAL_S
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+        writer.write(_chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+        await writer.drain()
+    writer.close()
+
+
+async def read_stream(port: int, head: bytes, delay_s: float) -> list[float]:
+    """Reads one stream; returns the time at which each token came."""
+    await asyncio.sleep(delay_s)
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(head)
+    times: list[float] = []
+    tail = b""
+    while b"[DONE]" not in tail:
+        data = await reader.read(65_536)
+        if not data:
+            raise ConnectionError("the stream broke off")
+        now = time.monotonic()
+        seen = (tail[-5:] + data).count(b"data: {")
+        times += [now] * seen
+        tail = tail[-16:] + data
+    writer.close()
+    return times
+
+
+async def _serve_tokens() -> None:
+    server = await asyncio.start_server(_stream_tokens, HOST, 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await server.serve_forever()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(_serve_tokens()))
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -69,7 +69,7 @@
             return attempt_outcome.not_run(
                 _R.CONNECT_FAILED, type(error).__name__
             )
-        except stream_relay.StreamIdleError:
+        except httpcore.ReadTimeout:
             outcome = self._failed(attempt, _R.IDLE_TIMEOUT)
         except stream_relay.AnswerTooLongError:
             outcome = self._failed(attempt, _R.SERVER_ERROR, "too long")
@@ -114,32 +114,34 @@
         if response is None:
             return self._failed(attempt, _R.FIRST_BYTE_TIMEOUT)
         try:
-            return await self._receive(attempt, response, timeouts.idle_s)
+            return await self._receive(attempt, response)
         finally:
             with anyio.CancelScope(shield=True):
                 await response.aclose()
 
     async def _receive(
-        self, attempt: Attempt, response: httpx.Response, idle_s: float
+        self, attempt: Attempt, response: httpx.Response
     ) -> attempt_outcome.AttemptOutcome:
         if load := _load_of(response):
             self._on_load(attempt.server.name, load)
         if fault := self._fault_of(attempt, response):
             return fault
         if stream_relay.is_event_stream(response):
-            return await self._receive_events(attempt, response, idle_s)
+            return await self._receive_events(attempt, response)
         if not _is_framed(response):
             return self._failed(attempt, _R.ANSWER_TRUNCATED, "no length")
-        body = await stream_relay.read_whole(response, idle_s)
+        body = await stream_relay.read_whole(response)
         kind = response.headers.get("content-type", "application/octet-stream")
         return attempt_outcome.Answered(
             response.status_code, kind.encode(), body
         )
 
     async def _receive_events(
-        self, attempt: Attempt, response: httpx.Response, idle_s: float
+        self, attempt: Attempt, response: httpx.Response
     ) -> attempt_outcome.AttemptOutcome:
-        await attempt.relay.relay_events(response, idle_s)
+        await attempt.relay.relay_events(
+            response, attempt.call.request_class.timeouts.idle_s
+        )
         if not attempt.relay.monitor.whole:
             return self._failed(attempt, _R.ANSWER_TRUNCATED)
         kind = response.headers["content-type"].encode()
@@ -173,6 +175,7 @@
 
     def _request(self, attempt: Attempt) -> httpx.Request:
         call = attempt.call
+        timeouts = call.request_class.timeouts
         headers = {
             name: call.http.headers[name]
             for name in _PASSED_HEADERS
@@ -189,6 +192,11 @@
             attempt.server.url + call.http.path + query,
             content=call.http.body,
             headers=headers,
+            timeout=httpx.Timeout(
+                None,
+                connect=timeouts.connect_s,
+                read=max(timeouts.idle_s, timeouts.first_byte_s),
+            ),
         )
 
     async def _cancel(self, attempt: Attempt) -> None:
--- a/figstream/backend_network.py
+++ b/figstream/backend_network.py
@@ -3,35 +3,54 @@
 While an answer streams, reads of a connection are at least a pace apart, so
 that tokens which arrive within the pace are relayed in one write. Just
 before each read the relay is told, so that it can pass on what it holds.
+
+Plain connections read their socket directly when the pace has passed: what
+has arrived by then is taken in one call, without a callback for each token.
+Addresses are IP numbers, so nothing is looked up.
 """
 
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
+import socket
 import ssl
 import time
 from typing import Any
+from typing import Final
 
 import anyio
 import httpcore
 
 BeforeRead = Callable[[], Awaitable[None]]
 
+_GRID_S: Final = 0.003
+_READ_BYTES: Final = 65_536
+
 
 class PacedStream(httpcore.AsyncNetworkStream):
-    """A connection whose reads can be paced."""
+    """A plain TCP connection whose reads can be paced."""
 
-    def __init__(self, inner: httpcore.AsyncNetworkStream) -> None:
-        """Wraps a connection; reads are not paced yet."""
-        self._inner = inner
+    def __init__(self, connected: socket.socket) -> None:
+        """Takes over a connected socket that does not block."""
+        self._socket = connected
         self._pace_s = 0.0
+        self._idle_s = 0.0
         self._before_read: BeforeRead | None = None
         self._last_read_s = 0.0
-        self.bytes_written = 0
 
-    def start_pacing(self, pace_s: float, before_read: BeforeRead) -> None:
-        """Spaces reads and calls the function before each of them."""
+    def start_pacing(
+        self, pace_s: float, idle_s: float, before_read: BeforeRead
+    ) -> None:
+        """Spaces reads and calls the function before each of them.
+
+        Args:
+          pace_s: shortest time between two reads.
+          idle_s: timeout of each read while pacing.
+          before_read: called before each read.
+        """
         self._pace_s = pace_s
+        self._idle_s = idle_s
         self._before_read = before_read
         self._last_read_s = time.monotonic()
 
@@ -41,23 +60,45 @@
         self._before_read = None
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Reads what has arrived, after the pace has passed."""
+        """Reads what has arrived, after the pace has passed.
+
+        Raises:
+          httpcore.ReadTimeout: nothing arrived within the timeout.
+          httpcore.ReadError: the connection broke.
+        """
         if self._before_read:
+            timeout = self._idle_s
             await self._before_read()
-            due_s = self._last_read_s + self._pace_s
-            await anyio.sleep(max(0.0, due_s - time.monotonic()))
-        data = await self._inner.read(max_bytes, timeout)
-        self._last_read_s = time.monotonic()
+            await self._wait_for_pace()
+        try:
+            data = await self._receive(max_bytes, timeout)
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout from error
+        except (OSError, anyio.ClosedResourceError) as error:
+            raise httpcore.ReadError(type(error).__name__) from error
         return data
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Writes a buffer."""
-        self.bytes_written += len(buffer)
-        await self._inner.write(buffer, timeout)
+        """Writes a whole buffer.
+
+        Raises:
+          httpcore.WriteTimeout: it was not taken within the timeout.
+          httpcore.WriteError: the connection broke.
+        """
+        left = memoryview(buffer)
+        try:
+            with anyio.fail_after(timeout):
+                while left:
+                    left = left[await self._send(left) :]
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout from error
+        except (OSError, anyio.ClosedResourceError) as error:
+            raise httpcore.WriteError(type(error).__name__) from error
 
     async def aclose(self) -> None:
         """Closes the connection."""
-        await self._inner.aclose()
+        anyio.notify_closing(self._socket)
+        self._socket.close()
 
     async def start_tls(
         self,
@@ -65,22 +106,55 @@
         server_hostname: str | None = None,
         timeout: float | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        """Wraps the connection in TLS."""
-        return PacedStream(
-            await self._inner.start_tls(ssl_context, server_hostname, timeout)
-        )
+        """Refuses; TLS connections are opened by `PacedBackend` unpaced."""
+        raise httpcore.UnsupportedProtocol("a plain connection stays plain")
 
     def get_extra_info(self, info: str) -> Any:
-        """Returns what the inner connection says of itself."""
-        return self._inner.get_extra_info(info)
+        """Returns the socket, or whether unread data makes it unusable."""
+        if info == "socket":
+            return self._socket
+        if info == "is_readable":
+            return self._is_readable()
+        return None
+
+    async def _wait_for_pace(self) -> None:
+        due_s = self._last_read_s + self._pace_s
+        # Rounding down to a grid lets the reads of many connections fall
+        # into the same turn of the event loop.
+        due_s -= due_s % _GRID_S
+        delay_s = due_s - time.monotonic()
+        if delay_s > 0:
+            await anyio.sleep(delay_s)
+            self._last_read_s = due_s
+        else:
+            self._last_read_s = time.monotonic()
+
+    async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
+        with contextlib.suppress(BlockingIOError):
+            return self._socket.recv(max(max_bytes, _READ_BYTES))
+        with anyio.fail_after(timeout):
+            await anyio.wait_readable(self._socket)
+        self._last_read_s = time.monotonic()
+        return self._socket.recv(max(max_bytes, _READ_BYTES))
 
+    async def _send(self, data: memoryview) -> int:
+        with contextlib.suppress(BlockingIOError):
+            return self._socket.send(data)
+        await anyio.wait_writable(self._socket)
+        return 0
+
+    def _is_readable(self) -> bool:
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
-class PacedBackend(httpcore.AsyncNetworkBackend):
-    """Opens connections whose reads can be paced."""
 
-    def __init__(self) -> None:
-        """Opens connections with anyio."""
-        self._inner = httpcore.AnyIOBackend()
+class PacedBackend(httpcore.AsyncNetworkBackend):
+    """Opens plain connections whose reads can be paced."""
 
     async def connect_tcp(
         self,
@@ -90,12 +164,29 @@
         local_address: str | None = None,
         socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
     ) -> httpcore.AsyncNetworkStream:
-        """Connects over TCP."""
-        return PacedStream(
-            await self._inner.connect_tcp(
-                host, port, timeout, local_address, socket_options
-            )
-        )
+        """Connects to an IP number.
+
+        Raises:
+          httpcore.ConnectTimeout: no connection within the timeout.
+          httpcore.ConnectError: the connection was refused.
+        """
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        opened = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            opened.setblocking(False)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            with anyio.fail_after(timeout):
+                await _connect(opened, host, port)
+        except TimeoutError as error:
+            opened.close()
+            raise httpcore.ConnectTimeout from error
+        except OSError as error:
+            opened.close()
+            raise httpcore.ConnectError(type(error).__name__) from error
+        except BaseException:
+            opened.close()
+            raise
+        return PacedStream(opened)
 
     async def connect_unix_socket(
         self,
@@ -108,4 +199,14 @@
 
     async def sleep(self, seconds: float) -> None:
         """Waits for some seconds."""
-        await self._inner.sleep(seconds)
+        await anyio.sleep(seconds)
+
+
+async def _connect(opened: socket.socket, host: str, port: int) -> None:
+    try:
+        opened.connect((host, port))
+    except BlockingIOError:
+        await anyio.wait_writable(opened)
+        code = opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, "connect failed") from None
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -9,7 +9,6 @@
 import time
 from typing import Final
 
-import anyio
 import httpx
 
 from figstream import asgi
@@ -19,17 +18,13 @@
 from figstream import engine_protocol
 from figstream import stream_monitor
 
-PACE_S: Final = 0.015
+PACE_S: Final = 0.019
 WHOLE_LIMIT_BYTES: Final = 32_000_000
 
 
 FirstListener = Callable[[], None]
 
 
-class StreamIdleError(Exception):
-    """Raised when nothing arrived for longer than the idle timeout."""
-
-
 class AnswerTooLongError(Exception):
     """Raised when an answer that is not streamed exceeds the limit."""
 
@@ -61,7 +56,7 @@
         """Relays a streamed answer until its connection ends it.
 
         Raises:
-          StreamIdleError: nothing arrived for the idle timeout.
+          httpcore.ReadTimeout: nothing arrived for the idle timeout.
           httpcore.NetworkError: the connection broke.
         """
         self._status = response.status_code
@@ -69,9 +64,9 @@
         self._held.clear()
         paced = response.extensions.get(backend_transport.PACED_STREAM)
         if isinstance(paced, backend_network.PacedStream):
-            paced.start_pacing(PACE_S, self.flush)
+            paced.start_pacing(PACE_S, idle_s, self.flush)
         try:
-            await self._copy(response, idle_s)
+            await self._copy(response)
         finally:
             if isinstance(paced, backend_network.PacedStream):
                 paced.stop_pacing()
@@ -97,42 +92,29 @@
         """Ends the caller's answer."""
         await self._answer.end()
 
-    async def _copy(self, response: httpx.Response, idle_s: float) -> None:
-        chunks = response.aiter_raw()
-        while True:
-            chunk = None
-            with anyio.move_on_after(idle_s):
-                chunk = await anext(chunks, b"")
-            if chunk is None:
-                raise StreamIdleError
-            if not chunk:
-                return
+    async def _copy(self, response: httpx.Response) -> None:
+        assert isinstance(response.stream, httpx.AsyncByteStream)
+        async for chunk in response.stream:
             self._held += chunk
 
 
-async def read_whole(response: httpx.Response, idle_s: float) -> bytes:
+async def read_whole(response: httpx.Response) -> bytes:
     """Reads an answer that is not streamed.
 
     Raises:
-      StreamIdleError: nothing arrived for the idle timeout.
+      httpcore.ReadTimeout: nothing arrived for the idle timeout.
       AnswerTooLongError: the answer exceeds the limit.
       httpcore.NetworkError: the connection broke.
     """
     parts: list[bytes] = []
     size = 0
-    chunks = response.aiter_raw()
-    while True:
-        chunk = None
-        with anyio.move_on_after(idle_s):
-            chunk = await anext(chunks, b"")
-        if chunk is None:
-            raise StreamIdleError
-        if not chunk:
-            return b"".join(parts)
+    assert isinstance(response.stream, httpx.AsyncByteStream)
+    async for chunk in response.stream:
         parts.append(chunk)
         size += len(chunk)
         if size > WHOLE_LIMIT_BYTES:
             raise AnswerTooLongError
+    return b"".join(parts)
 
 
 def is_event_stream(response: httpx.Response) -> bool:
