--- /dev/null
+++ b/figstream/demo.py
@@ -0,0 +1,215 @@
+"""The demonstration: a whole system in one process under a mixed load.
+
+It prints what happened by class and customer, and fails if any promise that
+it can see was broken.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+import statistics
+from typing import Final
+
+import anyio
+import attrs
+import httpx
+
+from figstream import demo_stack
+from figstream import inbound
+from figstream import load_client
+from figstream import logs
+
+DURATION_S: Final = 5.0
+_SEED: Final = 1
+_REPEATS: Final = 3
+_BOOKINGS: Final = 4
+_WITHDRAWAL_LIMIT_S: Final = 3.0
+
+
+@attrs.frozen
+class Promise:
+    """One promise that the demonstration checked."""
+
+    name: str
+    kept: bool
+    seen: str
+
+
+def run(duration_s: float = DURATION_S) -> bool:
+    """Runs the demonstration; returns whether every promise was kept."""
+    logs.configure("error")
+    return anyio.run(_demonstrate, duration_s)
+
+
+async def _demonstrate(duration_s: float) -> bool:
+    async with demo_stack.run_stack(demo_stack.StackOptions()) as stack:
+        print(
+            f"{len(stack.daemons)} daemons, {len(stack.engines)} engines, 1 "
+            f"plain service, {len(demo_stack.ZONES)} availability zones; "
+            f"{duration_s:g} s of load"
+        )
+        items = load_client.plan(_streams(stack), duration_s, _SEED)
+        results = await load_client.send(items)
+        print(_class_table(results, stack))
+        promises = [
+            _all_whole(results),
+            _refusals_not_run(results),
+            await _runs_once(stack),
+            _no_key_seen(stack),
+            await _withdrawn_key_stops(stack),
+        ]
+        print(_usage_table(stack))
+        for promise in promises:
+            verdict = "kept" if promise.kept else "BROKEN"
+            print(f"{verdict:7} {promise.name}: {promise.seen}")
+        return all(promise.kept for promise in promises)
+
+
+def _streams(stack: demo_stack.Stack) -> Iterable[load_client.Stream]:
+    shapes = (("chat", 4.0, 20, True), ("batch", 2.0, 60, False))
+    urls = [stack.url(number) for number in range(len(stack.daemons))]
+    for url, (customer, key), shape in itertools.product(
+        urls, stack.keys.items(), shapes
+    ):
+        name, rate_per_s, tokens, stream = shape
+        yield load_client.Stream(
+            url, key, customer, name, demo_stack.MODEL, rate_per_s, tokens,
+            stream,
+        )  # fmt: skip
+
+
+def _class_table(
+    results: Sequence[load_client.LoadResult], stack: demo_stack.Stack
+) -> str:
+    rows = [
+        f"{'class':8}{'sent':>6}{'answered':>10}{'attained':>10}"
+        f"{'first p95':>11}{'between p95':>13}  refused"
+    ]
+    names = sorted({result.item.request_class for result in results})
+    for name in names:
+        level = stack.configuration.classes_by_name[name].service_level
+        mine = [item for item in results if item.item.request_class == name]
+        whole = [item for item in mine if item.whole]
+        attained = [
+            item
+            for item in whole
+            if item.total_s <= level.deadline_s
+            and (not item.item.stream or item.first_s <= level.first_token_s)
+        ]
+        refused = collections.Counter(i.code for i in mine if i.code)
+        streamed = [item for item in whole if item.item.stream]
+        rows.append(
+            f"{name:8}{len(mine):6}{len(whole):10}"
+            f"{len(attained) / len(mine):10.1%}"
+            f"{_p95([i.first_s for i in streamed]):9.3f} s"
+            f"{_p95([i.between_s for i in streamed]):11.4f} s"
+            f"  {dict(refused) or '-'}"
+        )
+    return "\n".join(rows)
+
+
+def _usage_table(stack: demo_stack.Stack) -> str:
+    rows = [f"{'customer':10}{'requests':>10}{'prompt':>10}{'output':>10}"]
+    for name in sorted(stack.keys):
+        totals = [
+            daemon.usage.by_customer[name]
+            for daemon in stack.daemons
+            if name in daemon.usage.by_customer
+        ]
+        rows.append(
+            f"{name:10}{sum(item.requests for item in totals):10}"
+            f"{sum(item.prompt_tokens for item in totals):10}"
+            f"{sum(item.output_tokens for item in totals):10}"
+        )
+    return "\n".join(rows)
+
+
+def _p95(values: Sequence[float]) -> float:
+    if len(values) < 2:
+        return values[0] if values else 0.0
+    return statistics.quantiles(values, n=20)[-1]
+
+
+def _all_whole(results: Sequence[load_client.LoadResult]) -> Promise:
+    answered = [item for item in results if not item.code]
+    whole = [item for item in answered if item.whole]
+    return Promise(
+        "whole answers to the right callers",
+        bool(answered) and len(whole) == len(answered),
+        f"{len(whole)} of {len(answered)}",
+    )
+
+
+def _refusals_not_run(results: Sequence[load_client.LoadResult]) -> Promise:
+    refused = [item for item in results if item.code]
+    ran = [item for item in refused if item.run_state != "not_run"]
+    return Promise(
+        "every refusal under this load is a true 'not run'",
+        not ran,
+        f"{len(refused)} refused, {len(ran)} of them may have run",
+    )
+
+
+async def _runs_once(stack: demo_stack.Stack) -> Promise:
+    customer, key = next(iter(stack.keys.items()))
+    before = len(stack.service.effects)
+    async with httpx.AsyncClient() as client:
+        for number, url in itertools.product(
+            range(_BOOKINGS), _urls(stack) * _REPEATS
+        ):
+            await client.post(
+                f"{url}/bookings/hold",
+                json={"bay": number},
+                headers={
+                    "authorization": f"Bearer {key}",
+                    inbound.IDEMPOTENCY_HEADER: f"{customer}-{number}",
+                },
+            )
+    effects = len(stack.service.effects) - before
+    return Promise(
+        "a deposit hold runs once, however often it is sent",
+        effects == _BOOKINGS,
+        f"{effects} effects of {_BOOKINGS} holds sent "
+        f"{len(stack.daemons) * _REPEATS} times each",
+    )
+
+
+def _no_key_seen(stack: demo_stack.Stack) -> Promise:
+    secrets = [key.rpartition("-")[2] for key in stack.keys.values()]
+    seen = [engine.seen_headers for engine in stack.engines]
+    text = str([*seen, stack.service.seen_headers])
+    found = [secret for secret in secrets if secret in text]
+    requests = sum(len(headers) for headers in seen)
+    return Promise(
+        "no backend server sees a key",
+        not found and requests > 0,
+        f"{requests} requests looked at",
+    )
+
+
+async def _withdrawn_key_stops(stack: demo_stack.Stack) -> Promise:
+    customer, key = next(iter(stack.keys.items()))
+    await stack.withdraw_key(customer)
+    limit = anyio.current_time() + _WITHDRAWAL_LIMIT_S
+    refused = 0
+    async with httpx.AsyncClient() as client:
+        for url in _urls(stack):
+            while anyio.current_time() < limit:
+                answer = await client.get(
+                    f"{url}/v1/models",
+                    headers={"authorization": f"Bearer {key}"},
+                )
+                if answer.status_code == 401:
+                    refused += 1
+                    break
+                await anyio.sleep(0.02)
+    return Promise(
+        f"a withdrawn key stops working within {_WITHDRAWAL_LIMIT_S:g} s",
+        refused == len(stack.daemons),
+        f"refused by {refused} of {len(stack.daemons)} daemons",
+    )
+
+
+def _urls(stack: demo_stack.Stack) -> list[str]:
+    return [stack.url(number) for number in range(len(stack.daemons))]
--- a/figstream/demo_stack.py
+++ b/figstream/demo_stack.py
@@ -15,7 +15,9 @@
 
 from figstream import api_key
 from figstream import backend_server
+from figstream import clock
 from figstream import configuration as configuration_lib
+from figstream import configuration_store
 from figstream import customer
 from figstream import daemon as daemon_lib
 from figstream import http_server
@@ -75,6 +77,32 @@
     keys: dict[str, str]
     configuration: configuration_lib.Configuration
 
+    @property
+    def store(self) -> configuration_store.ConfigurationStore:
+        """Returns the store that operators change the configuration in."""
+        return configuration_store.ConfigurationStore(
+            self.platform.objects, clock.SystemClock()
+        )
+
+    async def withdraw_key(self, customer: str) -> None:
+        """Withdraws the keys of a customer."""
+
+        def change(
+            current: configuration_lib.Configuration,
+        ) -> configuration_lib.Configuration:
+            keys = tuple(
+                attrs.evolve(
+                    item, withdrawn=item.withdrawn or item.customer == customer
+                )
+                for item in current.keys
+            )
+            return attrs.evolve(current, keys=keys)
+
+        stored = await self.store.read_root()
+        assert isinstance(stored, configuration_store.StoredRoot)
+        accepted = await self.store.accept(change, stored.root.generation)
+        assert isinstance(accepted, configuration_store.Accepted)
+
     def url(self, number: int) -> str:
         """Returns the address for callers of one daemon."""
         return f"http://{HOST}:{self.daemons[number].caller_port}"
@@ -133,6 +161,8 @@
             {item.record.customer: item.text for item in issued},
             configuration,
         )
+        accepted = await stack.store.accept(lambda _: configuration, 0)
+        assert isinstance(accepted, configuration_store.Accepted)
         group = await running.enter_async_context(anyio.create_task_group())
         for daemon in daemons:
             daemon.context.holder.replace(configuration)
--- a/figstream/main.py
+++ b/figstream/main.py
@@ -8,11 +8,13 @@
 
 import typer
 
+from figstream import demo
 from figstream import errors
 from figstream import options
 from figstream import serve
 from figstream import standin_cli
 
+EXIT_BROKEN: Final = 1
 EXIT_INVALID: Final = 2
 
 app = typer.Typer(
@@ -65,6 +67,17 @@
     serve.run(found)
 
 
+@app.command("demo")
+def run_demo(
+    seconds: Annotated[
+        float, typer.Option(help="How long to send requests.")
+    ] = demo.DURATION_S,
+) -> None:
+    """Run a whole system in one process under a mixed load."""
+    if not demo.run(seconds):
+        raise typer.Exit(EXIT_BROKEN)
+
+
 @app.command("check-config")
 def check_config(
     file: Annotated[pathlib.Path, typer.Argument(help="The INI file.")],
