--- a/figstream/blame.py
+++ b/figstream/blame.py
@@ -15,6 +15,7 @@
 import collections
 from collections.abc import Sequence
 import enum
+import itertools
 from typing import Final
 
 import attrs
@@ -26,8 +27,8 @@
 CORRELATION_S: Final = 2.0
 CORRELATED_SERVERS: Final = 2
 ENTRY_LIMIT: Final = 4096
-DIGEST_LIMIT: Final = 32
-SPREAD_S: Final = 30.0
+DIGEST_LIMIT: Final = 12
+_AGE_DIGITS: Final = 3
 
 
 class BlameState(enum.Enum):
@@ -83,6 +84,7 @@
         self._standings: collections.OrderedDict[int, _Standing] = (
             collections.OrderedDict()
         )
+        self._untold: dict[int, None] = {}
         self._crashes: dict[str, float] = {}
 
     def verdict(self, fingerprint: int, now: float) -> blame_api.Verdict:
@@ -118,7 +120,7 @@
             return
         del self._alone[fingerprint]
         if whole and self._state(fingerprint, now) is BlameState.SUSPECT:
-            self._set(fingerprint, BlameState.CLEARED, now)
+            self._find(fingerprint, BlameState.CLEARED, now)
 
     def crashed(self, server: str, now: float) -> None:
         """Blames the requests that ran on a server that died."""
@@ -132,24 +134,25 @@
             if state is BlameState.REFUSED:
                 continue
             if alone and len(running) == 1:
-                self._set(fingerprint, BlameState.REFUSED, now)
+                self._find(fingerprint, BlameState.REFUSED, now)
             elif state is BlameState.SUSPECT or not correlated:
-                self._set(fingerprint, BlameState.SUSPECT, now)
+                self._find(fingerprint, BlameState.SUSPECT, now)
 
     def digest(self, now: float) -> Sequence[BlameEntry]:
-        """Returns the latest entries for other daemons, refusals first."""
-        entries = [
-            BlameEntry(fingerprint, standing.state, now - standing.since)
-            for fingerprint, standing in self._standings.items()
-            if now - standing.since < SPREAD_S
-        ]
-        entries.sort(
-            key=lambda entry: (
-                entry.state is not BlameState.REFUSED,
-                entry.age_s,
+        """Returns what was found here and not yet told, up to a bound."""
+        told = list(itertools.islice(self._untold, DIGEST_LIMIT))
+        for fingerprint in told:
+            del self._untold[fingerprint]
+        held = {item: self._standings.get(item) for item in told}
+        return [
+            BlameEntry(
+                fingerprint,
+                standing.state,
+                round(now - standing.since, _AGE_DIGITS),
             )
-        )
-        return entries[:DIGEST_LIMIT]
+            for fingerprint, standing in held.items()
+            if standing is not None
+        ]
 
     def merge(self, entries: Sequence[BlameEntry], now: float) -> None:
         """Takes over what another daemon found; the latest finding counts.
@@ -175,11 +178,16 @@
         held = self._standings.get(fingerprint)
         return held.at(now) if held else BlameState.CLEARED
 
+    def _find(self, fingerprint: int, state: BlameState, now: float) -> None:
+        self._set(fingerprint, state, now)
+        self._untold[fingerprint] = None
+
     def _set(self, fingerprint: int, state: BlameState, since: float) -> None:
         self._standings[fingerprint] = _Standing(state, since)
         self._standings.move_to_end(fingerprint)
         if len(self._standings) > ENTRY_LIMIT:
-            self._standings.popitem(last=False)
+            forgotten, _ = self._standings.popitem(last=False)
+            self._untold.pop(forgotten, None)
 
     def _is_correlated(self, server: str, now: float) -> bool:
         self._crashes = {
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -9,6 +9,7 @@
 from figstream import authentication
 from figstream import backend_client
 from figstream import blame as blame_lib
+from figstream import blame_spread
 from figstream import caller_app
 from figstream import claim_journal
 from figstream import clock as clock_lib
@@ -68,15 +69,18 @@
         self.members = membership.make_membership(context, self._peers.address)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (self.members,)
         claims = claim_journal.make_claim_journal(context)
+        blame = blame_lib.make_crash_blame()
         # Membership comes last, since the other roles hand over to members.
         self._roles: Sequence[daemon_context.Role] = (
             claims,
+            blame_spread.BlameSpread(
+                blame, self.members.notices, context.clock
+            ),
             *self._rpc_roles,
         )
         self._gate = dispatch_gate.DispatchGate(
             context.scheduler, context.clock
         )
-        blame = blame_lib.make_crash_blame()
         self._health = server_health.ServerHealth(
             context.scheduler,
             context.holder,
--- a/figstream/server_health.py
+++ b/figstream/server_health.py
@@ -113,7 +113,9 @@
     def _crashed(self, server: str) -> None:
         logs.warning("server_crashed", server=server)
         self._metrics.event("server_crashed")
-        self._blame.crashed(server, self._clock.now())
+        # A server that the platform takes back does not die of its requests.
+        if server not in self._leaving:
+            self._blame.crashed(server, self._clock.now())
 
     def _apply(self) -> None:
         left_out = self._leaving | self._quarantined
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -4,6 +4,7 @@
 do nothing, and a bound breaks.
 """
 
+import itertools
 import random
 
 import attrs
@@ -13,6 +14,10 @@
 
 from figstream import blame
 from figstream import blame_api
+from figstream import blame_spread
+from figstream import clock as clock_lib
+from figstream import metrics
+from figstream import notices as notices_lib
 
 _GUILTY = 1
 _SERVERS = tuple(f"s{number}" for number in range(8))
@@ -48,10 +53,12 @@
                 table.ended(fingerprint, server, self.now)
 
     def spread(self) -> None:
-        digests = [table.digest(self.now) for table in self.tables]
+        digests = [_whole_digest(table, self.now) for table in self.tables]
         for table in self.tables:
             for entries in digests:
-                table.merge(entries, self.now)
+                for start in range(0, len(entries), blame.DIGEST_LIMIT):
+                    part = entries[start : start + blame.DIGEST_LIMIT]
+                    table.merge(part, self.now)
 
     def _place(
         self, index: int, table: blame.CrashBlame, *, guilty: bool
@@ -77,6 +84,13 @@
         return placed | shared
 
 
+def _whole_digest(
+    table: blame.CrashBlame, now: float
+) -> list[blame.BlameEntry]:
+    parts = iter(lambda: table.digest(now), [])
+    return list(itertools.chain.from_iterable(parts))
+
+
 def _outbreak(daemons: int, seed: int, *, spread: bool) -> _Outbreak:
     tables = [blame.make_crash_blame() for _ in range(daemons)]
     outbreak = _Outbreak(tables, random.Random(seed))
@@ -149,7 +163,31 @@
         table.crashed("s0", number * 10.0)
     last = (2 * blame.ENTRY_LIMIT - 1) * 10.0
     assert len(table._standings) <= blame.ENTRY_LIMIT
-    for number in range(2 * blame.DIGEST_LIMIT):
-        table.started(number, "s1", last)
-    table.crashed("s1", last)
     assert len(table.digest(last)) == blame.DIGEST_LIMIT
+
+
+def test_a_notice_carries_standings_to_another_daemon() -> None:
+    """Breaks when `BlameSpread` neither publishes nor subscribes."""
+    clock = clock_lib.ManualClock(100.0)
+    tables = [blame.make_crash_blame() for _ in range(2)]
+    notices = [
+        notices_lib.Notices(run, "z", clock, metrics.make_unexported_metrics())
+        for run in range(2)
+    ]
+
+    def forward(notice: notices_lib.Notice) -> None:
+        notices[1].receive(notice)
+
+    notices[0].set_forward(forward)
+    spreads = [
+        blame_spread.BlameSpread(table, notice, clock)
+        for table, notice in zip(tables, notices, strict=True)
+    ]
+    suspects = [2**64 - 1 - number for number in range(20)]
+    for fingerprint in suspects:
+        tables[0].started(fingerprint, "s0", 100.0)
+    tables[0].crashed("s0", 100.0)
+    for _ in range(2):
+        spreads[0].tell()
+    verdicts = {tables[1].verdict(item, 100.0) for item in suspects}
+    assert verdicts == {_V.ALONE}
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,45 @@
+"""Tests of a request that crashes each engine that runs it, sent again."""
+
+import httpx
+import pytest
+
+from figstream import demo_stack
+from figstream import standin_engine
+
+pytestmark = pytest.mark.anyio
+_DAEMONS = 2
+_LOST_PER_DAEMON = 2
+
+
+async def _chat(
+    stack: demo_stack.Stack, daemon: int, text: str
+) -> httpx.Response:
+    async with httpx.AsyncClient(timeout=30) as client:
+        return await client.post(
+            stack.url(daemon) + "/v1/chat/completions",
+            json={
+                "model": demo_stack.MODEL,
+                "messages": [{"role": "user", "content": text}],
+            },
+            headers={"authorization": f"Bearer {stack.keys['studio']}"},
+        )
+
+
+async def test_it_is_refused_and_other_requests_go_on() -> None:
+    """Breaks when `RequestPath._blamed` always returns None."""
+    engines = tuple(
+        standin_engine.EngineOptions(f"engine-{number}", (demo_stack.MODEL,))
+        for number in range(2 * _DAEMONS * _LOST_PER_DAEMON)
+    )
+    options = demo_stack.StackOptions(daemons=_DAEMONS, engines=engines)
+    async with demo_stack.run_stack(options) as stack:
+        for number in range(4 * _DAEMONS):
+            bad = await _chat(stack, number % _DAEMONS, "crash-the-engine")
+            error = bad.json()["error"]
+            assert error["run_state"] in {"ran", "may_have_run"}
+            good = await _chat(stack, number % _DAEMONS, "hello")
+            assert good.status_code == 200
+        assert error["code"] == "crashes_backend_servers"
+        assert error["run_state"] == "ran"
+        dead = [engine for engine in stack.engines if not engine.alive]
+        assert 0 < len(dead) <= _DAEMONS * _LOST_PER_DAEMON
