--- a/figstream/standin_platform.py
+++ b/figstream/standin_platform.py
@@ -6,13 +6,13 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import itertools
+from collections.abc import Mapping
 from typing import Final
 import urllib.parse
 
 import attrs
-from hypercorn import typing as asgi
 
+from figstream import asgi
 from figstream import errors
 from figstream import platform_api
 from figstream import platform_faults
@@ -20,7 +20,6 @@
 from figstream import platform_wire as wire
 from figstream import serialization
 
-_JSON: Final = b"application/json"
 _BYTES: Final = b"application/octet-stream"
 
 
@@ -38,8 +37,8 @@
 
     method: str
     path: str
-    params: dict[str, str]
-    headers: dict[str, str]
+    params: Mapping[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
     def name_after(self, prefix: str) -> str:
@@ -69,7 +68,7 @@
 
     status: int | None
     body: bytes = b""
-    content_type: bytes = _JSON
+    content_type: bytes = asgi.JSON
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
@@ -104,14 +103,19 @@
     async def __call__(
         self,
         scope: asgi.Scope,
-        receive: asgi.ASGIReceiveCallable,
-        send: asgi.ASGISendCallable,
+        receive: asgi.Receive,
+        send: asgi.Send,
     ) -> None:
         """Answers one HTTP request."""
-        if scope["type"] != "http":
+        try:
+            call = await _receive_call(scope, receive)
+        except asgi.CallerGoneError:
             return
-        call = await _receive_call(scope, receive)
-        await _send_answer(await self._answer(call), send)
+        except asgi.BodyTooLargeError:
+            answer = _json(wire.TOO_LARGE, wire.DetailBody("too large"))
+        else:
+            answer = await self._answer(call)
+        await _send_answer(answer, send)
 
     def _interfaces(self, call: Call) -> platform_api.Platform:
         return self._platform.interfaces(call.client)
@@ -258,51 +262,27 @@
     return _without_outcome(outcome)
 
 
-async def _receive_call(
-    scope: asgi.HTTPScope, receive: asgi.ASGIReceiveCallable
-) -> Call:
-    parts: list[bytes] = []
-    for _ in itertools.count():
-        event = await receive()
-        if event["type"] != "http.request":
-            break
-        parts.append(event["body"])
-        if not event["more_body"]:
-            break
+async def _receive_call(scope: asgi.Scope, receive: asgi.Receive) -> Call:
     return Call(
         scope["method"],
         urllib.parse.unquote(scope["raw_path"].decode("ascii")),
         dict(urllib.parse.parse_qsl(scope["query_string"].decode("ascii"))),
-        {key.decode(): value.decode() for key, value in scope["headers"]},
-        b"".join(parts),
+        asgi.headers_of(scope),
+        await asgi.read_body(receive, platform_api.MAX_OBJECT_BYTES),
     )
 
 
-async def _send_answer(answer: Answer, send: asgi.ASGISendCallable) -> None:
-    # A broken connection: a longer body is promised than comes.
-    promised = 1 if answer.status is None else len(answer.body)
-    headers = [
-        (b"content-type", answer.content_type),
-        (b"content-length", str(promised).encode()),
-        *answer.headers,
-    ]
-    await send(
-        {
-            "type": "http.response.start",
-            "status": answer.status or wire.OK,
-            "headers": headers,
-            "trailers": False,
-        }
-    )
-    await send(
-        {
-            "type": "http.response.body",
-            "body": answer.body,
-            "more_body": False,
-        }
-    )
+async def _send_answer(answer: Answer, send: asgi.Send) -> None:
+    headers = [(b"content-type", answer.content_type), *answer.headers]
+    if answer.status is None:
+        # The connection breaks, since a longer body is promised than comes.
+        headers.append((b"content-length", b"1"))
+        await asgi.send_start(send, wire.OK, headers)
+        await asgi.send_body(send, b"", more=False)
+    else:
+        await asgi.send_whole(send, answer.status, headers, answer.body)
 
 
-def make_app(platform: platform_memory.MemoryPlatform) -> asgi.ASGIFramework:
+def make_app(platform: platform_memory.MemoryPlatform) -> asgi.Application:
     """Creates the ASGI application that serves a platform."""
     return StandinPlatform(platform)
