Take the configuration from the platform in each daemon

The demo's stack accepts its configuration on the platform and waits until the daemons have it. HTTP libraries no longer log lines of their own form.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
     "scenarios",
     "configuration_shards",
     "relay",
+    "daemons",
 )
 
 
--- /dev/null
+++ b/bench/daemons.py
@@ -0,0 +1,284 @@
+"""Measures the control of a fleet of daemon processes on loopback.
+
+It prints how long a change and a withdrawn key take to be in force
+everywhere, and what an idle fleet costs: platform calls, and processor time,
+bytes and memory per daemon, with the slopes over daemons and over the size
+of the configuration.
+"""
+
+from collections.abc import Callable
+import pathlib
+import tempfile
+import time
+from typing import Final
+
+import anyio
+import attrs
+import httpx
+
+from bench import daemon_processes
+from figstream import api_key
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import configuration as configuration_lib
+from figstream import configuration_store
+from figstream import customer as customer_lib
+from figstream import platform_http
+
+_PLATFORM_TIMEOUT_S: Final = 5.0
+_START_LIMIT_S: Final = 90.0
+_CHANGE_LIMIT_S: Final = 30.0
+_SETTLE_S: Final = 4.0
+_IDLE_S: Final = 5.0
+_POLL_S: Final = 0.02
+_CHANGES: Final = 5
+_UNAUTHORIZED: Final = 401
+_MEGABYTE: Final = 1e6
+
+
+@attrs.frozen
+class Size:
+    """What a fleet consists of."""
+
+    daemons: int
+    zones: int
+    customers: int
+    servers: int
+
+
+@attrs.frozen
+class Row:
+    """What was measured on one fleet; seconds, and per-second rates.
+
+    Attributes:
+      size: the fleet.
+      start_s: until all daemons had the first generation.
+      change_s: until a change was in force everywhere, the longest.
+      withdrawal_s: until a withdrawn key was refused everywhere.
+      calls_per_s: platform calls of the idle fleet.
+      core_share: share of a core that an idle daemon uses.
+      bytes_per_s: bytes that an idle daemon sends.
+      resident_mb: memory of the largest daemon.
+    """
+
+    size: Size
+    start_s: float
+    change_s: float
+    withdrawal_s: float
+    calls_per_s: float
+    core_share: float
+    bytes_per_s: float
+    resident_mb: float
+
+
+_SIZES: Final = (
+    Size(9, 3, 10, 12),
+    Size(24, 3, 10, 12),
+    Size(48, 3, 10, 12),
+    Size(9, 3, 700, 920),
+)
+
+
+def _configuration(
+    size: Size, key: api_key.KeyRecord
+) -> configuration_lib.Configuration:
+    names = [f"customer-{index:04}" for index in range(size.customers)]
+    return configuration_lib.Configuration(
+        customers=tuple(customer_lib.Customer(name) for name in names),
+        keys=(key, *(api_key.issue(name).record for name in names)),
+        servers=tuple(
+            backend_server.BackendServer(
+                f"engine-{index:04}",
+                f"http://{daemon_processes.HOST}:9",
+                f"zone-{index % size.zones}",
+                models=(f"model-{index % 10}",),
+            )
+            for index in range(size.servers)
+        ),
+    )
+
+
+class FleetMeasurement:
+    """Changes the configuration of one fleet and looks at the effects."""
+
+    def __init__(
+        self, fleet: daemon_processes.FleetProcesses, size: Size
+    ) -> None:
+        """Prepares the first configuration."""
+        self._fleet = fleet
+        self._size = size
+        self._key = api_key.issue("customer-0000")
+        platform = platform_http.make_platform(
+            fleet.platform_url, "bench", _PLATFORM_TIMEOUT_S
+        )
+        self._store = configuration_store.ConfigurationStore(
+            platform.objects, clock_lib.SystemClock()
+        )
+        self._http = httpx.AsyncClient(trust_env=False)
+        self._generation = 0
+
+    async def run(self) -> Row:
+        """Measures everything."""
+        first = _configuration(self._size, self._key.record)
+        start_s = await self._change(lambda _: first, _START_LIMIT_S)
+        await anyio.sleep(_SETTLE_S)
+        times = [
+            await self._change(self._reweigh(index + 2.0), _CHANGE_LIMIT_S)
+            for index in range(_CHANGES)
+        ]
+        withdrawal_s = await self._withdraw()
+        await anyio.sleep(1.0)
+        return await self._measure_idle(start_s, max(times), withdrawal_s)
+
+    def _reweigh(self, weight: float) -> configuration_store.Change:
+        def change(
+            old: configuration_lib.Configuration,
+        ) -> configuration_lib.Configuration:
+            first = attrs.evolve(old.customers[0], weight=weight)
+            return attrs.evolve(old, customers=(first, *old.customers[1:]))
+
+        return change
+
+    async def _change(
+        self, change: configuration_store.Change, limit_s: float
+    ) -> float:
+        """Returns seconds until the change was in force everywhere."""
+        started_at = time.time()
+        await self._accept(change)
+        await self._wait_until(
+            lambda: (
+                len(self._fleet.taken_at(self._generation))
+                == self._size.daemons
+            ),
+            limit_s,
+        )
+        return max(self._fleet.taken_at(self._generation)) - started_at
+
+    async def _accept(self, change: configuration_store.Change) -> None:
+        with anyio.fail_after(_START_LIMIT_S):
+            while True:
+                outcome = await self._store.accept(change, self._generation)
+                if isinstance(outcome, configuration_store.Accepted):
+                    self._generation = outcome.generation
+                    return
+                await anyio.sleep(_POLL_S)
+
+    async def _wait_until(
+        self, condition: Callable[[], bool], limit_s: float
+    ) -> None:
+        with anyio.fail_after(limit_s):
+            while not condition():
+                await anyio.sleep(_POLL_S)
+
+    async def _withdraw(self) -> float:
+        """Returns seconds until every daemon refused the withdrawn key."""
+
+        def change(
+            old: configuration_lib.Configuration,
+        ) -> configuration_lib.Configuration:
+            keys = tuple(
+                attrs.evolve(item, withdrawn=True)
+                if item.key_id == self._key.record.key_id
+                else item
+                for item in old.keys
+            )
+            return attrs.evolve(old, keys=keys)
+
+        for daemon in self._fleet.daemons:
+            if await self._is_refused(daemon):
+                raise RuntimeError(f"{daemon.name} refuses a valid key")
+        started_at = time.monotonic()
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._accept, change)
+            for daemon in self._fleet.daemons:
+                group.start_soon(self._wait_for_refusal, daemon)
+        return time.monotonic() - started_at
+
+    async def _wait_for_refusal(
+        self, daemon: daemon_processes.DaemonPorts
+    ) -> None:
+        with anyio.fail_after(_CHANGE_LIMIT_S):
+            while not await self._is_refused(daemon):
+                await anyio.sleep(_POLL_S)
+
+    async def _is_refused(self, daemon: daemon_processes.DaemonPorts) -> bool:
+        answer = await self._http.get(
+            f"http://{daemon_processes.HOST}:{daemon.caller}/v1/models",
+            headers={"authorization": f"Bearer {self._key.text}"},
+        )
+        return answer.status_code == _UNAUTHORIZED
+
+    async def _measure_idle(
+        self, start_s: float, change_s: float, withdrawal_s: float
+    ) -> Row:
+        calls = await self._count_calls()
+        used = self._fleet.usage()
+        sent = self._fleet.bytes_sent()
+        started_at = time.monotonic()
+        await anyio.sleep(_IDLE_S)
+        used_after = self._fleet.usage()
+        sent_after = self._fleet.bytes_sent()
+        elapsed_s = time.monotonic() - started_at
+        calls_after = await self._count_calls()
+        cpu_s = sum(used_after[name].cpu_s - used[name].cpu_s for name in used)
+        largest = max(item.resident_bytes for item in used_after.values())
+        daemon_s = elapsed_s * self._size.daemons
+        return Row(
+            self._size,
+            start_s,
+            change_s,
+            withdrawal_s,
+            (calls_after - calls) / elapsed_s,
+            cpu_s / daemon_s,
+            (sent_after - sent) / daemon_s,
+            largest / _MEGABYTE,
+        )
+
+    async def _count_calls(self) -> int:
+        answer = await self._http.get(f"{self._fleet.platform_url}/counters")
+        return sum(answer.json()["calls"].values())
+
+
+async def _measure(directory: pathlib.Path, size: Size) -> Row:
+    with daemon_processes.run_fleet(
+        directory, size.daemons, size.zones
+    ) as fleet:
+        return await FleetMeasurement(fleet, size).run()
+
+
+def _print_row(row: Row) -> None:
+    size = row.size
+    print(
+        f"{size.daemons:7}{size.zones:6}{size.customers:10}{size.servers:8}"
+        f"{row.start_s:9.1f}{row.change_s:10.2f}{row.withdrawal_s:12.2f}"
+        f"{row.calls_per_s:9.1f}{row.core_share:8.2%}"
+        f"{row.bytes_per_s:10.0f}{row.resident_mb:9.0f}"
+    )
+
+
+def _print_slopes(small: Row, large: Row) -> None:
+    daemons = large.size.daemons - small.size.daemons
+    calls = (large.calls_per_s - small.calls_per_s) / daemons
+    core = (large.core_share - small.core_share) / daemons
+    sent = (large.bytes_per_s - small.bytes_per_s) / daemons
+    held = (large.resident_mb - small.resident_mb) / daemons
+    change = (large.change_s - small.change_s) / daemons
+    print(
+        f"for each further daemon: {calls:.3f} calls/s, {core:.4%} of a core, "
+        f"{sent:.1f} B/s and {held:.3f} MB per daemon, {change:.4f} s a change"
+    )
+
+
+def main() -> None:
+    """Measures fleets of several sizes."""
+    print(
+        "daemons zones customers servers start s  change s  withdrawal s "
+        "calls/s    core  B/s sent  largest MB"
+    )
+    with tempfile.TemporaryDirectory() as name:
+        rows = []
+        for index, size in enumerate(_SIZES):
+            directory = pathlib.Path(name) / str(index)
+            rows.append(anyio.run(_measure, directory, size))
+            _print_row(rows[-1])
+    _print_slopes(rows[0], rows[2])
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -14,6 +14,7 @@
 from figstream import claim_journal
 from figstream import clock as clock_lib
 from figstream import configuration_holder
+from figstream import configuration_spread
 from figstream import daemon_context
 from figstream import dispatch_gate
 from figstream import explain
@@ -67,7 +68,13 @@
             context.options.address, context.options.peer_port
         )
         self.members = membership.make_membership(context, self._peers.address)
-        self._rpc_roles: Sequence[daemon_context.RpcRole] = (self.members,)
+        spread = configuration_spread.make_configuration_spread(
+            context, self.members
+        )
+        self._rpc_roles: Sequence[daemon_context.RpcRole] = (
+            spread,
+            self.members,
+        )
         claims = claim_journal.make_claim_journal(context)
         blame = blame_lib.make_crash_blame()
         # Membership comes last, since the other roles hand over to members.
--- a/figstream/demo_stack.py
+++ b/figstream/demo_stack.py
@@ -34,6 +34,7 @@
 
 HOST: Final = "127.0.0.1"
 ZONES: Final = ("zone-a", "zone-b", "zone-c")
+_READY_POLL_S: Final = 0.01
 MODEL: Final = "caption-1"
 SERVICE: Final = "bookings"
 
@@ -165,9 +166,9 @@
         assert isinstance(accepted, configuration_store.Accepted)
         group = await running.enter_async_context(anyio.create_task_group())
         for daemon in daemons:
-            daemon.context.holder.replace(configuration)
-            daemon.context.holder.confirm(configuration.generation)
             group.start_soon(daemon.run)
+        while not all(daemon.app.ready for daemon in daemons):
+            await anyio.sleep(_READY_POLL_S)
         yield stack
         group.cancel_scope.cancel()
 
--- a/figstream/logs.py
+++ b/figstream/logs.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import logging as std_logging
 import sys
 from typing import Final
 
@@ -13,6 +14,7 @@
 _PLAIN: Final = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+"
 )
+_LIBRARIES: Final = ("httpx", "httpcore", "hypercorn", "grpc")
 LEVELS: Final = ("debug", "info", "warning", "error")
 
 
@@ -22,6 +24,9 @@
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
     logging.get_absl_handler().python_handler.stream = sys.stderr
+    # Libraries log addresses and paths in a form of their own.
+    for library in _LIBRARIES:
+        std_logging.getLogger(library).setLevel(std_logging.WARNING)
 
 
 def quote(value: object) -> str:
