--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -28,12 +28,14 @@
 from figstream import server_pool
 from figstream import server_selection
 from figstream import straggler_api
+from figstream import straggler_pace
 from figstream import waiting_queues
 from figstream import waiting_room
 
 _BUSY_POLL_S: Final = 0.05
 _IDLE_POLL_S: Final = 1.0
 _NO_SERVER_RETRY_S: Final = 2.0
+_MIN_PACE_TOKENS: Final = 4
 
 _Result = scheduler_api.AttemptResult
 
@@ -54,7 +56,6 @@
         self._book = book
         self._detector = detector
         self._configuration = configuration_lib.Configuration()
-        self._leaving: frozenset[str] = frozenset()
         self._in_zone = 1
         self._now = 0.0
         self._decided: list[scheduler_api.Decision] = []
@@ -97,8 +98,8 @@
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Takes note of servers that the platform is taking back."""
-        self._leaving = servers
-        self._leave_out()
+        if self._index.set_leaving(servers):
+            self._dispatcher.unblock()
 
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
@@ -127,7 +128,6 @@
     def poll(self, now: float) -> Iterable[scheduler_api.Decision]:
         """Returns the decisions that are due."""
         self._now = now
-        self._leave_out()
         self._room.tidy(now)
         for request in self._dispatcher.lone.overdue(now):
             reason = reasons.RefusalReason.DEADLINE_PASSED
@@ -196,11 +196,6 @@
         tokens = request.prompt_tokens + self._outputs.expected(request)
         self._limits.release(request.customer, tokens)
 
-    def _leave_out(self) -> None:
-        stragglers = self._detector.stragglers()
-        if self._index.set_left_out(self._leaving, stragglers):
-            self._dispatcher.unblock()
-
     def _admit(
         self,
         request: scheduler_api.PendingRequest,
@@ -239,10 +234,24 @@
         self._admission.times.observe(
             queue.target, queue.request_class.name, report
         )
-        seconds = report.total_s / max(1, report.output_tokens)
+        seconds = _pace_s(queue.target, report)
+        if seconds is None:
+            return
         pool = queue.target.service or queue.target.model
         batch = int(self._book.estimate(name, self._in_zone, now)) + 1
         self._detector.observe(name, pool, seconds, batch, now)
+        self._book.stragglers = self._detector.stragglers()
+
+
+def _pace_s(
+    target: request_target.Target, report: scheduler_api.AttemptReport
+) -> float | None:
+    """Returns seconds per token, or of a whole call to a plain service."""
+    if target.service:
+        return report.total_s
+    if report.output_tokens < _MIN_PACE_TOKENS:
+        return None
+    return (report.total_s - report.first_byte_s) / (report.output_tokens - 1)
 
 
 def make_scheduler(
@@ -260,5 +269,5 @@
     affinity = prefix_affinity.PrefixAffinity()
     selection = server_selection.make_selection(book, affinity, seed)
     index = server_pool.PoolIndex(zone)
-    detector = straggler_api.NoDetector()
+    detector = straggler_pace.PaceDetector()
     return Scheduler(index, book, affinity, selection, detector)
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -67,6 +67,7 @@
 
     def __init__(self) -> None:
         """Starts with no server known."""
+        self.stragglers: frozenset[str] = frozenset()
         self._states: collections.defaultdict[str, ServerState] = (
             collections.defaultdict(ServerState)
         )
--- a/figstream/server_pool.py
+++ b/figstream/server_pool.py
@@ -2,9 +2,9 @@
 
 Candidates are grouped: servers of the own availability zone come before those
 of others; work that can lose its place goes to reclaimable servers first, and
-other work to servers that stay. Draining, leaving and straggling servers are
-in no group. Groups with the same servers are one object, so that its count of
-running requests is kept once.
+other work to servers that stay. Draining and leaving servers are in no group.
+Groups with the same servers are one object, so that its count of running
+requests is kept once.
 """
 
 from collections.abc import Iterable
@@ -18,8 +18,6 @@
 from figstream import request_class as request_class_lib
 from figstream import request_target
 
-_KEPT_SHARE: Final = 0.5
-
 
 @attrs.define(eq=False)
 class ServerGroup:
@@ -73,7 +71,6 @@
         self._zone = zone
         self._configuration = configuration_lib.Configuration()
         self._leaving: frozenset[str] = frozenset()
-        self._stragglers: frozenset[str] = frozenset()
         self._sharers = (1, 1)
         self._pools: dict[tuple[request_target.Target, str], ServerPool] = {}
         self._groups: dict[frozenset[str], ServerGroup] = {}
@@ -90,13 +87,11 @@
         self._configuration = configuration
         self._clear()
 
-    def set_left_out(
-        self, leaving: frozenset[str], stragglers: frozenset[str]
-    ) -> bool:
+    def set_leaving(self, leaving: frozenset[str]) -> bool:
         """Leaves servers out; returns whether anything changed."""
-        if (leaving, stragglers) == (self._leaving, self._stragglers):
+        if leaving == self._leaving:
             return False
-        self._leaving, self._stragglers = leaving, stragglers
+        self._leaving = leaving
         self._clear()
         return True
 
@@ -159,7 +154,6 @@
             and (not item.classes or request_class.name in item.classes)
             and target.served_by(item)
         ]
-        able = self._without_stragglers(able)
         if not able:
             return _EMPTY
         cheap_first = request_class.preemptible
@@ -172,14 +166,6 @@
         names = frozenset(item.name for item in able)
         return ServerPool(tuple(item for item in groups if item), names)
 
-    def _without_stragglers(
-        self, able: list[backend_server.BackendServer]
-    ) -> list[backend_server.BackendServer]:
-        most = int(len(able) * (1.0 - _KEPT_SHARE))
-        slow = [item.name for item in able if item.name in self._stragglers]
-        left_out = frozenset(sorted(slow)[:most])
-        return [item for item in able if item.name not in left_out]
-
     def _group(
         self,
         able: Iterable[backend_server.BackendServer],
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -29,6 +29,7 @@
 SPILL_BELOW: Final = 0.7
 _KEPT_FOR_HIGHER_TIERS: Final = 0.1
 _AFFINITY_SLACK: Final = 0.15
+_MOST_LEFT_OUT: Final = 0.5
 _SCAN_LIMIT: Final = 8
 _PROBES: Final = 2
 _MORE_PROBES: Final = 6
@@ -78,7 +79,7 @@
         now: float,
     ) -> Choice | None:
         """Returns the server for a request, or None if it has to wait."""
-        avoid = request.tried if not request.tried >= pool.names else set()
+        avoid = self._avoided(request, pool)
         for group in pool.groups:
             if not self._may_use(request, pool, group):
                 continue
@@ -92,6 +93,33 @@
         local = sum(item.share for item in pool.groups if item.local)
         return float(local or sum(item.share for item in pool.groups))
 
+    def _avoided(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+    ) -> frozenset[str]:
+        """Returns servers to leave out, but never most of a pool.
+
+        A straggler gets one request at a time that has no first-token target,
+        so that its recovery is seen.
+        """
+        avoid = frozenset(request.tried)
+        slow = self._book.stragglers
+        if slow:
+            slow &= pool.names
+            if len(slow) <= len(pool.names) * _MOST_LEFT_OUT:
+                avoid |= self._closed_stragglers(request, slow)
+        return avoid if avoid < pool.names else frozenset()
+
+    def _closed_stragglers(
+        self, request: scheduler_api.PendingRequest, slow: frozenset[str]
+    ) -> frozenset[str]:
+        if request.request_class.service_level.first_token_s:
+            return slow
+        return frozenset(
+            name for name in slow if self._book.state(name).own > 0
+        )
+
     def _may_use(
         self,
         request: scheduler_api.PendingRequest,
@@ -110,7 +138,7 @@
         self,
         request: scheduler_api.PendingRequest,
         group: server_pool.ServerGroup,
-        avoid: set[str],
+        avoid: frozenset[str],
         now: float,
     ) -> Choice | None:
         ceiling = self._ceiling(group)
@@ -134,7 +162,7 @@
     def _probe(
         self,
         group: server_pool.ServerGroup,
-        avoid: set[str],
+        avoid: frozenset[str],
         ceiling: float,
         now: float,
     ) -> tuple[float, backend_server.BackendServer] | None:
@@ -180,7 +208,7 @@
         if load < ceiling:
             return load
         has_part = group.own < group.share and group.local
-        if has_part and state.own < max(1.0, server.slots / group.sharers):
+        if has_part and state.own < server.slots // group.sharers:
             return load
         return math.inf
 
@@ -188,7 +216,7 @@
         self,
         request: scheduler_api.PendingRequest,
         group: server_pool.ServerGroup,
-        avoid: set[str],
+        avoid: frozenset[str],
     ) -> backend_server.BackendServer | None:
         name = self._affinity.server(request.prefix)
         if name is None or name not in group.names or name in avoid:
--- a/figstream/straggler_api.py
+++ b/figstream/straggler_api.py
@@ -13,16 +13,3 @@
 
     def stragglers(self) -> frozenset[str]:
         """Returns the servers that are stragglers at present."""
-
-
-class NoDetector:
-    """Finds no straggler."""
-
-    def observe(
-        self, server: str, pool: str, seconds: float, batch: int, now: float
-    ) -> None:
-        """Ignores the observation."""
-
-    def stragglers(self) -> frozenset[str]:
-        """Returns no server."""
-        return frozenset()
--- /dev/null
+++ b/figstream/straggler_pace.py
@@ -0,0 +1,63 @@
+"""Finds stragglers by a smoothed pace beside that of the pool.
+
+The pace is the logarithm of the seconds per token. A server whose smoothed
+pace exceeds the pool's by a factor is a straggler until its pace, measured on
+the little work it still gets, has come down again.
+"""
+
+import math
+from typing import Final
+
+import attrs
+
+_SMOOTHING: Final = 0.3
+_POOL_SMOOTHING: Final = 0.02
+_MIN_OBSERVATIONS: Final = 3
+_SLOW_FACTOR: Final = 2.0
+_RECOVERED_FACTOR: Final = 1.5
+
+
+@attrs.define
+class _Pace:
+    """Smoothed logarithm of the seconds per token."""
+
+    value: float
+    count: int = 0
+
+    def add(self, seen: float, smoothing: float) -> None:
+        """Adds an observation."""
+        weight = max(smoothing, 1.0 / (self.count + 1))
+        self.value += weight * (seen - self.value)
+        self.count += 1
+
+
+class PaceDetector:
+    """Compares each server's pace with its pool's."""
+
+    def __init__(self) -> None:
+        """Starts without observations."""
+        self._servers: dict[tuple[str, str], _Pace] = {}
+        self._pools: dict[str, _Pace] = {}
+        self._stragglers: frozenset[str] = frozenset()
+
+    def observe(
+        self, server: str, pool: str, seconds: float, batch: int, now: float
+    ) -> None:
+        """Takes note of the seconds per token that a server needed."""
+        seen = math.log(max(seconds, 1e-6))
+        ours = self._servers.setdefault((pool, server), _Pace(seen))
+        ours.add(seen, _SMOOTHING)
+        whole = self._pools.setdefault(pool, _Pace(seen))
+        if server not in self._stragglers:
+            whole.add(seen, _POOL_SMOOTHING)
+        if ours.count < _MIN_OBSERVATIONS:
+            return
+        excess = ours.value - whole.value
+        if excess > math.log(_SLOW_FACTOR):
+            self._stragglers |= {server}
+        elif excess < math.log(_RECOVERED_FACTOR):
+            self._stragglers -= {server}
+
+    def stragglers(self) -> frozenset[str]:
+        """Returns the servers that are stragglers at present."""
+        return self._stragglers
