--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -2,11 +2,13 @@
 
 Load reports lag, and other daemons send as well. The load is estimated as
 the requests this daemon has there now, plus what the report showed beyond
-this daemon's own requests when it was measured.
+this daemon's own requests when it was measured. As a report ages, the other
+daemons' requests are taken to go back to their smoothed mean.
 """
 
 import bisect
 import collections
+import math
 from typing import Final
 
 import attrs
@@ -15,6 +17,8 @@
 
 _HISTORY: Final = 64
 _REPORT_LIFETIME_S: Final = 10.0
+_TURNOVER_S: Final = 2.0
+_MEAN_SMOOTHING: Final = 0.2
 _REFUSED_PAUSE_S: Final = 0.25
 _FAILED_PAUSE_S: Final = 0.5
 _MAX_PAUSE_S: Final = 30.0
@@ -31,7 +35,7 @@
     Attributes:
       own: requests of this daemon running there.
       others: requests of other daemons, as of the last report.
-      reported: running and waiting requests, as reported.
+      others_mean: smoothed mean of `others`.
       measured_at: when the last report was measured.
       failures: failed attempts in a row.
       paused_until: until when it gets no new work after failures.
@@ -40,7 +44,7 @@
 
     own: int = 0
     others: float = 0.0
-    reported: float = 0.0
+    others_mean: float = 0.0
     measured_at: float = -1e9
     failures: int = 0
     paused_until: float = -1e9
@@ -112,14 +116,19 @@
         state = self._states[load.server]
         if load.measured_at < state.measured_at:
             return
-        state.measured_at = load.measured_at
-        state.reported = load.running + load.waiting
         own = state.own_at(load.measured_at)
-        state.others = max(0.0, state.reported - own)
+        state.others = max(0.0, load.running + load.waiting - own)
+        known = load.measured_at - state.measured_at <= _REPORT_LIFETIME_S
+        weight = _MEAN_SMOOTHING if known else 1.0
+        state.others_mean += weight * (state.others - state.others_mean)
+        state.measured_at = load.measured_at
 
-    def fresh(self, server: str, now: float) -> bool:
-        """Returns whether the server's last report can still be used."""
-        return now - self._states[server].measured_at <= _REPORT_LIFETIME_S
+    def trust(self, server: str, now: float) -> float:
+        """Returns how far the last report still tells the load, 0 to 1."""
+        age_s = now - self._states[server].measured_at
+        if age_s > _REPORT_LIFETIME_S:
+            return 0.0
+        return math.exp(-age_s / _TURNOVER_S)
 
     def estimate(self, server: str, sharers: int, now: float) -> float:
         """Returns the expected number of requests at a server.
@@ -131,6 +140,8 @@
           now: the time in seconds.
         """
         state = self._states[server]
-        if now - state.measured_at <= _REPORT_LIFETIME_S:
-            return state.own + state.others
-        return float(state.own * sharers)
+        trust = self.trust(server, now)
+        if not trust:
+            return float(state.own * sharers)
+        excess = state.others - state.others_mean
+        return state.own + state.others_mean + trust * excess
--- a/figstream/server_pool.py
+++ b/figstream/server_pool.py
@@ -7,7 +7,7 @@
 requests is kept once.
 """
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 import math
 from typing import Final
 
@@ -27,7 +27,9 @@
       servers: the servers.
       names: their names.
       slots: sum of their slots.
-      local: whether they stand in the daemon's availability zone.
+      local: whether they stand in the daemon's availability zone, or the
+        target has no server there.
+      in_zone: whether they stand in the daemon's availability zone.
       reclaimable: whether the platform may take them back.
       sharers: daemons that send to them.
       own: requests of this daemon running there.
@@ -37,6 +39,7 @@
     names: frozenset[str]
     slots: int
     local: bool
+    in_zone: bool
     reclaimable: bool
     sharers: int = 1
     own: int = 0
@@ -101,7 +104,7 @@
         if sharers != self._sharers:
             self._sharers = sharers
             for group in self._groups.values():
-                group.sharers = sharers[0 if group.local else 1]
+                group.sharers = sharers[0 if group.in_zone else 1]
 
     def pool(
         self,
@@ -157,38 +160,36 @@
         if not able:
             return _EMPTY
         cheap_first = request_class.preemptible
-        places = [
-            (local, reclaimable)
-            for local in (True, False)
+        near = [item for item in able if item.zone == self._zone]
+        far = [item for item in able if item.zone != self._zone]
+        places = [(near, True), (far, False)] if near else [(far, True)]
+        groups = (
+            self._group(
+                [item for item in servers if item.reclaimable == reclaimable],
+                local,
+            )
+            for servers, local in places
             for reclaimable in (cheap_first, not cheap_first)
-        ]
-        groups = (self._group(able, *place) for place in places)
+        )
         names = frozenset(item.name for item in able)
         return ServerPool(tuple(item for item in groups if item), names)
 
     def _group(
-        self,
-        able: Iterable[backend_server.BackendServer],
-        local: bool,
-        reclaimable: bool,
+        self, servers: Sequence[backend_server.BackendServer], local: bool
     ) -> ServerGroup | None:
-        servers = tuple(
-            item
-            for item in able
-            if (item.zone == self._zone) == local
-            and item.reclaimable == reclaimable
-        )
         if not servers:
             return None
         names = frozenset(item.name for item in servers)
         if names not in self._groups:
+            in_zone = servers[0].zone == self._zone
             self._groups[names] = ServerGroup(
-                servers=servers,
+                servers=tuple(servers),
                 names=names,
                 slots=sum(item.slots for item in servers),
                 local=local,
-                reclaimable=reclaimable,
-                sharers=self._sharers[0 if local else 1],
+                in_zone=in_zone,
+                reclaimable=servers[0].reclaimable,
+                sharers=self._sharers[0 if in_zone else 1],
                 own=sum(self._own.get(name, 0) for name in names),
             )
             for name in names:
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -5,9 +5,10 @@
 load reports show room, so that a burst waits in the daemons' queues, where
 tiers and fairness order it, rather than in the engines.
 
-The default way takes the less loaded of two random servers of the first group
-with room, by its own running requests and by reports corrected for what this
-daemon sent since they were measured.
+The default way takes the less loaded of two random servers, by its own running
+requests and by reports corrected for what this daemon sent since they were
+measured. It looks in the preferred group first, and beyond it, up to other
+availability zones, as long as what it found is heavily loaded.
 """
 
 from collections.abc import Iterable
@@ -25,8 +26,12 @@
 from figstream import server_load
 from figstream import server_pool
 
-BORROW_BELOW: Final = 0.75
-SPILL_BELOW: Final = 0.7
+BORROW_BELOW: Final = 0.9
+SPILL_BELOW: Final = 0.9
+_SPILL_TRUST: Final = 0.4
+_DOUBT: Final = 0.25
+_GOOD_LOAD: Final = 0.8
+_OTHER_ZONE_LOAD: Final = 0.1
 _KEPT_FOR_HIGHER_TIERS: Final = 0.1
 _AFFINITY_SLACK: Final = 0.15
 _MOST_LEFT_OUT: Final = 0.5
@@ -80,13 +85,20 @@
     ) -> Choice | None:
         """Returns the server for a request, or None if it has to wait."""
         avoid = self._avoided(request, pool)
+        best, least = None, math.inf
         for group in pool.groups:
             if not self._may_use(request, pool, group):
                 continue
-            choice = self._choose_in(request, group, avoid, now)
-            if choice:
-                return choice
-        return None
+            found = self._choose_in(request, group, avoid, now)
+            if found is None:
+                continue
+            load, choice = found
+            load += 0.0 if group.local else _OTHER_ZONE_LOAD
+            if load < least:
+                best, least = choice, load
+            if least < _GOOD_LOAD:
+                break
+        return best
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
         """Returns how many slots of a pool this daemon may count on."""
@@ -140,30 +152,33 @@
         group: server_pool.ServerGroup,
         avoid: frozenset[str],
         now: float,
-    ) -> Choice | None:
-        ceiling = self._ceiling(group)
-        found = self._probe(group, avoid, ceiling, now)
+    ) -> tuple[float, Choice] | None:
+        found = self._probe(group, avoid, now)
         if found is None:
             return None
         load, server = found
         preferred = self._preferred(request, group, avoid)
         if preferred:
-            wanted = self._load(preferred, group, ceiling, now)
+            wanted = self._load(preferred, group, now)
             if wanted <= load + _AFFINITY_SLACK:
-                return Choice(preferred, "prefix")
-        return Choice(server, "two_choices" if group.local else "other_zone")
+                return wanted, Choice(preferred, "prefix")
+        reason = "two_choices" if group.local else "other_zone"
+        return load, Choice(server, reason)
 
-    def _ceiling(self, group: server_pool.ServerGroup) -> float:
+    def _ceiling(
+        self, server: str, group: server_pool.ServerGroup, now: float
+    ) -> float:
         """Returns the load, as a share of slots, up to which to send."""
+        trust = self._book.trust(server, now)
         if not group.local:
-            return SPILL_BELOW
-        return 1.0 if group.own < group.share else BORROW_BELOW
+            return SPILL_BELOW if trust >= _SPILL_TRUST else 0.0
+        ceiling = 1.0 if group.own < group.share else BORROW_BELOW
+        return ceiling * (1.0 - _DOUBT * (1.0 - trust))
 
     def _probe(
         self,
         group: server_pool.ServerGroup,
         avoid: frozenset[str],
-        ceiling: float,
         now: float,
     ) -> tuple[float, backend_server.BackendServer] | None:
         best: tuple[float, backend_server.BackendServer] | None = None
@@ -172,7 +187,7 @@
                 break
             if server.name in avoid:
                 continue
-            load = self._load(server, group, ceiling, now)
+            load = self._load(server, group, now)
             if load < math.inf and (best is None or load < best[0]):
                 best = (load, server)
         return best
@@ -192,7 +207,6 @@
         self,
         server: backend_server.BackendServer,
         group: server_pool.ServerGroup,
-        ceiling: float,
         now: float,
     ) -> float:
         """Returns the expected load as a share of slots; inf if closed.
@@ -205,7 +219,7 @@
             return math.inf
         estimate = self._book.estimate(server.name, group.sharers, now)
         load = estimate / server.slots
-        if load < ceiling:
+        if load < self._ceiling(server.name, group, now):
             return load
         has_part = group.own < group.share and group.local
         if has_part and state.own < server.slots // group.sharers:
