--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -98,6 +98,7 @@
         than the next request of each class.
       preempted: requests cancelled for a higher tier.
       reasons: refusals by reason.
+      dispatches: times of dispatch by class.
     """
 
     useful: float = 0.0
@@ -106,6 +107,9 @@
     inversions: int = 0
     preempted: int = 0
     reasons: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    dispatches: dict[str, list[float]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
 
 
 @attrs.frozen
@@ -367,6 +371,8 @@
     ) -> None:
         record = self._records[request.request_id]
         record.dispatched_at = self._time.now
+        name = request.request_class.name
+        self._fleet.work.dispatches[name].append(self._time.now)
         left = max(1, record.arrival.output_tokens - record.tokens_done)
         attempt = _Attempt(record, server, self._time.now, left)
         self._attempts[request.request_id] = attempt
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -43,16 +43,14 @@
     longest_gap_s: float
 
 
-def measure(fleet: fleet_lib.Fleet) -> Measures:
-    """Computes the figures of a finished run."""
-    records = fleet.records
-    duration = fleet.setting.duration_s
+def measure(fleets: Sequence[fleet_lib.Fleet]) -> Measures:
+    """Computes the figures of finished runs that differ by seed only."""
+    records = [item for fleet in fleets for item in fleet.records]
+    duration = sum(fleet.setting.duration_s for fleet in fleets)
     good = [item for item in records if item.result == "answered"]
-    work = fleet.work
-    price = sum(
-        item.cost * fleet.engines[item.name].up_s(duration) / 3600.0
-        for item in fleet.setting.servers
-    )
+    useful = sum(fleet.work.useful for fleet in fleets)
+    wasted = sum(fleet.work.wasted for fleet in fleets)
+    price = sum(_price(fleet) for fleet in fleets)
     return Measures(
         attainment={
             item.name: _attainment(records, item.name)
@@ -60,20 +58,29 @@
         },
         goodput=sum(_cost(item) for item in records if _met(item)) / duration,
         answered=len(good) / duration,
-        wasted=work.wasted / max(1e-9, work.wasted + work.useful),
+        wasted=wasted / max(1e-9, wasted + useful),
         worst=min(
-            (_worst(records, item.name) for item in traffic.CLASSES),
+            (_worst(fleets, item.name) for item in traffic.CLASSES),
             default=1.0,
         ),
         cost=1000.0 * price / max(1, len(good)),
-        inversions=work.inversions,
+        inversions=sum(fleet.work.inversions for fleet in fleets),
         longest_gap_s=max(
-            _longest_gap(records, item.name, duration)
+            _longest_gap(fleet, item.name)
             for item in traffic.CLASSES
+            for fleet in fleets
         ),
     )
 
 
+def _price(fleet: fleet_lib.Fleet) -> float:
+    until = fleet.setting.duration_s
+    return sum(
+        item.cost * fleet.engines[item.name].up_s(until) / 3600.0
+        for item in fleet.setting.servers
+    )
+
+
 def _met(record: fleet_lib.Record) -> bool:
     level = record.arrival.stream.request_class.service_level
     if record.result != "answered" or record.first_byte_at is None:
@@ -99,23 +106,24 @@
     )
 
 
-def _worst(records: Sequence[fleet_lib.Record], name: str) -> float:
+def _worst(fleets: Sequence[fleet_lib.Fleet], name: str) -> float:
     """Returns the worst customer's part of its max-min share, by windows."""
-    asked: dict[int, dict[str, float]] = {}
-    given: dict[int, dict[str, float]] = {}
+    asked: dict[tuple[int, int], dict[str, float]] = {}
+    given: dict[tuple[int, int], dict[str, float]] = {}
     counts: collections.Counter[str] = collections.Counter()
-    for record in records:
-        stream = record.arrival.stream
-        if stream.request_class.name != name or stream.crashes:
-            continue
-        window = int(record.arrival.at / _WINDOW_S)
-        who, cost = record.arrival.customer, _cost(record)
-        counts[who] += 1
-        row = asked.setdefault(window, collections.defaultdict(float))
-        row[who] += cost
-        if record.result == "answered":
-            row = given.setdefault(window, collections.defaultdict(float))
+    for number, fleet in enumerate(fleets):
+        for record in fleet.records:
+            stream = record.arrival.stream
+            if stream.request_class.name != name or stream.crashes:
+                continue
+            window = (number, int(record.arrival.at / _WINDOW_S))
+            who, cost = record.arrival.customer, _cost(record)
+            counts[who] += 1
+            row = asked.setdefault(window, collections.defaultdict(float))
             row[who] += cost
+            if record.result == "answered":
+                row = given.setdefault(window, collections.defaultdict(float))
+                row[who] += cost
     fair: dict[str, float] = collections.defaultdict(float)
     got: dict[str, float] = collections.defaultdict(float)
     for window, demand in asked.items():
@@ -144,23 +152,15 @@
     return shares
 
 
-def _longest_gap(
-    records: Sequence[fleet_lib.Record], name: str, duration: float
-) -> float:
-    ours = [
-        item
-        for item in records
+def _longest_gap(fleet: fleet_lib.Fleet, name: str) -> float:
+    arrived = [
+        item.arrival.at
+        for item in fleet.records
         if item.arrival.stream.request_class.name == name
     ]
-    dispatched = sorted(
-        item.dispatched_at for item in ours if item.dispatched_at is not None
-    )
-    if not ours:
+    if not arrived:
         return 0.0
-    first = min(item.arrival.at for item in ours)
-    last = max(item.arrival.at for item in ours)
-    moments = [first, *(t for t in dispatched if first <= t <= last), last]
-    return max(
-        (late - early for early, late in itertools.pairwise(moments)),
-        default=0.0,
-    )
+    first, last = min(arrived), max(arrived)
+    times = fleet.work.dispatches[name]
+    moments = [first, *(t for t in times if first <= t <= last), last]
+    return max(late - early for early, late in itertools.pairwise(moments))
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -20,7 +20,7 @@
 from figstream import scheduler
 from figstream import scheduler_api
 
-_SEED: Final = 11
+_SEEDS: Final = (11, 12, 13)
 _ZONES: Final = ("a", "a", "a", "b", "b", "b")
 _CUSTOMERS: Final = tuple(f"c{number}" for number in range(8))
 _CRASHER: Final = ("crasher",)
@@ -158,8 +158,15 @@
     fleet.time.at(40.0, lambda: fleet.engines["a3"].crash(None))
 
 
+def run_all(
+    scenario: Scenario, factory: SchedulerFactory
+) -> Sequence[fleet_lib.Fleet]:
+    """Runs one scenario once for each seed."""
+    return [run(scenario, factory, seed) for seed in _SEEDS]
+
+
 def run(
-    scenario: Scenario, factory: SchedulerFactory, seed: int = _SEED
+    scenario: Scenario, factory: SchedulerFactory, seed: int
 ) -> fleet_lib.Fleet:
     """Runs one scenario with one version of the scheduler."""
     duration = scenario.setting.duration_s
@@ -217,7 +224,7 @@
             continue
         print(f"\n{scenario.name}\n{header()}")
         found = {
-            name: measures.measure(run(scenario, factory))
+            name: measures.measure(run_all(scenario, factory))
             for name, factory in VERSIONS.items()
         }
         for name, figures in found.items():
--- a/figstream/admission.py
+++ b/figstream/admission.py
@@ -15,7 +15,9 @@
 from figstream import wait_estimate
 from figstream import waiting_queues
 
-_CERTAIN_SHARE: Final = 0.7
+_HOPELESS_SHARE: Final = 0.7
+_LIKELY_SHARE: Final = 1.3
+_GRACE_S: Final = 0.25
 _MIN_RETRY_AFTER_S: Final = 0.1
 
 
@@ -38,8 +40,15 @@
         self._outputs = outputs
 
     def give_up_at(self, request: scheduler_api.PendingRequest) -> float:
-        """Returns when a request that still waits can't meet its deadline."""
-        return request.deadline - _CERTAIN_SHARE * self._service_s(request)
+        """Returns when a request that still waits is likely to come too late.
+
+        Its length is unknown. A request that arrives with little time left
+        gets a moment to find a free slot, unless even that is hopeless.
+        """
+        service_s = self._service_s(request)
+        hopeless_at = request.deadline - _HOPELESS_SHARE * service_s
+        likely_at = request.deadline - _LIKELY_SHARE * service_s
+        return max(likely_at, min(request.arrived + _GRACE_S, hopeless_at))
 
     def refuse_after_s(
         self,
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -127,9 +127,10 @@
             pool = self._index.pool(target, queue.request_class)
             choice = self._selection.choose(request, pool, now)
             if choice:
+                guaranteed = order.due(queue, now)
                 cost = self._queues.remove(queue, request)
                 order.dispatched(queue, queues, now)
-                self._start(queue, request, cost, choice, now)
+                self._start(queue, request, cost, choice, guaranteed, now)
                 return True
         return False
 
@@ -142,7 +143,7 @@
                 queue = self._queues.queue(target, request.request_class)
                 cost = self._outputs.cost(request)
                 choice = server_selection.Choice(server, "alone")
-                self._start(queue, request, cost, choice, now)
+                self._start(queue, request, cost, choice, True, now)
 
     def _start(
         self,
@@ -150,6 +151,7 @@
         request: scheduler_api.PendingRequest,
         cost: float,
         choice: server_selection.Choice,
+        guaranteed: bool,
         now: float,
     ) -> None:
         server = choice.server
@@ -157,7 +159,7 @@
         queue.charge(request.customer, cost)
         self.running.add(
             running_requests.RunningRequest(
-                request, server, queue, tokens, cost, now
+                request, server, queue, tokens, cost, now, guaranteed
             )
         )
         self._book.dispatched(server.name, now)
@@ -175,7 +177,11 @@
             return
         running = list(self.running.of_target(target))
         pending = sum(item.preempted for item in running)
-        wait_s = self._admission.expected_wait_s(queue, len(queue) - 1.0, now)
+        head = queue.head()
+        wait_s = max(
+            self._admission.expected_wait_s(queue, len(queue) - 1.0, now),
+            now - head.arrived if head else 0.0,
+        )
         allowed_s = self._admission.times.allowed_wait_s(queue)
         if pending >= len(queue) or wait_s < _URGENT_SHARE * allowed_s:
             return
--- a/figstream/preemption.py
+++ b/figstream/preemption.py
@@ -1,9 +1,9 @@
 """Cancels running work of a lower tier for a higher one.
 
 Only work that its class declares preemptible and that may be repeated is
-cancelled; streams that the engine can resume are preferred, then those that
-ran for the shortest time. A budget, a share of the dispatches, bounds the
-work that is thrown away.
+cancelled, and nothing that holds its class's guaranteed turn; streams that
+the engine can resume are preferred, then those that ran for the shortest
+time. A budget, a share of the dispatches, bounds the work that is thrown away.
 """
 
 from collections.abc import Iterable
@@ -64,6 +64,7 @@
         and request.request_class.preemptible
         and request.idempotent
         and not item.preempted
+        and not item.guaranteed
         and request.attempt < _MAX_ATTEMPTS
         and item.server.name in pool.names
     )
--- a/figstream/running_requests.py
+++ b/figstream/running_requests.py
@@ -21,6 +21,7 @@
       expected_tokens: prompt and output tokens expected.
       charged: cost charged to its customer.
       started: when it was dispatched.
+      guaranteed: whether it got the guaranteed turn of its class.
       preempted: whether its cancelling was asked for.
     """
 
@@ -30,6 +31,7 @@
     expected_tokens: float
     charged: float
     started: float
+    guaranteed: bool = False
     preempted: bool = False
 
 
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -102,8 +102,15 @@
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
         """Returns how many slots of a pool this daemon may count on."""
-        local = sum(item.share for item in pool.groups if item.local)
-        return float(local or sum(item.share for item in pool.groups))
+        return sum(
+            item.share * self._open_part(item)
+            for item in pool.groups
+            if item.local
+        )
+
+    def _open_part(self, group: server_pool.ServerGroup) -> float:
+        slow = len(self._book.stragglers & group.names)
+        return 1.0 - slow / len(group.servers)
 
     def _avoided(
         self,
--- a/figstream/wait_estimate.py
+++ b/figstream/wait_estimate.py
@@ -18,6 +18,7 @@
 _MIX_SMOOTHING: Final = 0.02
 _MIN_SHARE: Final = 0.02
 _MIN_FIRST_TOKEN_SHARE: Final = 0.5
+_LONG_SERVICE: Final = 2.0
 
 
 @attrs.define
@@ -87,7 +88,8 @@
         level = queue.request_class.service_level
         name = queue.request_class.name
         times = self._times.get((queue.target, name))
-        allowed_s = level.deadline_s - (times.total_s if times else 0.0)
+        service_s = _LONG_SERVICE * times.total_s if times else 0.0
+        allowed_s = level.deadline_s - service_s
         if level.first_token_s:
             least_s = level.first_token_s * _MIN_FIRST_TOKEN_SHARE
             left_s = level.first_token_s - (times.first_byte_s if times else 0)
