Hold leases by conditional update, with a margin and a wait

Cause: orders and reports need one holder at a time, also when it is paused. Proof: a property test over three daemons, pauses, lost, late and slow writes and outages, with a receiver that ignores fencing numbers. It fails when any one of these is taken out: duration from before the send (renewal and take-over), margin, wait after the take-over, watching the version, patience. Bound shown: a pause between check and write as long as the margin is safe.

--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,353 @@
+"""Tests of leases: never orders from two that both believe they hold one."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+import functools
+import itertools
+
+import anyio
+import attrs
+import grpc
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import daemon_context
+from figstream import explain
+from figstream import lease
+from figstream import lease_store
+from figstream import membership_api
+from figstream import metrics
+from figstream import options
+from figstream import platform_api
+from figstream import platform_memory
+from figstream import scheduler
+
+_TIMES = lease.LeaseTimes(duration_s=6.0, order_s=2.0)
+_NAMES = ("x", "y", "z")
+
+
+class _Members:
+    """Members of which each believes that it comes first."""
+
+    def __init__(self, name: str) -> None:
+        self._this = membership_api.Member(name, "a", "r", "", 1)
+
+    def this(self) -> membership_api.Member:
+        return self._this
+
+    def live(self) -> Sequence[membership_api.Member]:
+        return [self._this]
+
+    def ranked(
+        self, role: str, zone: str = ""
+    ) -> Sequence[membership_api.Member]:
+        return [self._this]
+
+    def channel(self, member: membership_api.Member) -> grpc.aio.Channel:
+        raise NotImplementedError
+
+
+@attrs.define
+class _FaultyStore(platform_memory.MemoryObjectStore):
+    """Loses answers, delays writes, and lets others act meanwhile."""
+
+    meanwhile: Callable[[], Awaitable[None]] | None = None
+    late: list[tuple[str, bytes, int]] = attrs.field(factory=list)
+    fates: list[str] = attrs.field(factory=list)
+
+    def __attrs_pre_init__(self) -> None:
+        super().__init__()
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        fate = self.fates.pop() if self.fates else "done"
+        if fate == "late":
+            self.late.append((name, body, expected_version))
+            return platform_api.Unknown("the write is under way")
+        outcome = await super().write(name, body, expected_version)
+        if fate == "slow" and self.meanwhile:
+            await self.meanwhile()
+        return outcome
+
+    async def land_late(self) -> None:
+        for name, body, version in self.late:
+            await super().write(name, body, version)
+        self.late.clear()
+
+
+@attrs.define
+class _World:
+    """Rivals for one lease, and what reaches the receiver of orders."""
+
+    clock: clock_lib.ManualClock = attrs.field(factory=clock_lib.ManualClock)
+    store: _FaultyStore = attrs.field(factory=_FaultyStore)
+    leases: dict[str, lease.HeldLease] = attrs.field(factory=dict)
+    under_way: list[tuple[float, int, str]] = attrs.field(factory=list)
+    arrived: list[tuple[float, int, str]] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        self.leases = {name: self.make(name) for name in _NAMES}
+
+    def make(self, name: str, start_number: int = 1) -> lease.HeldLease:
+        platform = platform_memory.MemoryPlatform(objects=self.store)
+        context = daemon_context.DaemonContext(
+            options.Options(name, "a", "r", "", 0, 0, 0, ""),
+            self.clock,
+            start_number,
+            platform.interfaces(),
+            configuration_holder.ConfigurationHolder(self.clock),
+            scheduler.make_scheduler("a"),
+            explain.DecisionLog(),
+            metrics.make_unexported_metrics(),
+        )
+        return lease.HeldLease("l", "a", context, _Members(name), _TIMES)
+
+    def order(self, name: str, delay_s: float) -> bool:
+        fencing = self.leases[name].fencing()
+        if fencing is None:
+            return False
+        # The check and the write are one step; the answer may take long.
+        self.under_way.append((self.clock.now() + delay_s, fencing, name))
+        return True
+
+    def advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        due = [x for x in self.under_way if x[0] <= self.clock.now()]
+        self.under_way = [x for x in self.under_way if x not in due]
+        self.arrived += sorted(due, key=lambda item: item[0])
+
+    async def seek(self, name: str) -> bool:
+        """Lets one daemon act, the others being paused, until it may send."""
+        for _ in range(200):
+            await self.leases[name].step()
+            if self.leases[name].fencing() is not None:
+                return True
+            self.advance(0.1)
+        return False
+
+    async def take(self, name: str) -> None:
+        assert await self.seek(name)
+
+
+_DELAYS_S = (0.1, _TIMES.order_s, _TIMES.order_s + _TIMES.margin_s)
+_WRITES = ("step", "take", "resign")
+_name = strategies.sampled_from(_NAMES)
+_ACTIONS = strategies.one_of(
+    strategies.tuples(strategies.sampled_from(["step", "take", "take"]), _name),
+    strategies.tuples(strategies.sampled_from(["resign", "restart"]), _name),
+    strategies.tuples(strategies.just("order"), _name),
+    strategies.tuples(strategies.just("order"), _name),
+    strategies.tuples(
+        strategies.just("advance"),
+        strategies.sampled_from([0.1, 1.0, 2.1, 3.6, 7.0]),
+    ),
+    strategies.tuples(
+        strategies.just("fate"), strategies.sampled_from(["late", "slow"])
+    ),
+    strategies.tuples(
+        strategies.just("fault"),
+        strategies.sampled_from(["answer", "request", "down", "up", "land"]),
+    ),
+    strategies.tuples(
+        strategies.sampled_from(["duel", "slow_step", "slow_resign"]),
+        strategies.tuples(
+            strategies.permutations(_NAMES),
+            strategies.floats(0.0, _TIMES.duration_s),
+        ),
+    ),
+)
+
+
+async def _duel(
+    world: _World, kind: str, holder: str, rival: str, wait_s: float
+) -> None:
+    """Lets a rival watch a renewal, then take over as soon as it may."""
+    if any(item._lock.locked() for item in world.leases.values()):
+        return
+    if kind == "duel":
+        await world.leases[holder].step()
+        await world.leases[rival].step()
+        world.advance(wait_s)
+        await _act(world, ("order", holder))
+        await world.seek(rival)
+        await _act(world, ("order", rival))
+        await _act(world, ("order", holder))
+        return
+    usual = world.store.meanwhile
+
+    async def take_over() -> None:
+        world.store.meanwhile = usual
+        await world.seek(rival)
+        await _act(world, ("order", rival))
+        await _act(world, ("order", holder))
+
+    world.store.meanwhile = take_over
+    world.store.fates.append("slow")
+    write = "step" if kind == "slow_step" else "resign"
+    await _act(world, (write, holder))
+    world.store.meanwhile = usual
+    for _ in range(2):
+        await _act(world, ("order", holder))
+        world.advance(_TIMES.order_s)
+
+
+async def _act(world: _World, action: tuple[str, object]) -> None:
+    kind, value = action
+    if kind in _WRITES and world.leases[str(value)]._lock.locked():
+        return  # Its task waits for the answer to a write.
+    faults = world.store.faults
+    match kind, value:
+        case "step", str(name):
+            await world.leases[name].step()
+        case "take", str(name):
+            await world.seek(name)
+        case "resign", str(name):
+            await world.leases[name].hand_over()
+        case "restart", str(name):
+            world.leases[name] = world.make(name, int(world.clock.now()) + 2)
+        case "order", str(name):
+            # Paused for as long as the margin between check and write.
+            for delay_s in _DELAYS_S:
+                world.order(name, delay_s)
+        case _, ((str(holder), str(rival), _), float(wait)):
+            await _duel(world, kind, holder, rival, wait)
+        case "advance", float(seconds):
+            world.advance(seconds)
+        case "fate", str(fate):
+            world.store.fates.append(fate)
+        case "fault", "answer":
+            faults.lose_answers += 1
+        case "fault", "request":
+            faults.lose_requests += 1
+        case "fault", "land":
+            await world.store.land_late()
+        case "fault", state:
+            faults.down = state == "down"
+
+
+async def _play(
+    actions: list[tuple[str, object]], meanwhile: list[tuple[str, object]]
+) -> _World:
+    world = _World()
+    others = iter(meanwhile)
+
+    async def interleave() -> None:
+        # Rivals act between the effect of a write and its answer.
+        for action in itertools.islice(others, 4):
+            await _act(world, action)
+
+    world.store.meanwhile = interleave
+    for action in actions:
+        await _act(world, action)
+    world.advance(60.0)
+    return world
+
+
+@hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+@hypothesis.given(
+    strategies.lists(_ACTIONS, max_size=30),
+    strategies.lists(_ACTIONS, max_size=12),
+)
+def test_orders_of_a_deposed_holder_never_arrive_after_the_next_ones(
+    actions: list[tuple[str, object]], meanwhile: list[tuple[str, object]]
+) -> None:
+    # Fails if `ends_at` counts from the answer, without `margin_s`, or
+    # without `usable_from`. The receiver looks at no fencing number.
+    world = anyio.run(functools.partial(_play, actions, meanwhile))
+    numbers = [fencing for _, fencing, _ in world.arrived]
+    assert numbers == sorted(numbers)
+    assert len({(f, name) for _, f, name in world.arrived}) == len(set(numbers))
+
+
+@pytest.mark.anyio
+async def test_holder_paused_beyond_its_lease_sends_nothing() -> None:
+    # Fails if `fencing` does not look at the clock.
+    world = _World()
+    await world.take("x")
+    assert world.order("x", 0.0)
+    world.advance(3.0)
+    await world.leases["y"].step()
+    await world.take("y")
+    assert world.order("y", 0.0)
+    assert not world.order("x", 0.0)
+    await world.leases["x"].step()
+    assert world.leases["x"].fencing() is None
+    world.advance(1.0)
+    assert [name for _, _, name in world.arrived] == ["x", "y"]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("fault", ["answer", "request", "late"])
+@pytest.mark.parametrize("write", ["take", "renew", "record", "resign"])
+async def test_each_kind_of_write_survives_a_lost_answer(
+    fault: str, write: str
+) -> None:
+    # Fails if a lost answer counts as written, or as not written.
+    world = _World()
+    held = world.leases["x"]
+
+    def lose() -> None:
+        world.store.faults.lose_answers = fault == "answer"
+        world.store.faults.lose_requests = fault == "request"
+        world.store.fates = ["late"] if fault == "late" else []
+
+    if write == "take":
+        lose()
+    await world.take("x")
+    if write == "renew":
+        lose()
+        world.advance(2.0)
+        await held.step()
+    if write == "record":
+        lose()
+        recorded = await held.record("orders")
+        assert recorded == (fault == "answer")
+        await world.store.land_late()
+        await held.step()
+        assert held.state == ("" if fault == "request" else "orders")
+    if write == "resign":
+        lose()
+        await held.hand_over()
+        await world.take("y")
+        assert world.leases["y"].fencing() == 2
+        return
+    await world.store.land_late()
+    for _ in range(3):
+        await held.step()
+        world.advance(1.0)
+    assert held.fencing() is not None
+
+
+@pytest.mark.anyio
+async def test_record_fails_for_a_deposed_holder() -> None:
+    # Fails if `record` writes without the version it knows.
+    world = _World()
+    await world.take("x")
+    assert await world.leases["x"].record("first")
+    deposed = world.leases["x"]
+    world.advance(0.1)
+    await world.leases["y"].step()
+    await world.take("y")
+    assert world.leases["y"].state == "first"
+    assert not await deposed.record("late")
+    deposed._clock = clock_lib.ManualClock()  # A clock that stood still.
+    assert not await deposed.record("late")
+    found = await lease_store.LeaseStore(world.store, "l", "t").read()
+    assert isinstance(found, lease_store.StoredLease)
+    assert found.record.holder == "y"
+    assert found.record.state == "first"
+
+
+@pytest.mark.anyio
+async def test_resigning_holder_sends_nothing_meanwhile() -> None:
+    # Fails if `fencing` does not look at `_resigned`.
+    world = _World()
+    await world.take("x")
+    await _duel(world, "slow_resign", "x", "y", 0.0)
+    world.advance(60.0)
+    assert {name for _, _, name in world.arrived} == {"y"}
