--- a/bench/daemon_processes.py
+++ b/bench/daemon_processes.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import re
+import signal
 import socket
 import subprocess
 import sys
@@ -16,6 +17,9 @@
 
 import attrs
 
+from figstream import configuration_tree
+from figstream import rendezvous
+
 HOST: Final = "127.0.0.1"
 _STOP_S: Final = 10.0
 _TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
@@ -74,14 +78,36 @@
         pids = {process.pid for process in self.processes.values()}
         return _bytes_sent(pids)
 
-    def taken_at(self, generation: int) -> Sequence[float]:
+    def taken_at(self, generation: int) -> Mapping[str, float]:
         """Returns when each daemon took a generation, in Unix time."""
-        logs = (self.directory / f"{item.name}.log" for item in self.daemons)
-        times = (
-            [at for found, at in _read_taken(log) if found >= generation]
-            for log in logs
-        )
-        return [min(found) for found in times if found]
+        times = {
+            item.name: [
+                at
+                for found, at in _read_taken(
+                    self.directory / f"{item.name}.log"
+                )
+                if found >= generation
+            ]
+            for item in self.daemons
+        }
+        return {name: min(found) for name, found in times.items() if found}
+
+    def watchers(self, zone: str) -> Sequence[str]:
+        """Returns the names of the daemons of a zone that watch."""
+        names = [item.name for item in self.daemons if item.zone == zone]
+        ranked = rendezvous.rank(configuration_tree.ROLE, names)
+        return ranked[: configuration_tree.WATCHERS_PER_ZONE]
+
+    @contextlib.contextmanager
+    def pause(self, names: Sequence[str]) -> Iterator[None]:
+        """Stops the processes of some daemons within the block."""
+        for name in names:
+            self.processes[name].send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            for name in names:
+                self.processes[name].send_signal(signal.SIGCONT)
 
 
 def free_ports(count: int) -> Sequence[int]:
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -3,10 +3,11 @@
 It prints how long a change and a withdrawn key take to be in force
 everywhere, and what an idle fleet costs: platform calls, and processor time,
 bytes and memory per daemon, with the slopes over daemons and over the size
-of the configuration.
+of the configuration. Then it prints how long a change takes under faults.
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import pathlib
 import tempfile
 import time
@@ -23,7 +24,9 @@
 from figstream import configuration as configuration_lib
 from figstream import configuration_store
 from figstream import customer as customer_lib
+from figstream import platform_faults
 from figstream import platform_http
+from figstream import serialization
 
 _PLATFORM_TIMEOUT_S: Final = 5.0
 _START_LIMIT_S: Final = 90.0
@@ -34,6 +37,8 @@
 _CHANGES: Final = 5
 _UNAUTHORIZED: Final = 401
 _MEGABYTE: Final = 1e6
+_SLOW_CALL_S: Final = 0.5
+_ZONE: Final = "zone-0"
 
 
 @attrs.frozen
@@ -71,12 +76,25 @@
     resident_mb: float
 
 
+@attrs.frozen
+class Delay:
+    """Seconds until a change was in force everywhere.
+
+    Attributes:
+      from_call_s: from the operator's call.
+      from_acceptance_s: from the answer that it was accepted.
+    """
+
+    from_call_s: float
+    from_acceptance_s: float
+
+
 _SIZES: Final = (
     Size(9, 3, 10, 12),
-    Size(24, 3, 10, 12),
     Size(48, 3, 10, 12),
     Size(9, 3, 700, 920),
 )
+_FAULTY: Final = Size(12, 3, 10, 12)
 
 
 def _configuration(
@@ -116,19 +134,65 @@
         )
         self._http = httpx.AsyncClient(trust_env=False)
         self._generation = 0
+        self._stopped: frozenset[str] = frozenset()
 
     async def run(self) -> Row:
         """Measures everything."""
         first = _configuration(self._size, self._key.record)
-        start_s = await self._change(lambda _: first, _START_LIMIT_S)
+        start = await self._change(lambda _: first, _START_LIMIT_S)
         await anyio.sleep(_SETTLE_S)
-        times = [
+        delays = [
             await self._change(self._reweigh(index + 2.0), _CHANGE_LIMIT_S)
             for index in range(_CHANGES)
         ]
+        change_s = max(item.from_call_s for item in delays)
         withdrawal_s = await self._withdraw()
         await anyio.sleep(1.0)
-        return await self._measure_idle(start_s, max(times), withdrawal_s)
+        return await self._measure_idle(
+            start.from_call_s, change_s, withdrawal_s
+        )
+
+    async def run_with_faults(self) -> None:
+        """Prints how long a change takes under each fault."""
+        first = _configuration(self._size, self._key.record)
+        await self._change(lambda _: first, _START_LIMIT_S)
+        await anyio.sleep(_SETTLE_S)
+        settings = platform_faults.FaultSettings
+        zone = [d.name for d in self._fleet.daemons if d.zone == _ZONE]
+        for name, faults in (
+            ("no fault", settings()),
+            ("each watch skips a change", settings(skip_changes=100)),
+            ("watches fail", settings(watches_fail=True)),
+            ("calls take 0.5 s longer", settings(delay_s=_SLOW_CALL_S)),
+            ("zone cut off from platform", settings(blocked_clients={*zone})),
+        ):
+            await self._set_faults(faults)
+            await self._print_change(name)
+        await self._set_faults(settings())
+        watchers = self._fleet.watchers(_ZONE)
+        with self._fleet.pause(watchers):
+            self._stopped = frozenset(watchers)
+            await self._print_change("both watchers of a zone paused")
+        self._stopped = frozenset()
+        resumed_at = time.time()
+        await self._wait_until(self._is_everywhere, _CHANGE_LIMIT_S)
+        seconds = max(self._taken_at()) - resumed_at
+        print(f"  {'the two after they were resumed':32}{seconds:8.2f}")
+
+    async def _print_change(self, name: str) -> None:
+        change = self._reweigh(time.monotonic())
+        delay = await self._change(change, _CHANGE_LIMIT_S)
+        print(
+            f"  {name:32}{delay.from_call_s:8.2f}"
+            f"{delay.from_acceptance_s:18.2f}"
+        )
+
+    async def _set_faults(self, faults: platform_faults.FaultSettings) -> None:
+        answer = await self._http.put(
+            f"{self._fleet.platform_url}/faults",
+            content=serialization.to_json(faults),
+        )
+        answer.raise_for_status()
 
     def _reweigh(self, weight: float) -> configuration_store.Change:
         def change(
@@ -141,18 +205,22 @@
 
     async def _change(
         self, change: configuration_store.Change, limit_s: float
-    ) -> float:
-        """Returns seconds until the change was in force everywhere."""
+    ) -> Delay:
+        """Returns how long the change took to be in force everywhere."""
         started_at = time.time()
         await self._accept(change)
-        await self._wait_until(
-            lambda: (
-                len(self._fleet.taken_at(self._generation))
-                == self._size.daemons
-            ),
-            limit_s,
-        )
-        return max(self._fleet.taken_at(self._generation)) - started_at
+        accepted_at = time.time()
+        await self._wait_until(self._is_everywhere, limit_s)
+        last = max(self._taken_at())
+        return Delay(last - started_at, last - accepted_at)
+
+    def _is_everywhere(self) -> bool:
+        running = self._size.daemons - len(self._stopped)
+        return len(self._taken_at()) == running
+
+    def _taken_at(self) -> Sequence[float]:
+        found = self._fleet.taken_at(self._generation)
+        return [at for name, at in found.items() if name not in self._stopped]
 
     async def _accept(self, change: configuration_store.Change) -> None:
         with anyio.fail_after(_START_LIMIT_S):
@@ -246,6 +314,13 @@
         return await FleetMeasurement(fleet, size).run()
 
 
+async def _measure_faults(directory: pathlib.Path, size: Size) -> None:
+    with daemon_processes.run_fleet(
+        directory, size.daemons, size.zones
+    ) as fleet:
+        await FleetMeasurement(fleet, size).run_with_faults()
+
+
 def _print_row(row: Row) -> None:
     size = row.size
     print(
@@ -281,4 +356,10 @@
             directory = pathlib.Path(name) / str(index)
             rows.append(anyio.run(_measure, directory, size))
             _print_row(rows[-1])
-    _print_slopes(rows[0], rows[2])
+        _print_slopes(rows[0], rows[1])
+        print(
+            "seconds until a change is\n  in force, 12 daemons"
+            "             from call   from acceptance"
+        )
+        faulty = pathlib.Path(name) / "faults"
+        anyio.run(_measure_faults, faulty, _FAULTY)
--- a/figstream/platform_faults.py
+++ b/figstream/platform_faults.py
@@ -53,7 +53,8 @@
         effect nor get an answer.
       watches_fail: whether watches end without an answer.
       watches_report_gap: whether watches say that changes may be missing.
-      skip_changes: how many of the next watch answers leave out every change.
+      skip_changes: how many of the next changes watches miss; a watch that
+        misses one goes on waiting.
       fencing_ignored: whether orders with an old fencing number are taken.
       vms_frozen: whether the list of VMs stays as it was last answered.
     """
@@ -118,23 +119,34 @@
     async def watch(
         self,
         client: str,
+        position: int,
         call: Callable[
-            [], Awaitable[platform_api.Changes | platform_api.Unavailable]
+            [int], Awaitable[platform_api.Changes | platform_api.Unavailable]
         ],
     ) -> platform_api.Changes | platform_api.Unavailable:
-        """Makes a watch, whose answer may be missing or leave changes out."""
+        """Makes a watch, which may break or miss changes.
+
+        Args:
+          client: name of the daemon that watches.
+          position: position to watch from.
+          call: watches from a position.
+        """
         if self.faults.watches_fail:
             self.calls[CallKind.WATCH] += 1
             return platform_api.Unavailable("the watch broke")
-        found = await self.read(CallKind.WATCH, client, call)
-        if not isinstance(found, platform_api.Changes):
+        found = await self.read(CallKind.WATCH, client, lambda: call(position))
+        while isinstance(found, platform_api.Changes) and self._skips(found):
+            found = await call(found.position)
+        if isinstance(found, platform_api.Unavailable):
             return found
-        names = found.names
-        if names and self.faults.skip_changes > 0:
-            self.faults.skip_changes -= 1
-            names = ()
         gap = found.gap or self.faults.watches_report_gap
-        return platform_api.Changes(names, found.position, gap)
+        return platform_api.Changes(found.names, found.position, gap)
+
+    def _skips(self, found: platform_api.Changes) -> bool:
+        if not found.names or self.faults.skip_changes <= 0:
+            return False
+        self.faults.skip_changes -= 1
+        return True
 
     async def _admit(
         self, kind: CallKind, client: str
--- a/figstream/platform_gated.py
+++ b/figstream/platform_gated.py
@@ -69,7 +69,10 @@
         """Waits for changes after the position; counts as one call."""
         return await self._gate.watch(
             self._client,
-            lambda: self._platform.objects.watch(prefix, position, timeout_s),
+            position,
+            lambda start: self._platform.objects.watch(
+                prefix, start, timeout_s
+            ),
         )
 
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -149,7 +149,7 @@
         assert absent == platform_api.Absent("x")
         written = await client.objects.write("x", b"1", 0)
         assert isinstance(written, platform_api.Written)
-        skipped = await client.objects.watch("", 0, 1.0)
+        skipped = await client.objects.watch("", 0, 0.05)
         assert skipped == platform_api.Changes((), 1)
         vm = platform_api.VirtualMachine("entry-1", "127.0.0.1", "a")
         vms = serialization.to_json(platform_wire.VmsBody((vm,)))
