Hand usage deltas over, with a copy in another zone

A delta stays with its daemon and a keeper in another availability zone until a sealed window holds it; the keeper hands on what a dead daemon left.

--- /dev/null
+++ b/figstream/usage_copying.py
@@ -0,0 +1,96 @@
+"""Sends copies of this daemon's usage deltas to a daemon in another zone."""
+
+import itertools
+from typing import Final
+
+import grpc
+
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+from figstream import usage_codec
+from figstream import usage_ledger
+from figstream.rpc import usage_pb2
+from figstream.rpc import usage_pb2_grpc
+
+CALL_TIMEOUT_S: Final = 2.0
+_COPY_ROLE: Final = "usage-copy/"
+
+
+class CopySender:
+    """Keeps one other daemon in step with the ledger's deltas."""
+
+    def __init__(
+        self,
+        ledger: usage_ledger.Ledger,
+        members: membership_api.Members,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Starts with no keeper of copies."""
+        self._ledger = ledger
+        self._members = members
+        self._metrics = metrics
+        self._keeper: membership_api.Member | None = None
+        self._copied: set[int] = set()
+
+    @property
+    def copied(self) -> frozenset[int]:
+        """Returns the sequence numbers that the keeper is known to hold."""
+        return frozenset(self._copied)
+
+    async def send(self) -> None:
+        """Sends what the keeper lacks and names what it may drop."""
+        keeper = self._choose_keeper()
+        if _run_of(keeper) != _run_of(self._keeper):
+            await self._release_keeper()
+            self._keeper = keeper
+        outstanding = {
+            delta.delta_id.sequence: delta for delta in self._ledger.outstanding
+        }
+        if keeper is None or set(outstanding) == self._copied:
+            return
+        fresh = [
+            delta
+            for sequence, delta in outstanding.items()
+            if sequence not in self._copied
+        ]
+        request = usage_pb2.KeepCopiesRequest(
+            run=usage_codec.encode_run(self._ledger.run),
+            deltas=map(usage_codec.encode_delta, fresh),
+            kept=outstanding,
+        )
+        answer = await self._keep_copies(keeper, request)
+        self._copied = set(answer.kept) if answer else set()
+
+    async def _release_keeper(self) -> None:
+        if self._keeper and self._copied:
+            request = usage_pb2.KeepCopiesRequest(
+                run=usage_codec.encode_run(self._ledger.run)
+            )
+            await self._keep_copies(self._keeper, request)
+        self._copied = set()
+
+    async def _keep_copies(
+        self,
+        keeper: membership_api.Member,
+        request: usage_pb2.KeepCopiesRequest,
+    ) -> usage_pb2.KeepCopiesAnswer | None:
+        stub = usage_pb2_grpc.UsageHandoverStub(self._members.channel(keeper))
+        try:
+            answer: usage_pb2.KeepCopiesAnswer = await stub.KeepCopies(
+                request, timeout=CALL_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            self._metrics.event("usage_copy_failed")
+            return None
+        return answer
+
+    def _choose_keeper(self) -> membership_api.Member | None:
+        this = self._members.this()
+        ranked = self._members.ranked(_COPY_ROLE + this.name)
+        others = [item for item in ranked if item.name != this.name]
+        elsewhere = (item for item in others if item.zone != this.zone)
+        return next(itertools.chain(elsewhere, others), None)
+
+
+def _run_of(member: membership_api.Member | None) -> tuple[str, int] | None:
+    return (member.name, member.start_number) if member else None
--- /dev/null
+++ b/figstream/usage_delivery.py
@@ -0,0 +1,190 @@
+"""Delivers usage deltas to the daemon that seals windows.
+
+A delta is sent once to each sealing daemon and again only when that one says
+that it lost its draft. Deltas of dead daemons whose copies are kept here are
+delivered alike.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+from typing import Final
+
+import grpc
+
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+from figstream import usage_codec
+from figstream import usage_copies
+from figstream import usage_copying
+from figstream import usage_delta
+from figstream import usage_ledger
+from figstream.rpc import usage_pb2
+from figstream.rpc import usage_pb2_grpc
+
+ROLE: Final = "usage"
+_PROBES: Final = 4
+_ROWS_PER_CALL: Final = 50_000
+
+LocalAnswer = Callable[[usage_pb2.DeliverRequest], usage_pb2.DeliverAnswer]
+
+
+class Delivery:
+    """Brings deltas to the sealing daemon until windows hold them."""
+
+    def __init__(
+        self,
+        ledger: usage_ledger.Ledger,
+        copies: usage_copies.UsageCopies,
+        members: membership_api.Members,
+        metrics: metrics_lib.Metrics,
+        answer_here: LocalAnswer,
+    ) -> None:
+        """Starts without knowing the sealing daemon.
+
+        Args:
+          ledger: deltas of this daemon.
+          copies: copies of other daemons' deltas.
+          members: live daemons.
+          metrics: instruments.
+          answer_here: answers as this daemon's own sealing role.
+        """
+        self._ledger = ledger
+        self._copies = copies
+        self._members = members
+        self._metrics = metrics
+        self._answer_here = answer_here
+        self._sealer = ""
+        self._epoch = ""
+        self._held: set[usage_delta.DeltaId] = set()
+        self._probe_from = 0
+
+    async def deliver(self) -> None:
+        """Sends what the sealing daemon lacks and asks what is counted."""
+        tried: set[usage_delta.DeltaId] = set()
+        while self._ledger.outstanding or self._copies.runs:
+            batch = self._batch(tried)
+            if tried and not batch:
+                return
+            ids = {usage_codec.decode_id(delta) for delta in batch}
+            tried |= ids
+            answer = await self._send(self._request(batch))
+            if answer is None:
+                self._metrics.event("usage_no_sealing_daemon")
+                return
+            if answer.epoch != self._epoch:
+                self._epoch = answer.epoch
+                self._held.clear()
+                tried = ids
+            self._settle(answer)
+            if not batch and not self._batch(tried):
+                return
+
+    def _request(
+        self, batch: Sequence[usage_pb2.Delta]
+    ) -> usage_pb2.DeliverRequest:
+        runs = dict.fromkeys((self._ledger.run, *self._copies.runs))
+        return usage_pb2.DeliverRequest(
+            deltas=batch, runs=map(usage_codec.encode_run, runs)
+        )
+
+    def _batch(
+        self, tried: set[usage_delta.DeltaId]
+    ) -> Sequence[usage_pb2.Delta]:
+        done = self._held | tried
+        own = (
+            usage_codec.encode_delta(delta)
+            for delta in self._ledger.outstanding
+            if delta.delta_id not in done
+        )
+        orphans = (
+            delta
+            for delta in self._copies.orphans(self._live_runs())
+            if usage_codec.decode_id(delta) not in done
+        )
+        return _first_rows(itertools.chain(own, orphans))
+
+    def _live_runs(self) -> frozenset[usage_delta.RunId]:
+        return frozenset(
+            usage_delta.RunId(item.name, item.start_number)
+            for item in self._members.live()
+        )
+
+    async def _send(
+        self, request: usage_pb2.DeliverRequest
+    ) -> usage_pb2.DeliverAnswer | None:
+        answer = self._answer_here(request)
+        if answer.epoch:
+            return answer
+        sealer = await self._find_sealer()
+        if sealer is None:
+            return None
+        remote = await self._call(sealer, request)
+        if remote is None or not remote.epoch:
+            self._sealer = ""
+            return None
+        return remote
+
+    async def _find_sealer(self) -> membership_api.Member | None:
+        this = self._members.this().name
+        others = [
+            item for item in self._members.ranked(ROLE) if item.name != this
+        ]
+        known = [item for item in others if item.name == self._sealer]
+        if known:
+            return known[0]
+        from_here = itertools.islice(
+            itertools.cycle(others), self._probe_from, None
+        )
+        for member in itertools.islice(from_here, min(_PROBES, len(others))):
+            answer = await self._call(member, usage_pb2.DeliverRequest())
+            if answer and answer.epoch:
+                self._sealer = member.name
+                self._probe_from = 0
+                return member
+        self._probe_from = (self._probe_from + _PROBES) % max(len(others), 1)
+        return None
+
+    async def _call(
+        self,
+        member: membership_api.Member,
+        request: usage_pb2.DeliverRequest,
+    ) -> usage_pb2.DeliverAnswer | None:
+        stub = usage_pb2_grpc.UsageHandoverStub(self._members.channel(member))
+        try:
+            answer: usage_pb2.DeliverAnswer = await stub.Deliver(
+                request, timeout=usage_copying.CALL_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return answer
+
+    def _settle(self, answer: usage_pb2.DeliverAnswer) -> None:
+        self._held.update(map(usage_codec.decode_id, answer.held))
+        for counted in answer.counted:
+            run = usage_codec.decode_run(counted.run)
+            spans = usage_codec.decode_spans(counted)
+            if run == self._ledger.run:
+                self._ledger.acknowledge(spans, answer.floor_ms)
+            self._copies.acknowledge(run, spans)
+        self._copies.expire(answer.floor_ms)
+        present = {delta.delta_id for delta in self._ledger.outstanding}
+        kept = set(self._copies.runs)
+        self._held = {
+            item for item in self._held if item in present or item.run in kept
+        }
+
+
+def _first_rows(
+    deltas: Iterable[usage_pb2.Delta],
+) -> Sequence[usage_pb2.Delta]:
+    """Returns the first deltas that together have a bounded size."""
+    rows = 0
+    taken: list[usage_pb2.Delta] = []
+    for delta in deltas:
+        rows += len(delta.rows)
+        if taken and rows > _ROWS_PER_CALL:
+            break
+        taken.append(delta)
+    return taken
--- /dev/null
+++ b/figstream/usage_handover.py
@@ -0,0 +1,159 @@
+"""Hands usage deltas to the sealing daemon, with a copy in another zone.
+
+A delta is kept by its own daemon and by a second one in another availability
+zone until a sealed window is known to hold it. The keeper of the copy hands
+it on when the daemon that counted it is no longer live. A delta that arrives
+twice is counted once, by its identity.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+import grpc
+
+from figstream import clock as clock_lib
+from figstream import daemon_context
+from figstream import logs
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+from figstream import usage_codec
+from figstream import usage_copies
+from figstream import usage_copying
+from figstream import usage_delivery
+from figstream import usage_delta
+from figstream import usage_ledger
+from figstream import usage_sealing
+from figstream.rpc import usage_pb2
+from figstream.rpc import usage_pb2_grpc
+
+_LAST_TRIES: Final = 5
+_LAST_PAUSE_S: Final = 0.5
+
+
+class _Servicer(usage_pb2_grpc.UsageHandoverServicer):
+    def __init__(self, handover: "UsageHandover") -> None:
+        self._handover = handover
+
+    async def Deliver(  # noqa: N802
+        self,
+        request: usage_pb2.DeliverRequest,
+        context: object,
+    ) -> usage_pb2.DeliverAnswer:
+        return self._handover.answer_delivery(request)
+
+    async def KeepCopies(  # noqa: N802
+        self,
+        request: usage_pb2.KeepCopiesRequest,
+        context: object,
+    ) -> usage_pb2.KeepCopiesAnswer:
+        return self._handover.answer_copies(request)
+
+
+class UsageHandover:
+    """Moves deltas between daemons; satisfies `daemon_context.RpcRole`."""
+
+    def __init__(
+        self,
+        ledger: usage_ledger.Ledger,
+        sealing: usage_sealing.UsageSealing,
+        members: membership_api.Members,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+        interval_s: float,
+    ) -> None:
+        """Starts with nothing handed over."""
+        self._ledger = ledger
+        self._sealing = sealing
+        self._clock = clock
+        self._metrics = metrics
+        self._interval_s = interval_s
+        self._copies = usage_copies.UsageCopies()
+        self._copying = usage_copying.CopySender(ledger, members, metrics)
+        self._delivery = usage_delivery.Delivery(
+            ledger, self._copies, members, metrics, self.answer_delivery
+        )
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Adds the service to the peer server."""
+        usage_pb2_grpc.add_UsageHandoverServicer_to_server(
+            _Servicer(self), server
+        )
+
+    async def run(self) -> None:
+        """Exchanges deltas until cancelled."""
+        while True:
+            await self._clock.sleep(self._interval_s)
+            await self.exchange()
+
+    async def hand_over(self) -> None:
+        """Gives every delta away before the daemon exits."""
+        self._ledger.cut()
+        for _ in range(_LAST_TRIES):
+            await self.exchange()
+            if not self._kept_here_only():
+                return
+            await self._clock.sleep(_LAST_PAUSE_S)
+        lost = len(self._kept_here_only())
+        self._metrics.event("usage_not_handed_over", lost)
+        logs.error("usage_not_handed_over", deltas=lost)
+
+    async def exchange(self) -> None:
+        """Cuts a delta if due, copies it, and delivers what is not counted."""
+        self._ledger.cut_if_due()
+        await self._copying.send()
+        await self._delivery.deliver()
+
+    def answer_delivery(
+        self, request: usage_pb2.DeliverRequest
+    ) -> usage_pb2.DeliverAnswer:
+        """Takes deltas into the draft and tells what is counted."""
+        epoch = self._sealing.epoch
+        if not epoch:
+            return usage_pb2.DeliverAnswer()
+        held = [
+            usage_codec.encode_id(delta.delta_id)
+            for delta in map(usage_codec.decode_delta, request.deltas)
+            if self._sealing.take(delta) is usage_sealing.DeltaStatus.HELD
+        ]
+        counted = [
+            usage_codec.encode_counted(run, self._sealing.counted(run))
+            for run in map(usage_codec.decode_run, request.runs)
+        ]
+        return usage_pb2.DeliverAnswer(
+            epoch=epoch,
+            floor_ms=self._sealing.floor_ms,
+            counted=counted,
+            held=held,
+        )
+
+    def answer_copies(
+        self, request: usage_pb2.KeepCopiesRequest
+    ) -> usage_pb2.KeepCopiesAnswer:
+        """Keeps copies for another daemon."""
+        run = usage_codec.decode_run(request.run)
+        kept = self._copies.keep(run, request.deltas, request.kept)
+        return usage_pb2.KeepCopiesAnswer(kept=kept)
+
+    def _kept_here_only(self) -> Sequence[usage_delta.DeltaId]:
+        return [
+            delta.delta_id
+            for delta in self._ledger.outstanding
+            if delta.delta_id.sequence not in self._copying.copied
+        ]
+
+
+def make_usage_handover(
+    context: daemon_context.DaemonContext,
+    ledger: usage_ledger.Ledger,
+    sealing: usage_sealing.UsageSealing,
+    members: membership_api.Members,
+) -> UsageHandover:
+    """Creates the role that hands usage to the sealing daemon."""
+    return UsageHandover(
+        ledger,
+        sealing,
+        members,
+        context.clock,
+        context.metrics,
+        usage_ledger.delta_interval_s(context.options.window_s),
+    )
--- a/figstream/usage_window.py
+++ b/figstream/usage_window.py
@@ -20,7 +20,7 @@
 from figstream import usage_delta
 
 MAX_WINDOW_BYTES: Final = 900_000
-_FIGURE_BYTES: Final = 170
+_SUM_GROWTH_BYTES: Final = 50
 _RUN_BYTES: Final = 120
 _SPAN_BYTES: Final = 60
 
@@ -189,17 +189,18 @@
     def _growth(
         self, delta: usage_delta.UsageDelta, keys: Iterable[_FigureKey]
     ) -> int:
-        names = [
-            customer + request_class
-            for carried, customer, request_class in keys
-            if (carried, customer, request_class) not in self._figures
-        ]
-        run = delta.delta_id.run
-        run_bytes = 0
-        if run not in self._sequences:
-            run_bytes = _RUN_BYTES + len(run.daemon)
-        figure_bytes = sum(_FIGURE_BYTES + len(name.encode()) for name in names)
-        return figure_bytes + run_bytes + _SPAN_BYTES
+        pairs = zip(keys, delta.items, strict=True)
+        fresh = (item for key, item in pairs if key not in self._figures)
+        record_bytes = self._record_growth(delta.delta_id)
+        return sum(map(_figure_bytes, fresh)) + record_bytes
+
+    def _record_growth(self, delta_id: usage_delta.DeltaId) -> int:
+        sequences = self._sequences.get(delta_id.run)
+        if sequences is None:
+            return _RUN_BYTES + len(delta_id.run.daemon) + _SPAN_BYTES
+        number = delta_id.sequence
+        joins = number - 1 in sequences or number + 1 in sequences
+        return 0 if joins else _SPAN_BYTES
 
     def _sorted(self, *, carried: bool) -> list[usage_api.UsageItem]:
         return [
@@ -209,6 +210,12 @@
         ]
 
 
+def _figure_bytes(item: usage_api.UsageItem) -> int:
+    """Returns the most that a figure takes, encoded within an object."""
+    encoded = serialization.to_json(item).decode()
+    return len(serialization.to_json(encoded)) + _SUM_GROWTH_BYTES
+
+
 def window_name(start_ms: int, end_ms: int) -> str:
     """Returns the name that a window is reported under."""
     return f"{start_ms}-{end_ms}"
--- a/tests/test_usage_sealing.py
+++ b/tests/test_usage_sealing.py
@@ -19,6 +19,7 @@
 
 from figstream import clock as clock_lib
 from figstream import metrics
+from figstream import platform_api
 from figstream import platform_memory
 from figstream import serialization
 from figstream import usage_api
@@ -258,6 +259,31 @@
     world.heal_and_check()
 
 
+def test_window_object_stays_under_a_megabyte() -> None:
+    """Fails if `WindowDraft.add` doesn't compare with its bound."""
+    draft = usage_window.WindowDraft(0, 60_000)
+    run = usage_delta.RunId("entry-1", 7)
+    planned = [
+        (f"customer-{number:03d}", f"class-{tier}")
+        for number, tier in itertools.product(range(700), range(5))
+    ]
+    odd = [(f'customer "{number}" \u00e9', "chat") for number in range(5000)]
+    deltas = [
+        usage_delta.UsageDelta(
+            usage_delta.DeltaId(run, sequence),
+            0,
+            (usage_api.UsageItem(*names, 10**6, 10**12, 10**12),),
+        )
+        for sequence, names in enumerate((*planned, *odd))
+    ]
+    record_bytes = 60_000
+    added = [draft.add(delta, record_bytes) for delta in deltas]
+    assert all(added[: len(planned)])
+    first = usage_window.StoredWindow(0, 0, 0)
+    body = serialization.to_json(usage_window.seal(first, draft, 1, "id"))
+    assert len(body) <= platform_api.MAX_OBJECT_BYTES - record_bytes
+
+
 class _Holder:
     """A holder whose step is run a few platform calls at a time."""
 
