Keep a decision's cost flat: retry only targets whose servers changed

Cause: each end of a request and each load report had all targets tried again, with all classes and server groups; the customer furthest over its share was looked for by a scan, also when nothing had to be shed. Change: an end unblocks the targets of its server, a report none; classes with the same candidates are not tried twice; a lazily corrected heap of claims; fewer probes in other zones.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -47,6 +47,7 @@
     setting: fleet_lib.Setting
     streams: Sequence[traffic.Stream]
     top_tier_fits: bool = True
+    make_blame: Callable[[], blame_api.BlameTable] | None = None
 
 
 def naive_random(zone: str, seed: int) -> scheduler_api.Scheduler:
@@ -172,15 +173,12 @@
     duration = scenario.setting.duration_s
     arrivals = traffic.arrivals(scenario.streams, duration, seed)
     fleet = fleet_lib.Fleet(
-        scenario.setting, arrivals, factory, make_blame, seed
+        scenario.setting, arrivals, factory, scenario.make_blame, seed
     )
     fleet.run()
     return fleet
 
 
-make_blame: Callable[[], blame_api.BlameTable] | None = None
-
-
 def row(name: str, found: measures.Measures) -> str:
     """Formats one row of a table."""
     attained = " ".join(f"{item:7.3f}" for item in found.attainment.values())
--- a/figstream/class_queue.py
+++ b/figstream/class_queue.py
@@ -7,6 +7,8 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+import heapq
+from typing import Final
 
 import attrs
 
@@ -15,6 +17,9 @@
 from figstream import request_target
 from figstream import scheduler_api
 
+_CLAIMS_PER_LINE: Final = 4
+_MIN_CLAIMS: Final = 64
+
 _Requests = collections.OrderedDict[str, scheduler_api.PendingRequest]
 
 
@@ -43,6 +48,7 @@
         self._weight_of = weight_of
         self._lines: dict[str, _Line] = {}
         self._costs: dict[str, float] = {}
+        self._claims: list[tuple[float, str]] = []
         self._count = 0
         self._active_weight = 0.0
 
@@ -71,6 +77,7 @@
         line.cost += cost
         self._costs[request.request_id] = cost
         self._count += 1
+        self._note_claim(name)
 
     def head(self) -> scheduler_api.PendingRequest | None:
         """Returns the request that is served next."""
@@ -96,6 +103,8 @@
     def charge(self, customer: str, cost: float) -> None:
         """Charges a customer; negative to give back."""
         self.shares.charge(customer, cost / self._weight_of(customer))
+        if cost > 0 and customer in self._lines:
+            self._note_claim(customer)
 
     def ahead_of_newest(self, customer: str) -> float:
         """Returns how many requests go before the customer's newest one.
@@ -109,10 +118,24 @@
 
     def furthest_over(self) -> scheduler_api.PendingRequest | None:
         """Returns the newest request of the customer most over its share."""
-        if not self._lines:
-            return None
-        name = max(self._lines, key=self._claimed)
-        return next(reversed(self._lines[name].requests.values()))
+        while self._claims:
+            noted, name = self._claims[0]
+            if name not in self._lines:
+                heapq.heappop(self._claims)
+                continue
+            claim = -self._claimed(name)
+            if claim <= noted:
+                return next(reversed(self._lines[name].requests.values()))
+            heapq.heapreplace(self._claims, (claim, name))
+        return None
+
+    def _note_claim(self, name: str) -> None:
+        """Keeps a heap of claims; those that sank are corrected when read."""
+        heapq.heappush(self._claims, (-self._claimed(name), name))
+        most = _CLAIMS_PER_LINE * len(self._lines) + _MIN_CLAIMS
+        if len(self._claims) > most:
+            self._claims = [(-self._claimed(who), who) for who in self._lines]
+            heapq.heapify(self._claims)
 
     def _claimed(self, name: str) -> float:
         line = self._lines[name]
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -12,6 +12,7 @@
 import attrs
 
 from figstream import admission
+from figstream import backend_server
 from figstream import class_queue
 from figstream import cost_estimate
 from figstream import dispatch_order
@@ -26,7 +27,7 @@
 from figstream import server_selection
 from figstream import waiting_queues
 
-_BLOCKED_S: Final = 0.05
+_BLOCKED_S: Final = 0.1
 _URGENT_SHARE: Final = 0.5
 _LONG_AGO: Final = -1e9
 
@@ -75,14 +76,21 @@
         for state in self._targets.values():
             state.order.set_live_daemons(in_zone)
 
-    def unblock(self, target: request_target.Target | None = None) -> None:
-        """Tries one target, or all, again at the next dispatch."""
-        if target is not None:
-            self._state(target).blocked_until = _LONG_AGO
-            return
+    def unblock_all(self) -> None:
+        """Tries every target again at the next dispatch."""
         for state in self._targets.values():
             state.blocked_until = _LONG_AGO
 
+    def unblock_target(self, target: request_target.Target) -> None:
+        """Tries a target again at the next dispatch."""
+        self._state(target).blocked_until = _LONG_AGO
+
+    def unblock_server(self, server: backend_server.BackendServer) -> None:
+        """Tries the targets of a backend server again."""
+        for target, state in self._targets.items():
+            if target.served_by(server):
+                state.blocked_until = _LONG_AGO
+
     def dispatch(self, now: float) -> None:
         """Dispatches whatever finds a backend server."""
         self._dispatch_lone(now)
@@ -120,11 +128,15 @@
     def _dispatch_one(self, target: request_target.Target, now: float) -> bool:
         queues = self._queues.of_target(target)
         order = self._state(target).order
+        full: set[tuple[frozenset[str], bool]] = set()
         for queue in order.ranked(queues, now):
             request = queue.head()
             if request is None:
                 continue
             pool = self._index.pool(target, queue.request_class)
+            urgent = queue.request_class.service_level.first_token_s > 0.0
+            if (pool.names, urgent) in full:
+                continue
             choice = self._selection.choose(request, pool, now)
             if choice:
                 guaranteed = order.due(queue, now)
@@ -132,6 +144,8 @@
                 order.dispatched(queue, queues, now)
                 self._start(queue, request, cost, choice, guaranteed, now)
                 return True
+            if not queue.request_class.preemptible and not request.tried:
+                full.add((pool.names, urgent))
         return False
 
     def _dispatch_lone(self, now: float) -> None:
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -87,7 +87,7 @@
         self._index.set_configuration(configuration)
         self._limits.set_customers(configuration.customers, self._now)
         self._book.forget_except(frozenset(configuration.servers_by_name))
-        self._dispatcher.unblock()
+        self._dispatcher.unblock_all()
 
     def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
         """Takes note of how many daemons share servers and limits."""
@@ -99,7 +99,7 @@
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Takes note of servers that the platform is taking back."""
         if self._index.set_leaving(servers):
-            self._dispatcher.unblock()
+            self._dispatcher.unblock_all()
 
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
@@ -122,7 +122,8 @@
         if refusal:
             self._release(request)
             return refusal
-        self._dispatcher.unblock(target)
+        if self._queues.is_first(request, target):
+            self._dispatcher.unblock_target(target)
         return None
 
     def poll(self, now: float) -> Iterable[scheduler_api.Decision]:
@@ -174,12 +175,11 @@
         self._settle(item, report)
         if report.result is _Result.ANSWERED:
             self._learn(item, report, now)
-        self._dispatcher.unblock()
+        self._dispatcher.unblock_server(server)
 
     def report_load(self, load: scheduler_api.ServerLoad) -> None:
         """Takes note of a load report."""
         self._book.report(load)
-        self._dispatcher.unblock()
 
     def _weight(self, customer: str) -> float:
         known = self._configuration.customers_by_name.get(customer)
--- a/figstream/server_pool.py
+++ b/figstream/server_pool.py
@@ -76,6 +76,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._sharers = (1, 1)
         self._pools: dict[tuple[request_target.Target, str], ServerPool] = {}
+        self._names: dict[frozenset[str], frozenset[str]] = {}
         self._groups: dict[frozenset[str], ServerGroup] = {}
         self._groups_of: dict[str, list[ServerGroup]] = {}
         self._own: dict[str, int] = {}
@@ -141,6 +142,7 @@
     def _clear(self) -> None:
         self._overlaps.clear()
         self._pools.clear()
+        self._names.clear()
         self._groups.clear()
         self._groups_of.clear()
 
@@ -172,6 +174,7 @@
             for reclaimable in (cheap_first, not cheap_first)
         )
         names = frozenset(item.name for item in able)
+        names = self._names.setdefault(names, names)
         return ServerPool(tuple(item for item in groups if item), names)
 
     def _group(
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -12,7 +12,6 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Sequence
 import math
 import random
 from typing import Final
@@ -37,7 +36,7 @@
 _MOST_LEFT_OUT: Final = 0.5
 _SCAN_LIMIT: Final = 8
 _PROBES: Final = 2
-_MORE_PROBES: Final = 6
+_MORE_PROBES: Final = 4
 
 
 @attrs.frozen
@@ -189,7 +188,7 @@
         now: float,
     ) -> tuple[float, backend_server.BackendServer] | None:
         best: tuple[float, backend_server.BackendServer] | None = None
-        for seen, server in enumerate(self._candidates(group.servers)):
+        for seen, server in enumerate(self._candidates(group)):
             if best and seen >= _PROBES:
                 break
             if server.name in avoid:
@@ -200,15 +199,15 @@
         return best
 
     def _candidates(
-        self, servers: Sequence[backend_server.BackendServer]
+        self, group: server_pool.ServerGroup
     ) -> Iterable[backend_server.BackendServer]:
+        servers = group.servers
         if len(servers) <= _SCAN_LIMIT:
             return self._random.sample(servers, len(servers))
         draw = self._random.random
         count = len(servers)
-        return (
-            servers[int(draw() * count)] for _ in range(_PROBES + _MORE_PROBES)
-        )
+        probes = _PROBES + (_MORE_PROBES if group.local else 0)
+        return (servers[int(draw() * count)] for _ in range(probes))
 
     def _load(
         self,
--- a/figstream/waiting_queues.py
+++ b/figstream/waiting_queues.py
@@ -92,6 +92,14 @@
             del self._waiting[queue.target]
         return cost
 
+    def is_first(
+        self,
+        request: scheduler_api.PendingRequest,
+        target: request_target.Target,
+    ) -> bool:
+        """Returns whether a request waits alone in its queue."""
+        return len(self.queue(target, request.request_class)) == 1
+
     def find(
         self, request: scheduler_api.PendingRequest
     ) -> class_queue.ClassQueue | None:
--- a/figstream/waiting_room.py
+++ b/figstream/waiting_room.py
@@ -113,9 +113,10 @@
     ) -> errors.Refusal | None:
         """Sheds from a queue until its expected wait is within bounds."""
         while queue:
-            excess_s = self._admission.excess_wait_s(queue, now)
+            if self._admission.excess_wait_s(queue, now) <= 0.0:
+                return None
             victim = queue.furthest_over()
-            if excess_s <= 0.0 or victim is None:
+            if victim is None:
                 return None
             retry_s = self._retry_after_s(queue, now)
             if victim is newcomer:
