Count an attempt when it is sent, and blame crashes in the benchmark

Cause: the request path counted an attempt before its first offer, so that the scheduler took each request for a repeat and skipped limits and bounds; the benchmark ran without the blame table. Change: the count rises at dispatch; each daemon of the benchmark has its own blame table, spread every 0.5 s, and checks it again at dispatch.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -19,6 +19,7 @@
 from bench import traffic
 from bench import virtual_time
 from figstream import backend_server
+from figstream import blame as blame_lib
 from figstream import blame_api
 from figstream import configuration as configuration_lib
 from figstream import customer as customer_lib
@@ -35,6 +36,7 @@
 _MAX_RETURNS: Final = 4
 _UNTOLD_RETURN_S: Final = 1.0
 _RETURN_JITTER: Final = 0.2
+_BLAME_INTERVAL_S: Final = 0.5
 _PREFIX_TOKENS: Final = 300
 _MODEL: Final = "m"
 _LOAD_REASONS: Final = frozenset(
@@ -61,6 +63,7 @@
       ended_at: when it ended, or None.
       dispatched_at: when it was last sent to an engine, or None.
       tokens_done: tokens that a resumed attempt need not repeat.
+      may_have_run: whether an engine may have run it.
       returns: how often the caller came back after a refusal.
     """
 
@@ -71,6 +74,7 @@
     ended_at: float | None = None
     dispatched_at: float | None = None
     tokens_done: int = 0
+    may_have_run: bool = False
     returns: int = 0
 
 
@@ -158,7 +162,7 @@
         setting: Setting,
         arrivals: Sequence[traffic.Arrival],
         make_scheduler: Callable[[str, int], scheduler_api.Scheduler],
-        make_blame: Callable[[], blame_api.BlameTable] | None,
+        blamed: bool,
         seed: int,
     ) -> None:
         """Builds the fleet and plans the arrivals."""
@@ -171,7 +175,6 @@
             for item in setting.servers
         }
         self._random = random.Random(seed)
-        self._blame = make_blame() if make_blame else None
         names = {item.customer for item in arrivals}
         configuration = configuration_lib.Configuration(
             servers=tuple(setting.servers),
@@ -182,7 +185,9 @@
             ),
         )
         self.daemons = [
-            Daemon(self, index, zone, make_scheduler(zone, seed + index))
+            Daemon(
+                self, index, zone, make_scheduler(zone, seed + index), blamed
+            )
             for index, zone in enumerate(setting.zones)
         ]
         for daemon in self.daemons:
@@ -193,13 +198,10 @@
             chosen = self._random.choice(self.daemons)
             self.time.at(arrival.at, functools.partial(chosen.arrive, arrival))
         self.time.every(REPORT_INTERVAL_S, self._report)
+        if blamed:
+            self.time.every(_BLAME_INTERVAL_S, self._spread_blame)
         setting.faults(self)
 
-    @property
-    def blame(self) -> blame_api.BlameTable | None:
-        """Returns the blame table, which all daemons share here."""
-        return self._blame
-
     def run(self) -> None:
         """Runs to the end, then until every deadline is over."""
         self.time.run_until(self.setting.duration_s + 95.0)
@@ -217,6 +219,12 @@
             chosen = self._random.choice(self.daemons)
             self.time.after(wait_s, functools.partial(chosen.take, record))
 
+    def _spread_blame(self) -> None:
+        now = self.time.now
+        digests = [daemon.blame.digest(now) for daemon in self.daemons]
+        for teller, hearer in itertools.permutations(self.daemons, 2):
+            hearer.blame.merge(digests[self.daemons.index(teller)], now)
+
     def _report(self) -> None:
         for engine in self.engines.values():
             if not engine.alive:
@@ -241,8 +249,11 @@
         index: int,
         zone: str,
         scheduler: scheduler_api.Scheduler,
+        blamed: bool,
     ) -> None:
-        """Takes the scheduler of one daemon."""
+        """Takes the scheduler of one daemon; blames crashes if asked to."""
+        self.blame = blame_lib.make_crash_blame()
+        self._blamed = blamed
         self.zone = zone
         self.scheduler = scheduler
         self._fleet = fleet
@@ -287,18 +298,24 @@
         self._offer(request)
 
     def _offer(self, request: scheduler_api.PendingRequest) -> None:
-        now, blame = self._time.now, self._fleet.blame
-        if blame:
-            verdict = blame.verdict(request.fingerprint, now)
-            if verdict is blame_api.Verdict.REFUSE:
-                self._end(request, "crashes_backend_servers")
-                return
-            request.alone = verdict is blame_api.Verdict.ALONE
+        now = self._time.now
+        verdict = self._verdict(request)
+        if verdict is blame_api.Verdict.REFUSE:
+            self._end(request, "crashes_backend_servers")
+            return
+        request.alone = verdict is blame_api.Verdict.ALONE
         refusal = self.scheduler.offer(request, now)
         if refusal is None:
             self._waiting[request.request_id] = request.request_class.tier
         self._poll(request if refusal else None, refusal)
 
+    def _verdict(
+        self, request: scheduler_api.PendingRequest
+    ) -> blame_api.Verdict:
+        if not self._blamed:
+            return blame_api.Verdict.CLEAR
+        return self.blame.verdict(request.fingerprint, self._time.now)
+
     def _poll(
         self,
         refused: scheduler_api.PendingRequest | None = None,
@@ -337,7 +354,26 @@
         if isinstance(decision, scheduler_api.Dropped):
             self._lose(request, decision.refusal)
         else:
-            self._send(request, decision.server)
+            self._check_and_send(request, decision.server)
+
+    def _check_and_send(
+        self,
+        request: scheduler_api.PendingRequest,
+        server: backend_server.BackendServer,
+    ) -> None:
+        """Sends, unless a copy crashed a server while the request waited."""
+        verdict = self._verdict(request)
+        alone = verdict is blame_api.Verdict.ALONE
+        refused = verdict is blame_api.Verdict.REFUSE
+        if not refused and request.alone >= alone:
+            self._send(request, server)
+            return
+        report = scheduler_api.AttemptReport(_Result.CANCELLED)
+        self.scheduler.finish(request, server, report, self._time.now)
+        if refused:
+            self._end(request, "crashes_backend_servers")
+        else:
+            self._time.after(0.0, functools.partial(self._offer, request))
 
     def _lose(
         self,
@@ -352,7 +388,7 @@
             self._fleet.work.inversions += 1
         record = self._records.get(request.request_id)
         self._end(request, refusal.reason.value)
-        if record and not request.attempt:
+        if record and not record.may_have_run:
             self._fleet.come_back(record, refusal.retry_after_s)
 
     def _end(self, request: scheduler_api.PendingRequest, result: str) -> None:
@@ -376,10 +412,8 @@
         left = max(1, record.arrival.output_tokens - record.tokens_done)
         attempt = _Attempt(record, server, self._time.now, left)
         self._attempts[request.request_id] = attempt
-        if self._fleet.blame:
-            self._fleet.blame.started(
-                request.fingerprint, server.name, self._time.now
-            )
+        request.attempt += 1
+        self.blame.started(request.fingerprint, server.name, self._time.now)
         self._later(server, self._submit, request, attempt)
 
     def _later(
@@ -435,8 +469,7 @@
         if attempt.over:
             return
         if not whole:
-            if self._fleet.blame:
-                self._fleet.blame.crashed(attempt.server.name, self._time.now)
+            self.blame.crashed(attempt.server.name, self._time.now)
             self._failed(request, attempt, _Result.FAILED, tokens)
             return
         self._finish(request, attempt, _Result.ANSWERED, tokens)
@@ -455,8 +488,6 @@
         self._finish(request, attempt, result, tokens)
         request.tried.add(attempt.server.name)
         self._tries[request.request_id] += 1
-        if result is _Result.FAILED:
-            request.attempt += 1
         if (
             request.attempt >= _MAX_ATTEMPTS
             or self._tries[request.request_id] >= _MAX_TRIES
@@ -466,7 +497,7 @@
             ):
                 self._fleet.work.inversions += 1
             self._end(request, "backend_server_failed")
-            if not request.attempt:
+            if not attempt.record.may_have_run:
                 self._fleet.come_back(attempt.record, None)
             self._poll()
         else:
@@ -493,10 +524,14 @@
         attempt.over = True
         del self._attempts[request.request_id]
         now, work = self._time.now, self._fleet.work
-        if self._fleet.blame and result is not _Result.FAILED:
-            self._fleet.blame.ended(
-                request.fingerprint, attempt.server.name, now
+        if result is not _Result.FAILED:
+            self.blame.ended(
+                request.fingerprint,
+                attempt.server.name,
+                now,
+                whole=result is _Result.ANSWERED,
             )
+        attempt.record.may_have_run |= result is not _Result.REFUSED
         resumed = result is _Result.PREEMPTED and request.resumable
         prompt = attempt.record.arrival.stream.prompt_tokens
         steps = tokens + (
@@ -520,7 +555,6 @@
         tokens = self._cancel(request, attempt)
         self._fleet.work.preempted += 1
         self._finish(request, attempt, _Result.PREEMPTED, tokens)
-        request.attempt += 1
         self._time.after(0.0, functools.partial(self._offer, request))
 
     def _cancel(
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -16,7 +16,6 @@
 from bench import naive_scheduler
 from bench import traffic
 from figstream import backend_server
-from figstream import blame_api
 from figstream import scheduler
 from figstream import scheduler_api
 
@@ -47,7 +46,6 @@
     setting: fleet_lib.Setting
     streams: Sequence[traffic.Stream]
     top_tier_fits: bool = True
-    make_blame: Callable[[], blame_api.BlameTable] | None = None
 
 
 def naive_random(zone: str, seed: int) -> scheduler_api.Scheduler:
@@ -172,9 +170,8 @@
     """Runs one scenario with one version of the scheduler."""
     duration = scenario.setting.duration_s
     arrivals = traffic.arrivals(scenario.streams, duration, seed)
-    fleet = fleet_lib.Fleet(
-        scenario.setting, arrivals, factory, scenario.make_blame, seed
-    )
+    blamed = factory not in (naive_random, naive_least)
+    fleet = fleet_lib.Fleet(scenario.setting, arrivals, factory, blamed, seed)
     fleet.run()
     return fleet
 
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -171,7 +171,6 @@
         refused = refused or self._blamed(progress)
         if refused:
             return _final(refused, progress)
-        progress.pending.attempt += 1
         services.records.queued(call, services.gate.waiting)
         verdict = await services.gate.dispatch(progress.pending)
         if isinstance(verdict, errors.Refusal):
@@ -186,8 +185,8 @@
             services.gate.finish(progress.pending, verdict.server, report)
             if refused:
                 return _final(refused, progress)
-            progress.pending.attempt -= 1
             return await self._dispatch(progress)
+        progress.pending.attempt += 1
         services.records.dispatched(call, verdict)
         return verdict
 
