--- a/figstream/demo_stack.py
+++ b/figstream/demo_stack.py
@@ -125,7 +125,7 @@
         standin_engine.EngineOptions(f"engine-{number}", (MODEL,))
         for number in range(3)
     )
-    customers: Sequence[str] = ("studio", "trader")
+    customers: tuple[str, ...] = ("studio", "trader")
     log_level: str = "warning"
 
 
@@ -210,6 +210,7 @@
         servers=(*engines, plain),
         routes=(
             route.Route("/bookings", SERVICE, "calls"),
+            route.Route("/vault", SERVICE, "calls", wanted.customers[-1:]),
             route.Route(
                 "/status", SERVICE, "calls", open=True, idempotent=True
             ),
--- a/figstream/standin_cli.py
+++ b/figstream/standin_cli.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Callable
 import ipaddress
+import os
 import pathlib
 import sys
 from typing import Annotated
 from typing import Final
+from typing import TypeVar
 
 import anyio
 import attrs
@@ -16,9 +18,18 @@
 from figstream import platform_api
 from figstream import platform_memory
 from figstream import settings_file
+from figstream import standin_engine
 from figstream import standin_platform
+from figstream import standin_service
+from figstream import standin_settings
+
+_T = TypeVar("_T")
+ConfigFile = Annotated[
+    pathlib.Path, typer.Option("--config", help="The INI settings file.")
+]
 
 _EXIT_INVALID: Final = 2
+_EXIT_CRASHED: Final = 70
 _PORT: Final = 9000
 _VMS_SECTION: Final = "vms"
 
@@ -96,9 +107,7 @@
 
 @app.command("platform")
 def run_platform(
-    file: Annotated[
-        pathlib.Path, typer.Option("--config", help="The INI settings file.")
-    ],
+    file: ConfigFile,
 ) -> None:
     """Serve the platform from memory until interrupted."""
     found = _load(file, parse_platform_options)
@@ -106,14 +115,40 @@
     platform.weights.wait_s = found.weight_wait_s
     platform.vms.vms = {vm.name: vm for vm in found.vms}
     standin = standin_platform.make_app(platform)
-    server = http_server.HttpServer(standin, found.host, found.port)
-    typer.echo(f"platform=http://{found.host}:{server.port}")
+    listener = standin_settings.Listener(found.host, found.port)
+    _serve("platform", standin, listener)
+
+
+@app.command("engine")
+def run_engine(file: ConfigFile) -> None:
+    """Serve a stand-in model engine until interrupted."""
+    found = _load(file, standin_settings.parse_engine)
+    # A process that is told to crash ends at once, as a real engine would.
+    engine = standin_engine.StandInEngine(
+        found.engine, on_crash=lambda: os._exit(_EXIT_CRASHED)
+    )
+    _serve("engine", engine.application, found.listener)
+
+
+@app.command("service")
+def run_service(file: ConfigFile) -> None:
+    """Serve a stand-in plain service until interrupted."""
+    found = _load(file, standin_settings.parse_service)
+    service = standin_service.StandInService(found.name)
+    _serve("service", service.application, found.listener)
+
+
+def _serve(
+    kind: str,
+    application: http_server.Application,
+    listener: standin_settings.Listener,
+) -> None:
+    server = http_server.HttpServer(application, listener.host, listener.port)
+    typer.echo(f"{kind}=http://{listener.host}:{server.port}")
     anyio.run(server.serve)
 
 
-def _load(
-    file: pathlib.Path, parse: Callable[[str], PlatformOptions]
-) -> PlatformOptions:
+def _load(file: pathlib.Path, parse: Callable[[str], _T]) -> _T:
     try:
         return parse(settings_file.read_text(file))
     except errors.SettingsError as error:
--- a/figstream/standin_engine.py
+++ b/figstream/standin_engine.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 import itertools
 import time
@@ -89,8 +90,13 @@
 class StandInEngine:
     """The engine; `application` is its ASGI entry point."""
 
-    def __init__(self, options: EngineOptions) -> None:
-        """Starts idle and without faults."""
+    def __init__(
+        self,
+        options: EngineOptions,
+        on_crash: Callable[[], object] | None = None,
+    ) -> None:
+        """Starts idle and without faults; `on_crash` may end the process."""
+        self._on_crash = on_crash
         self.options = options
         self.faults = EngineFaults()
         self.alive = True
@@ -170,6 +176,8 @@
         try:
             if _POISON in body:
                 self.alive = False
+                if self._on_crash:
+                    self._on_crash()
                 raise EngineCrashError("the request crashed the engine")
             await self._answer(generation, skip, send)
         finally:
--- /dev/null
+++ b/tests/test_data_path_faults.py
@@ -0,0 +1,173 @@
+"""Tests of the data path when backend servers misbehave or keys change."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import json
+import pathlib
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+
+from figstream import demo_stack
+from figstream import inbound
+from figstream import standin_engine
+
+pytestmark = pytest.mark.anyio
+
+_CASES = json.loads(
+    (
+        pathlib.Path(__file__).parent.parent / "test-data/bad_requests.json"
+    ).read_text()
+)
+
+
+@contextlib.asynccontextmanager
+async def _one_engine(
+    slots: int = 16,
+    first_token_s: float = 0.02,
+    between_tokens_s: float = 0.01,
+) -> AsyncIterator[tuple[demo_stack.Stack, standin_engine.StandInEngine]]:
+    options = standin_engine.EngineOptions(
+        "engine-0",
+        (demo_stack.MODEL,),
+        slots,
+        first_token_s=first_token_s,
+        between_tokens_s=between_tokens_s,
+    )
+    wanted = demo_stack.StackOptions(daemons=1, engines=(options,))
+    async with demo_stack.run_stack(wanted) as stack:
+        yield stack, stack.engines[0]
+
+
+def _headers(stack: demo_stack.Stack) -> dict[str, str]:
+    return {"authorization": f"Bearer {stack.keys['studio']}"}
+
+
+async def _chat(
+    stack: demo_stack.Stack, *, stream: bool = True, content: str = "hello"
+) -> httpx.Response:
+    async with httpx.AsyncClient(timeout=30.0) as client:
+        return await client.post(
+            stack.url(0) + inbound.CHAT_PATH,
+            json={
+                "model": demo_stack.MODEL,
+                "stream": stream,
+                "max_tokens": 12,
+                "messages": [{"role": "user", "content": content}],
+            },
+            headers=_headers(stack),
+        )
+
+
+def _words(answer: httpx.Response) -> list[str]:
+    return [f"w{n} " for n in range(12) if answer.text.count(f'"w{n} "') == 1]
+
+
+async def test_broken_stream_resumes_without_gap_or_repeat() -> None:
+    """Breaks when `stream_relay.flush` passes on events that are not whole."""
+    async with _one_engine() as (stack, engine):
+        engine.faults.break_after_events = 5
+        engine.faults.breaks_left = 1
+        answer = await _chat(stack)
+        assert len(_words(answer)) == 12
+        assert answer.text.endswith("data: [DONE]\n\n")
+        assert sum(engine.runs.values()) == 1
+
+
+async def test_stream_without_terminator_ends_in_an_error_event() -> None:
+    """Breaks when `_receive_events` doesn't ask whether it is whole."""
+    async with _one_engine() as (stack, engine):
+        engine.faults.omit_terminator = True
+        answer = await _chat(stack)
+        assert "event: error" in answer.text
+        assert '"code":"answer_incomplete"' in answer.text
+        assert '"run_state":"ran"' in answer.text
+
+
+async def test_crossed_answer_never_reaches_the_caller() -> None:
+    """Breaks when `_fault_of` doesn't compare the ids."""
+    async with _one_engine() as (stack, engine):
+        engine.faults.wrong_id = True
+        answer = await _chat(stack, stream=False)
+        assert answer.status_code >= 500
+        assert "choices" not in answer.text
+        assert answer.json()["error"]["run_state"] != "not_run"
+
+
+async def test_refusing_server_is_a_true_not_run() -> None:
+    async with _one_engine() as (stack, engine):
+        engine.faults.refuse = True
+        answer = await _chat(stack, stream=False)
+        assert answer.json()["error"]["run_state"] == "not_run"
+        assert not engine.runs
+
+
+async def test_caller_that_goes_away_cancels_at_the_engine() -> None:
+    """Breaks when `backend_client.attempt` doesn't cancel."""
+    async with _one_engine(between_tokens_s=0.05) as (stack, engine):
+        with anyio.move_on_after(0.3):
+            await _chat(stack)
+        with anyio.fail_after(10):
+            while not engine.cancelled:
+                await anyio.sleep(0.01)
+        assert engine.cancelled == list(engine.runs)
+
+
+async def test_queued_request_of_a_withdrawn_key_never_runs() -> None:
+    """Breaks when `_dispatch` doesn't check the key after the queue."""
+    async with _one_engine(slots=1, first_token_s=600.0) as (stack, engine):
+        context = stack.daemons[0].context
+        answers: list[httpx.Response] = []
+
+        async def ask(content: str) -> None:
+            answers.append(await _chat(stack, content=content))
+
+        async def ask_until(scope: anyio.CancelScope) -> None:
+            with scope:
+                await ask("first")
+
+        first = anyio.CancelScope()
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask_until, first)
+            while not engine.runs:
+                await anyio.sleep(0.01)
+            for number in range(20):
+                group.start_soon(ask, f"later-{number}")
+            while len(context.decisions.latest(99)) < 22:
+                await anyio.sleep(0.01)
+            await stack.withdraw_key("studio")
+            while not any(key.withdrawn for key in context.holder.current.keys):
+                await anyio.sleep(0.01)
+            first.cancel()
+        assert [item.status_code for item in answers] == [401] * 20
+        assert len(engine.runs) == 1
+
+
+@pytest.mark.parametrize("case", _CASES, ids=lambda case: case["name"])
+async def test_bad_requests_get_their_code_and_run_nothing(
+    case: dict[str, Any],
+) -> None:
+    async with _one_engine() as (stack, engine):
+        headers = {**_headers(stack), **case.get("headers", {})}
+        if "filler" in case:
+            headers["x-filler"] *= case["filler"]
+        if "key" in case:
+            headers["authorization"] = case["key"]
+        async with httpx.AsyncClient() as client:
+            answer = await client.request(
+                case.get("method", "POST"),
+                stack.url(0) + case.get("path", inbound.CHAT_PATH),
+                content=case.get("body", "{}").encode("latin-1")
+                * case.get("times", 1),
+                headers=headers,
+            )
+        error = answer.json()["error"]
+        assert (answer.status_code, error["code"]) == (
+            case["status"],
+            case["code"],
+        )
+        assert error["run_state"] == "not_run"
+        assert not engine.runs
+        assert not stack.service.effects
