--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -30,6 +30,7 @@
 from figstream import retry_policy
 from figstream import scheduler
 from figstream import server_health
+from figstream import usage_parts
 from figstream import usage_totals
 
 _HEADER_HEADROOM: Final = 2
@@ -63,7 +64,6 @@
     def __init__(self, context: daemon_context.DaemonContext) -> None:
         """Builds every part; nothing runs yet."""
         self.context = context
-        self.usage = usage_totals.UsageTotals()
         self._peers = peer_server.PeerServer(
             context.options.address, context.options.peer_port
         )
@@ -71,8 +71,11 @@
         spread = configuration_spread.make_configuration_spread(
             context, self.members
         )
+        accounting = usage_parts.make_usage_parts(context, self.members)
+        self.usage = usage_totals.UsageTotals(accounting.ledger)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             spread,
+            accounting.handover,
             self.members,
         )
         claims = claim_journal.make_claim_journal(context)
@@ -83,7 +86,9 @@
             blame_spread.BlameSpread(
                 blame, self.members.notices, context.clock
             ),
-            *self._rpc_roles,
+            *accounting.roles,
+            spread,
+            self.members,
         )
         self._gate = dispatch_gate.DispatchGate(
             context.scheduler, context.clock
--- a/figstream/usage_delivery.py
+++ b/figstream/usage_delivery.py
@@ -23,7 +23,8 @@
 from figstream.rpc import usage_pb2
 from figstream.rpc import usage_pb2_grpc
 
-ROLE: Final = "usage"
+# The daemons that seek the lease are the first of this ranking.
+_ROLE: Final = "lease/usage"
 _PROBES: Final = 4
 _ROWS_PER_CALL: Final = 50_000
 
@@ -129,7 +130,7 @@
     async def _find_sealer(self) -> membership_api.Member | None:
         this = self._members.this().name
         others = [
-            item for item in self._members.ranked(ROLE) if item.name != this
+            item for item in self._members.ranked(_ROLE) if item.name != this
         ]
         known = [item for item in others if item.name == self._sealer]
         if known:
--- /dev/null
+++ b/figstream/usage_parts.py
@@ -0,0 +1,56 @@
+"""Builds the parts of a daemon that account for usage."""
+
+from collections.abc import Sequence
+from typing import Final
+
+import attrs
+
+from figstream import daemon_context
+from figstream import lease
+from figstream import membership_api
+from figstream import usage_delta
+from figstream import usage_handover
+from figstream import usage_ledger
+from figstream import usage_sealing
+
+LEASE_NAME: Final = "usage"
+
+
+@attrs.frozen
+class UsageParts:
+    """The parts that account for usage.
+
+    Attributes:
+      ledger: counts what this daemon's answers consumed.
+      handover: brings the counts to the sealing daemon.
+      sealing: seals and reports windows while it holds the lease.
+      held_lease: the lease to seal and report.
+    """
+
+    ledger: usage_ledger.Ledger
+    handover: usage_handover.UsageHandover
+    sealing: usage_sealing.UsageSealing
+    held_lease: lease.HeldLease
+
+    @property
+    def roles(self) -> Sequence[daemon_context.Role]:
+        """Returns the roles, in the order in which they hand over."""
+        return (self.handover, self.sealing, self.held_lease)
+
+
+def make_usage_parts(
+    context: daemon_context.DaemonContext, members: membership_api.Members
+) -> UsageParts:
+    """Creates the parts that account for usage."""
+    ledger = usage_ledger.make_ledger(
+        usage_delta.RunId(context.options.name, context.start_number),
+        context.clock,
+        context.metrics,
+        context.options.window_s,
+    )
+    held_lease = lease.make_lease(LEASE_NAME, "", context, members)
+    sealing = usage_sealing.make_usage_sealing(context, held_lease)
+    handover = usage_handover.make_usage_handover(
+        context, ledger, sealing, members
+    )
+    return UsageParts(ledger, handover, sealing, held_lease)
