--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 binary: $(VENV)/.installed
 	mkdir -p dist
-	$(BIN)/shiv --compressed -e figstream.main:main -o dist/figstream \
+	$(BIN)/shiv --quiet --compressed -e figstream.main:main -o dist/figstream \
 	  -r requirements.txt .
 
 proto: $(VENV)/.installed
--- a/figstream/serve.py
+++ b/figstream/serve.py
@@ -3,6 +3,7 @@
 import signal
 
 import anyio
+import typer
 
 from figstream import daemon as daemon_lib
 from figstream import logs
@@ -25,6 +26,9 @@
         options, platform, metrics_lib.make_metrics()
     )
     daemon = daemon_lib.Daemon(context)
+    # Scripts read the ports from here, since port 0 picks free ones.
+    typer.echo(f"callers=http://{options.address}:{daemon.caller_port}")
+    typer.echo(f"peers={daemon.peer_address}")
     async with anyio.create_task_group() as group:
         group.start_soon(_stop_on_signal, daemon)
         await daemon.run()
