Confirm the configuration by all zones when the platform is down for all

Bounded trust in keys alone would have stopped every zone 600 s into an outage of the platform, during which no key can be withdrawn. A change is now put in force by the daemon that accepts it, so that it spreads without the platform; then one answer from each zone proves that none was accepted. The test of fresh daemons gets a zone without daemons, so that it still checks that the age of a peer's confirmation travels.

--- a/figstream/configuration_copy.py
+++ b/figstream/configuration_copy.py
@@ -49,6 +49,11 @@
         """Returns seconds since no higher generation had been accepted."""
         return self._holder.unconfirmed_s
 
+    @property
+    def zones(self) -> frozenset[str]:
+        """Returns the availability zones that have backend servers."""
+        return frozenset(item.zone for item in self._holder.current.servers)
+
     def take(
         self, found: shards_lib.Snapshot, confirmed_at: float, source: str
     ) -> bool:
--- a/figstream/configuration_peers.py
+++ b/figstream/configuration_peers.py
@@ -93,14 +93,25 @@
                 return True
         return False
 
-    async def ask(self) -> None:
-        """Asks one peer of this zone and one of another what they know."""
-        zone = self._members.this().zone
-        peers = self._peers()
-        here = [item for item in peers if item.zone == zone][:1]
-        elsewhere = [item for item in peers if item.zone != zone][:1]
-        for member in (*here, *elsewhere):
-            await self._announce_to(member, self.status())
+    async def ask(self) -> bool:
+        """Asks one peer of each zone what it knows.
+
+        Returns:
+          Whether a peer of every zone answered and this daemon is not behind.
+        """
+        one_of_each = {item.zone: item for item in self._peers()}
+        answered: set[str] = set()
+
+        async def ask(member: membership_api.Member) -> None:
+            if await self._announce_to(member, self.status()):
+                answered.add(member.zone)
+
+        async with anyio.create_task_group() as group:
+            for member in one_of_each.values():
+                group.start_soon(ask, member)
+        own_zone = self._members.this().zone
+        others = (self._copy.zones | one_of_each.keys()) - {own_zone}
+        return bool(answered) and others <= answered
 
     def _member(self, name: str) -> membership_api.Member | None:
         live = self._members.live()
@@ -166,15 +177,16 @@
         self,
         member: membership_api.Member,
         status: configuration_peer.Status,
-    ) -> None:
+    ) -> bool:
+        """Sends a status; whether the peer is now known not to be ahead."""
         asked_at = self._clock.now()
         answer = await configuration_peer.announce(
             self._members, member, status
         )
         if answer is None:
             self._metrics.event("configuration_announce_failed")
-        else:
-            await self._learn(member, answer, asked_at)
+            return False
+        return await self._learn(member, answer, asked_at)
 
 
 def make_configuration_peers(
--- a/figstream/configuration_spread.py
+++ b/figstream/configuration_spread.py
@@ -53,6 +53,7 @@
       announce_s: between announcements of an unchanged generation.
       stale_s: age of the confirmation from which peers are asked.
       ask_s: longest time between questions to peers.
+      spread_s: longest time that a change takes within a zone.
       removal_s: between removals of unused shards.
     """
 
@@ -62,6 +63,7 @@
     announce_s: float = 10.0
     stale_s: float = 25.0
     ask_s: float = 5.0
+    spread_s: float = 8.0
     removal_s: float = 600.0
 
 
@@ -157,6 +159,33 @@
             root, self.copy.missing_in(generation)
         )
 
+    async def accept(
+        self,
+        change: configuration_store.Change,
+        base_generation: int,
+        write_id: str = "",
+    ) -> configuration_store.AcceptOutcome:
+        """Makes a change on the generation named, and spreads it from here.
+
+        Spreading does not need the platform, which may go down as soon as it
+        has accepted the change.
+
+        Args:
+          change: makes the new configuration from the current one; may raise
+            errors.ConfigurationError.
+          base_generation: generation the change was made on.
+          write_id: unique id of the change; a repeat with the same id never
+            makes the change twice.
+        """
+        asked_at = self._clock.now()
+        outcome = await self._store.accept(change, base_generation, write_id)
+        if isinstance(outcome, configuration_store.Accepted):
+            if outcome.snapshot:
+                self.copy.take(outcome.snapshot, asked_at, "operator")
+            self.receive(self.peers.root_status())
+            await self.peers.ask()
+        return outcome
+
     async def watch_once(self) -> None:
         """Waits for a change, then reads and announces the newest."""
         changes = await self._objects.watch(
@@ -189,10 +218,24 @@
         if self._clock.now() < self._ask_at:
             return
         wait_s = self._intervals.ask_s * self._random.uniform(0.5, 1)
-        self._ask_at = self._clock.now() + wait_s
-        await self.peers.ask()
+        asked_at = self._clock.now()
+        self._ask_at = asked_at + wait_s
+        every_zone_answered = await self.peers.ask()
         if self._is_out_of_touch() and not self._is_watcher():
             await self.read_platform()
+        if self._is_out_of_touch() and every_zone_answered:
+            self._confirm_by_zones(asked_at)
+
+    def _confirm_by_zones(self, asked_at: float) -> None:
+        """Confirms during an outage of the platform that hits every zone.
+
+        A change is accepted through a daemon and reaches the others of its
+        zone within `spread_s`. So if no zone knew of one, none was accepted
+        earlier than that.
+        """
+        self._metrics.event("configuration_confirmed_by_zones")
+        age_s = self._clock.now() - asked_at + self._intervals.spread_s
+        self.copy.confirm(self.copy.generation, age_s)
 
     def _announce_if_due(self) -> None:
         """Queues an announcement along the tree that starts here."""
--- a/figstream/configuration_store.py
+++ b/figstream/configuration_store.py
@@ -41,9 +41,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """The change is accepted as this generation."""
+    """The change is accepted as this generation.
+
+    Attributes:
+      generation: what the change became.
+      snapshot: the generation itself, unless it was accepted earlier.
+    """
 
     generation: int
+    snapshot: shards_lib.Snapshot | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,7 +197,7 @@
         added = {k: v for k, v in new.bodies.items() if k not in bodies}
         if failed := await self._write_shards(added):
             return PlatformDown(failed.detail)
-        return await self._write_root(new.root, stored.version, write_id)
+        return await self._write_root(new, stored.version, write_id)
 
     async def remove_unreferenced(self) -> int:
         """Removes shards that no generation can refer to any more.
@@ -279,17 +287,20 @@
         return platform_api.Unavailable("answers to writes keep getting lost")
 
     async def _write_root(
-        self, root: shards_lib.Root, version: int, write_id: str
+        self, new: shards_lib.Snapshot, version: int, write_id: str
     ) -> AcceptOutcome:
-        body = serialization.to_json(root)
+        body = serialization.to_json(new.root)
         detail = ""
         for attempt in range(_ATTEMPTS):
             outcome = await self._objects.write(ROOT, body, version)
             match outcome:
                 case platform_api.Written():
-                    return Accepted(root.generation)
+                    return Accepted(new.root.generation, new)
                 case platform_api.Conflict():
-                    return await self._settle(write_id)
+                    settled = await self._settle(write_id)
+                    if settled == Accepted(new.root.generation):
+                        return Accepted(new.root.generation, new)
+                    return settled
                 case platform_api.Unavailable() if not detail:
                     return PlatformDown(outcome.detail)
                 case _:
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -68,13 +68,13 @@
             context.options.address, context.options.peer_port
         )
         self.members = membership.make_membership(context, self._peers.address)
-        spread = configuration_spread.make_configuration_spread(
+        self.spread = configuration_spread.make_configuration_spread(
             context, self.members
         )
         accounting = usage_parts.make_usage_parts(context, self.members)
         self.usage = usage_totals.UsageTotals(accounting.ledger)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
-            spread,
+            self.spread,
             accounting.handover,
             self.members,
         )
@@ -87,7 +87,7 @@
                 blame, self.members.notices, context.clock
             ),
             *accounting.roles,
-            spread,
+            self.spread,
             self.members,
         )
         self._gate = dispatch_gate.DispatchGate(
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -16,6 +16,7 @@
 
 from figstream import api_key
 from figstream import authentication
+from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import configuration as configuration_lib
 from figstream import configuration_holder
@@ -154,6 +155,14 @@
             await node.server.stop(None)
 
 
+def _add_servers(zones: str) -> configuration_store.Change:
+    servers = tuple(
+        backend_server.BackendServer(f"s-{zone}", "http://127.0.0.1:9", zone)
+        for zone in zones
+    )
+    return lambda old: attrs.evolve(old, servers=servers)
+
+
 async def test_a_change_reaches_all_without_heartbeats_past_a_dead_daemon() -> (
     None
 ):
@@ -189,6 +198,8 @@
     async with _daemons(fleet, "abc") as old:
         await fleet.add_customer("c1")
         await old[0].spread.read_platform()
+        # No daemon stands in this zone, so the zones alone confirm nothing.
+        await fleet.change(_add_servers("d"))
         await fleet.add_customer("c2")
         await old[1].spread.read_platform()
         fleet.memory.gate.faults.down = True
@@ -289,6 +300,55 @@
         assert cut_off.holder.unconfirmed_s < 1.0
 
 
+async def test_an_outage_of_the_platform_in_all_zones_keeps_keys_working() -> (
+    None
+):
+    """Fails if `ask` is content without an answer from every zone."""
+    fleet = Fleet()
+    await fleet.change(_add_servers("abc"))
+    async with _daemons(fleet, "aabc") as nodes:
+        for node in nodes:
+            await node.spread.watch_once()
+        fleet.memory.gate.faults.down = True
+        fleet.clock.advance(10 * _KEY_TRUST_S)
+        for node in nodes:
+            assert node.holder.unconfirmed_s > _KEY_TRUST_S
+            await node.spread.catch_up()
+            assert node.holder.unconfirmed_s < _KEY_TRUST_S
+        fleet.clock.advance(10 * _KEY_TRUST_S)
+        # One zone is cut off; it may still reach the platform.
+        fleet.cut_off_zones = {"c"}
+        for node in nodes:
+            await node.spread.catch_up()
+            assert node.holder.unconfirmed_s > _KEY_TRUST_S
+
+
+async def test_a_change_spreads_though_the_platform_dies_on_accepting_it() -> (
+    None
+):
+    """Fails if `accept` leaves the spreading to the watchers."""
+    fleet = Fleet()
+    async with _daemons(fleet, "aab") as nodes:
+        for node in nodes:
+            await node.spread.watch_once()
+            await node.spread.handle_next()
+        objects = fleet.memory.objects
+        watch = objects.watch(configuration_store.ROOT, 0, _GIVE_UP_S)
+        async with anyio.create_task_group() as group:
+
+            async def die() -> None:
+                await watch
+                fleet.memory.gate.faults.down = True
+
+            group.start_soon(die)
+            outcome = await nodes[0].spread.accept(_add_servers("a"), 0)
+        assert outcome == configuration_store.Accepted(1)
+        for node in nodes:
+            with anyio.fail_after(_GIVE_UP_S):
+                await node.spread.handle_next()
+            assert node.holder.current.generation == 1
+
+
 async def test_a_status_that_waited_while_paused_is_not_taken_as_new() -> None:
     """Fails if `receive` takes a status as sent when it is received."""
     fleet = Fleet()
