--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -171,3 +171,46 @@
         assert error["run_state"] == "not_run"
         assert not engine.runs
         assert not stack.service.effects
+
+
+async def test_caller_that_leaves_a_claimed_call_gets_its_answer_later() -> (
+    None
+):
+    """Breaks when `_carry` cancels calls that may not be repeated."""
+    async with _one_engine() as (stack, _):
+        stack.service.faults.delay_s = 0.5
+        headers = {**_headers(stack), inbound.IDEMPOTENCY_HEADER: "hold-1"}
+
+        async def hold(timeout_s: float) -> httpx.Response:
+            async with httpx.AsyncClient(timeout=timeout_s) as client:
+                return await client.post(
+                    stack.url(0) + "/bookings/hold",
+                    content=b"{}",
+                    headers=headers,
+                )
+
+        with pytest.raises(httpx.ReadTimeout):
+            await hold(0.2)
+        answer = await hold(30.0)
+        while answer.status_code == 409:
+            assert answer.json()["error"]["run_state"] == "may_have_run"
+            answer = await hold(30.0)
+        assert answer.json() == {"service": demo_stack.SERVICE, "effect": 1}
+        assert len(stack.service.effects) == 1
+
+
+async def test_each_refusal_and_retry_is_counted_under_its_reason() -> None:
+    async with _one_engine() as (stack, engine):
+        engine.faults.break_after_events = 3
+        engine.faults.breaks_left = 1
+        await _chat(stack)
+        async with httpx.AsyncClient() as client:
+            await client.get(stack.url(0) + "/nowhere")
+            metrics = (await client.get(stack.url(0) + "/metrics")).text
+        refused = 'figstream_refusals_total{class="",'
+        assert any(
+            line.startswith(refused) and 'reason="unknown_route"' in line
+            for line in metrics.splitlines()
+        )
+        assert 'reason="connection_lost"' in metrics
+        assert "figstream_first_token_seconds_bucket" in metrics
