--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,42 @@
+"""Tests that the import graph is acyclic and that lower layers stay low."""
+
+import ast
+import graphlib
+import pathlib
+
+_PACKAGE = pathlib.Path(__file__).parent.parent / "figstream"
+# Decision code is driven by fakes on virtual time, so it must not reach up.
+_WITHOUT_IO = ("scheduler", "class_queue", "fair_share", "retry_policy")
+_IO_MODULES = {"backend_client", "http_server", "platform_http", "daemon"}
+
+
+def _imports(path: pathlib.Path) -> set[str]:
+    tree = ast.parse(path.read_text())
+    return {
+        alias.name
+        for node in ast.walk(tree)
+        if isinstance(node, ast.ImportFrom) and node.module == "figstream"
+        for alias in node.names
+    }
+
+
+def _graph() -> dict[str, set[str]]:
+    return {path.stem: _imports(path) for path in _PACKAGE.glob("*.py")}
+
+
+def test_import_graph_is_acyclic() -> None:
+    order = graphlib.TopologicalSorter(_graph())
+    assert "main" in list(order.static_order())
+
+
+def test_decision_code_imports_no_io() -> None:
+    graph = _graph()
+
+    def reached(name: str, seen: set[str]) -> set[str]:
+        for item in graph.get(name, set()) - seen:
+            reached(item, seen | {item})
+            seen |= {item} | reached(item, seen | {item})
+        return seen
+
+    for name in _WITHOUT_IO:
+        assert not reached(name, set()) & _IO_MODULES, name
