Order a zone's backend servers under its lease

Cause: demand had no way to get servers, nor to give idle ones back. Change: the demand of each daemon as notices within the zone; a policy that puts preemptible demand on reclaimable servers, backs off when none can be had and gives back after five idle minutes, draining first; orders recorded with the lease before they are sent, each write to the socket checked against the lease with no await between, TCP_USER_TIMEOUT on that connection; started servers enter the configuration, leaving ones go out as a notice at once. ServerOrders.send takes a check; Scheduler tells its demand.

--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -93,6 +93,10 @@
         """Takes note that an attempt ended."""
         self._own[server.name] -= 1
 
+    def demand(self) -> Iterable[scheduler_api.ClassDemand]:
+        """Returns no demand; nothing orders servers here."""
+        return ()
+
     def report_load(self, load: scheduler_api.ServerLoad) -> None:
         """Keeps the last report."""
         self._reported[load.server] = load.running + load.waiting
--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -37,6 +37,7 @@
       state: whether it may get new work.
       reclaimable: whether the platform may take it back at short notice.
       cost: price of an hour, in any one unit.
+      ordered: whether it was ordered by the system and is given back by it.
       checks_fencing: whether it refuses orders with an old fencing number.
     """
 
@@ -53,3 +54,4 @@
     reclaimable: bool = False
     cost: float = 1.0
     checks_fencing: bool = True
+    ordered: bool = False
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -23,6 +23,7 @@
 from figstream import membership
 from figstream import metrics as metrics_lib
 from figstream import options as options_lib
+from figstream import ordering_roles
 from figstream import peer_server
 from figstream import platform_api
 from figstream import request_path
@@ -87,6 +88,7 @@
                 blame, self.members.notices, context.clock
             ),
             *accounting.roles,
+            *ordering_roles.make_ordering_roles(context, self.members),
             self.spread,
             self.members,
         )
--- /dev/null
+++ b/figstream/ordering_roles.py
@@ -0,0 +1,36 @@
+"""Builds the roles by which a daemon takes part in ordering its zone."""
+
+from collections.abc import Sequence
+from typing import Final
+
+from figstream import daemon_context
+from figstream import demand as demand_lib
+from figstream import lease as lease_lib
+from figstream import leaving_servers
+from figstream import membership
+from figstream import server_ordering
+
+LEASE_PREFIX: Final = "orders/"
+
+
+def make_ordering_roles(
+    context: daemon_context.DaemonContext, members: membership.Membership
+) -> Sequence[daemon_context.Role]:
+    """Creates the lease, the orders, and the notices that go with them."""
+    zone = context.options.zone
+    lease = lease_lib.make_lease(LEASE_PREFIX + zone, zone, context, members)
+    board = demand_lib.DemandBoard(context.clock)
+    leaving = leaving_servers.LeavingServers(
+        context.scheduler, members.notices, context.clock
+    )
+    publisher = demand_lib.DemandPublisher(
+        context.options.name,
+        context.scheduler,
+        members.notices,
+        board,
+        context.clock,
+    )
+    ordering = server_ordering.make_server_ordering(
+        context, lease, board, leaving
+    )
+    return (ordering, lease, leaving, publisher)
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -5,6 +5,7 @@
 that a write did not take effect.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import enum
@@ -194,11 +195,24 @@
     order_id: str = ""
 
 
+def always() -> bool:
+    """Allows whatever is asked."""
+    return True
+
+
 class ServerOrders(Protocol):
     """The interface that orders backend servers by availability zone."""
 
-    async def send(self, order: ServerOrder) -> OrderOutcome:
-        """Sends one order."""
+    async def send(
+        self, order: ServerOrder, allowed: Callable[[], bool] = always
+    ) -> OrderOutcome:
+        """Sends one order.
+
+        Args:
+          order: the order.
+          allowed: whether the lease still holds; called with no await
+            between it and the write.
+        """
 
     async def list_servers(
         self, zone: str
--- a/figstream/platform_gated.py
+++ b/figstream/platform_gated.py
@@ -1,5 +1,6 @@
 """The platform as one client sees it through the gate of faults."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 
 from figstream import platform_api
@@ -102,13 +103,15 @@
     """Orders of backend servers behind the gate."""
 
     async def send(
-        self, order: platform_api.ServerOrder
+        self,
+        order: platform_api.ServerOrder,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.OrderOutcome:
         """Sends one order."""
         return await self._gate.write(
             _Kind.ORDER,
             self._client,
-            lambda: self._platform.orders.send(order),
+            lambda: self._platform.orders.send(order, allowed),
         )
 
     async def list_servers(
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -5,15 +5,18 @@
 `Unknown`, and the caller must read back before it decides anything.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 from typing import Final
 from typing import TypeVar
 import urllib.parse
 
+import httpcore
 import httpx
 
 from figstream import errors
+from figstream import order_transport
 from figstream import platform_api
 from figstream import platform_wire as wire
 from figstream import serialization
@@ -35,6 +38,8 @@
 
     def __init__(self, url: str, client_name: str, timeout_s: float) -> None:
         """Connects at the first call."""
+        self.url = url
+        self.client_name = client_name
         self.timeout_s = timeout_s
         self._client = httpx.AsyncClient(
             base_url=url,
@@ -183,21 +188,29 @@
         self._caller = caller
 
     async def send(
-        self, order: platform_api.ServerOrder
+        self,
+        order: platform_api.ServerOrder,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.OrderOutcome:
-        """Sends one order."""
-        answer = await self._caller.call(
-            "POST", wire.ORDERS, content=serialization.to_json(order)
+        """Sends one order if it is still allowed when it is written."""
+        caller = self._caller
+        answer = await order_transport.post(
+            caller.url + wire.ORDERS,
+            serialization.to_json(order),
+            {wire.CLIENT_HEADER: caller.client_name},
+            caller.timeout_s,
+            allowed,
         )
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, httpcore.Response):
             return answer
-        if answer.status_code == wire.OK:
-            accepted = _decode(answer, platform_api.OrderAccepted)
-            return accepted or _without_outcome(answer)
-        if answer.status_code == wire.CONFLICT:
-            refused = _decode(answer, platform_api.OrderRefused)
-            return refused or _without_outcome(answer)
-        return _without_outcome(answer)
+        found = httpx.Response(answer.status, content=answer.content)
+        if found.status_code == wire.OK:
+            accepted = _decode(found, platform_api.OrderAccepted)
+            return accepted or _without_outcome(found)
+        if found.status_code == wire.CONFLICT:
+            refused = _decode(found, platform_api.OrderRefused)
+            return refused or _without_outcome(found)
+        return _without_outcome(found)
 
     async def list_servers(
         self, zone: str
--- a/figstream/platform_memory.py
+++ b/figstream/platform_memory.py
@@ -4,6 +4,7 @@
 tests use it directly.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import itertools
 
@@ -172,10 +173,12 @@
         self._answers: dict[str, platform_api.OrderOutcome] = {}
 
     async def send(
-        self, order: platform_api.ServerOrder
+        self,
+        order: platform_api.ServerOrder,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.OrderOutcome:
         """Carries out one order, once for each order id."""
-        if self.down:
+        if self.down or not allowed():
             return platform_api.Unavailable("the platform is down")
         if order.order_id in self._answers:
             return self._answers[order.order_id]
--- a/figstream/running_requests.py
+++ b/figstream/running_requests.py
@@ -56,6 +56,11 @@
         target = request_target.target_of(request)
         return self._by_target.get(target, {}).pop(request.request_id, None)
 
+    def all(self) -> Iterable[RunningRequest]:
+        """Returns everything that runs."""
+        groups = self._by_target.values()
+        return (item for group in groups for item in group.values())
+
     def of_target(
         self, target: request_target.Target
     ) -> Iterable[RunningRequest]:
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -24,6 +24,7 @@
 from figstream import request_target
 from figstream import running_requests
 from figstream import scheduler_api
+from figstream import scheduler_demand
 from figstream import server_load
 from figstream import server_pool
 from figstream import server_selection
@@ -181,6 +182,12 @@
         """Takes note of a load report."""
         self._book.report(load)
 
+    def demand(self) -> Iterable[scheduler_api.ClassDemand]:
+        """Returns the demand for each model by class."""
+        return scheduler_demand.summarize(
+            self._queues, self._dispatcher.running
+        )
+
     def _weight(self, customer: str) -> float:
         known = self._configuration.customers_by_name.get(customer)
         return known.weight if known else 1.0
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -137,6 +137,23 @@
     measured_at: float
 
 
+@attrs.frozen
+class ClassDemand:
+    """Requests of one class for one model that run or wait in a daemon.
+
+    Attributes:
+      model: the model.
+      request_class: the class.
+      running: requests at backend servers.
+      waiting: requests that wait.
+    """
+
+    model: str
+    request_class: request_class_lib.RequestClass
+    running: int
+    waiting: int
+
+
 class Scheduler(Protocol):
     """Decides when and where requests run."""
 
@@ -176,3 +193,6 @@
 
     def report_load(self, load: ServerLoad) -> None:
         """Takes note of a load report."""
+
+    def demand(self) -> Iterable[ClassDemand]:
+        """Returns the demand for each model by class."""
--- /dev/null
+++ b/figstream/server_ordering.py
@@ -0,0 +1,345 @@
+"""Orders the backend servers of one zone, while this daemon holds its lease.
+
+Each round lists what runs, settles what is recorded, decides, records the
+orders with the lease and only then sends them. A deposed holder fails at the
+record; the check of the lease is repeated at the write to the socket. After a
+take-over the new holder finds the recorded orders and repeats them under
+their ids.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import itertools
+import random
+from typing import Final
+
+import anyio
+import attrs
+
+from figstream import backend_server
+from figstream import capacity_policy
+from figstream import configuration_store
+from figstream import daemon_context
+from figstream import demand as demand_lib
+from figstream import errors
+from figstream import lease as lease_lib
+from figstream import leaving_servers
+from figstream import logs
+from figstream import order_book
+from figstream import platform_api
+from figstream import server_registration
+
+ROUND_S: Final = 2.0
+_LISTED_WITHIN_S: Final = 120.0
+_SHORTEST_DRAIN_S: Final = 5.0
+_LONGEST_DRAIN_S: Final = 600.0
+
+_Kind = platform_api.OrderKind
+
+
+class ServerOrdering:
+    """The orders of one zone; a `Role`."""
+
+    def __init__(
+        self,
+        context: daemon_context.DaemonContext,
+        lease: lease_lib.HeldLease,
+        board: demand_lib.DemandBoard,
+        leaving: leaving_servers.LeavingServers,
+        registration: server_registration.ServerRegistration,
+    ) -> None:
+        """Orders for the zone of the daemon."""
+        self._context = context
+        self._clock = context.clock
+        self._orders = context.platform.orders
+        self._zone = context.options.zone
+        self._lease = lease
+        self._board = board
+        self._leaving = leaving
+        self._registration = registration
+        self._random = random.Random(context.start_number)
+        self._policy = capacity_policy.CapacityPolicy(context.start_number)
+        self._sequence = itertools.count(1)
+        self._outcomes: dict[str, platform_api.OrderOutcome] = {}
+        self._accepted_at: dict[str, float] = {}
+        self._drained_since: dict[str, float] = {}
+        self._load_after: dict[str, float] = {}
+        self._ended_at: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Orders until cancelled."""
+        while True:
+            if self._lease.fencing() is not None:
+                await self.round()
+            spread = self._random.uniform(0.8, 1.2)
+            await self._clock.sleep(ROUND_S * spread)
+
+    async def hand_over(self) -> None:
+        """Does nothing; the orders stay recorded with the lease."""
+
+    async def round(self) -> None:
+        """Looks at the zone once and orders what it needs."""
+        found = await self._orders.list_servers(self._zone)
+        if isinstance(found, platform_api.Unavailable):
+            self._context.metrics.event("servers_not_listed")
+            return
+        book = self._settled(found)
+        if book is None:
+            return
+        draining = frozenset(item.name for item in book.draining)
+        leaving = {item.name for item in found if item.leaving}
+        self._leaving.announce(self._zone, draining | leaving)
+        book = await self._planned(book, found)
+        recorded = order_book.encode(book)
+        if recorded != self._lease.state and not await self._lease.record(
+            recorded
+        ):
+            self._context.metrics.event("orders_not_recorded")
+            return
+        for order in book.pending:
+            await self._send(order)
+        draining = frozenset(item.name for item in book.draining)
+        if self._lease.fencing() is not None:
+            await self._registration.reconcile(found, draining)
+
+    def _settled(
+        self, found: Sequence[platform_api.OrderedServer]
+    ) -> order_book.OrderBook | None:
+        """Returns the recorded book without what has come to its end."""
+        try:
+            book = order_book.decode(self._lease.state)
+        except errors.ConfigurationError as error:
+            logs.error("orders_unreadable", detail=str(error))
+            return None
+        now = self._clock.now()
+        expected = {item.order_id for item in book.expected}
+        self._accepted_at = {
+            order_id: self._accepted_at.get(order_id, now)
+            for order_id in expected
+        }
+        overdue = {
+            order_id
+            for order_id, at in self._accepted_at.items()
+            if now - at > _LISTED_WITHIN_S
+        }
+        listed = {item.name: item for item in found}
+        settled = book.settle(listed, self._outcomes, overdue)
+        open_ids = {item.order_id for item in settled.pending}
+        self._outcomes = {
+            order_id: outcome
+            for order_id, outcome in self._outcomes.items()
+            if order_id in open_ids
+        }
+        return settled
+
+    async def _planned(
+        self,
+        book: order_book.OrderBook,
+        found: Sequence[platform_api.OrderedServer],
+    ) -> order_book.OrderBook:
+        book = await self._after_draining(book, found)
+        decisions = self._policy.decide(
+            self._board.total, self._capacities(book, found), self._clock.now()
+        )
+        for decision in decisions:
+            match decision:
+                case capacity_policy.Start():
+                    book = await self._start(book, decision, found)
+                case capacity_policy.Stop():
+                    drained = order_book.Draining(decision.name)
+                    book = _drain(book, drained)
+                case capacity_policy.LoadModel():
+                    drained = order_book.Draining(decision.name, decision.model)
+                    book = _drain(book, drained)
+        return book
+
+    async def _after_draining(
+        self,
+        book: order_book.OrderBook,
+        found: Sequence[platform_api.OrderedServer],
+    ) -> order_book.OrderBook:
+        """Orders what is to happen to servers that have become idle."""
+        now = self._clock.now()
+        self._drained_since = {
+            item.name: self._drained_since.get(item.name, now)
+            for item in book.draining
+        }
+        # The list of servers lags behind what was ordered.
+        self._ended_at = {
+            name: at
+            for name, at in self._ended_at.items()
+            if now - at < _LISTED_WITHIN_S
+        }
+        ordered = {*self._ended_at, *(item.target for item in book.pending)}
+        models = {item.name: item.model for item in found}
+        for item in book.draining:
+            idle = now - self._drained_since[item.name] >= self._drain_s()
+            if item.next_model and models.get(item.name) == item.next_model:
+                left = tuple(x for x in book.draining if x != item)
+                book = attrs.evolve(book, draining=left)
+            elif idle and item.name not in ordered:
+                book = await self._end(book, item)
+        return book
+
+    async def _end(
+        self, book: order_book.OrderBook, drained: order_book.Draining
+    ) -> order_book.OrderBook:
+        """Orders what is to happen to one server that has become idle."""
+        loads = bool(drained.next_model)
+        if loads and not await self._may_load(drained.next_model):
+            return book
+        self._ended_at[drained.name] = self._clock.now()
+        kind = _Kind.LOAD_MODEL if loads else _Kind.STOP
+        return book.add(self._order(kind, drained.name, drained.next_model))
+
+    def _drain_s(self) -> float:
+        """Returns seconds after which no request can still be running."""
+        classes = self._context.holder.current.classes
+        longest = max(
+            (item.service_level.deadline_s for item in classes), default=0.0
+        )
+        return min(_LONGEST_DRAIN_S, max(_SHORTEST_DRAIN_S, longest))
+
+    def _capacities(
+        self,
+        book: order_book.OrderBook,
+        found: Sequence[platform_api.OrderedServer],
+    ) -> list[capacity_policy.Capacity]:
+        draining = {item.name for item in book.draining}
+        starting = (
+            capacity_policy.Capacity(
+                item.order_id, item.model, reclaimable=item.reclaimable
+            )
+            for item in (*book.pending, *book.expected)
+            if item.kind is _Kind.START
+        )
+        loading = (
+            capacity_policy.Capacity(item.name, item.next_model, ordered=False)
+            for item in book.draining
+            if item.next_model
+        )
+        running = (
+            capacity_policy.Capacity(
+                item.name, item.model, reclaimable=item.reclaimable
+            )
+            for item in found
+            if not item.leaving and item.name not in draining
+        )
+        return [*running, *starting, *loading, *self._configured()]
+
+    def _configured(self) -> Iterable[capacity_policy.Capacity]:
+        """Yields servers that operators run themselves."""
+        return (
+            capacity_policy.Capacity(
+                item.name, model, item.slots, item.reclaimable, ordered=False
+            )
+            for item in self._context.holder.current.servers
+            if item.zone == self._zone
+            and not item.ordered
+            and item.state is backend_server.ServerState.ACTIVE
+            for model in item.models
+        )
+
+    async def _start(
+        self,
+        book: order_book.OrderBook,
+        start: capacity_policy.Start,
+        found: Sequence[platform_api.OrderedServer],
+    ) -> order_book.OrderBook:
+        """Takes a draining server back into use, or orders a new one."""
+        like = {
+            item.name
+            for item in found
+            if item.model == start.model
+            and item.reclaimable == start.reclaimable
+            and not item.leaving
+        }
+        ending = {item.target for item in book.pending}
+        for item in book.draining:
+            if item.name in like - ending:
+                left = tuple(x for x in book.draining if x != item)
+                return attrs.evolve(book, draining=left)
+        if not await self._may_load(start.model):
+            return book
+        order = self._order(_Kind.START, "", start.model, start.reclaimable)
+        return book.add(order)
+
+    async def _may_load(self, model: str) -> bool:
+        now = self._clock.now()
+        if now < self._load_after.get(model, now):
+            return False
+        wait_s = await self._context.platform.weights.reserve(model)
+        if isinstance(wait_s, platform_api.Unavailable):
+            return False
+        self._load_after[model] = self._clock.now() + wait_s
+        return wait_s <= 0
+
+    def _order(
+        self, kind: _Kind, target: str, model: str, reclaimable: bool = False
+    ) -> platform_api.ServerOrder:
+        name = self._context.options.name
+        run = f"{self._context.start_number}-{next(self._sequence)}"
+        return platform_api.ServerOrder(
+            f"{name}-{run}", kind, self._zone, target, model, reclaimable
+        )
+
+    async def _send(self, order: platform_api.ServerOrder) -> None:
+        fencing = self._lease.fencing()
+        if fencing is None:
+            return
+        outcome: platform_api.OrderOutcome = platform_api.Unknown("timeout")
+        # A recorded order keeps its id; the fencing number is the sender's.
+        sent = attrs.evolve(order, fencing=fencing)
+        with anyio.move_on_after(self._lease.times.order_s):
+            outcome = await self._orders.send(
+                sent, lambda: self._lease.fencing() == fencing
+            )
+        self._take_note(order, outcome)
+
+    def _take_note(
+        self,
+        order: platform_api.ServerOrder,
+        outcome: platform_api.OrderOutcome,
+    ) -> None:
+        kind = type(outcome).__name__.lower()
+        self._context.metrics.event(f"order_{order.kind.value}_{kind}")
+        logs.info(
+            "order_sent",
+            order=order.order_id,
+            kind=order.kind.value,
+            model=order.model,
+            reclaimable=order.reclaimable,
+            outcome=kind,
+        )
+        starts = order.kind is _Kind.START
+        match outcome:
+            case platform_api.OrderRefused(old_fencing=True):
+                return
+            case platform_api.OrderRefused(none_available=True) if starts:
+                now = self._clock.now()
+                self._policy.none_available(order.reclaimable, now)
+            case platform_api.OrderAccepted() if starts:
+                self._policy.available(order.reclaimable)
+        self._outcomes[order.order_id] = outcome
+
+
+def _drain(
+    book: order_book.OrderBook, drained: order_book.Draining
+) -> order_book.OrderBook:
+    return attrs.evolve(book, draining=(*book.draining, drained))
+
+
+def make_server_ordering(
+    context: daemon_context.DaemonContext,
+    lease: lease_lib.HeldLease,
+    board: demand_lib.DemandBoard,
+    leaving: leaving_servers.LeavingServers,
+) -> ServerOrdering:
+    """Creates the role that orders the servers of the daemon's zone."""
+    store = configuration_store.ConfigurationStore(
+        context.platform.objects, context.clock
+    )
+    registration = server_registration.ServerRegistration(
+        context.options.zone, context.holder, store
+    )
+    return ServerOrdering(context, lease, board, leaving, registration)
--- a/figstream/waiting_queues.py
+++ b/figstream/waiting_queues.py
@@ -109,6 +109,15 @@
             (item for item in self.of_target(target) if request in item), None
         )
 
+    def nonempty(self) -> list[class_queue.ClassQueue]:
+        """Returns the queues in which requests wait."""
+        return [
+            queue
+            for target in self._waiting
+            for queue in self._queues[target]
+            if queue
+        ]
+
     def below(self, tier: int) -> list[class_queue.ClassQueue]:
         """Returns the nonempty queues of lower tiers, lowest tier first."""
         found = [
