Pull again when another pull brought less than a peer has

Of two pulls at the same time, the second was content with whatever the first had brought, so a daemon could take itself for up to date one generation too low until the next heartbeat, and count that peer as not ahead. The new test failed before the change. Recovery of a whole zone, and of all zones at once during an outage, is tested as well.

--- a/figstream/configuration_peers.py
+++ b/figstream/configuration_peers.py
@@ -89,7 +89,7 @@
             return True
         ahead = [item for item in self._peers() if item.generation == highest]
         for member in ahead[:_PEERS_TRIED]:
-            if await self._pull_from(member):
+            if await self._pull_from(member, highest):
                 return True
         return False
 
@@ -132,15 +132,17 @@
     ) -> bool:
         """Takes over what a peer knows; returns whether that succeeded."""
         if status.generation > self._copy.generation:
-            return await self._pull_from(member)
+            return await self._pull_from(member, status.generation)
         age_s = status.confirmed_age_s + self._clock.now() - sent_at
         self._copy.confirm(status.generation, age_s)
         return True
 
-    async def _pull_from(self, member: membership_api.Member) -> bool:
-        started_from = self._copy.generation
+    async def _pull_from(
+        self, member: membership_api.Member, generation: int
+    ) -> bool:
+        """Takes over a generation that a peer has, or a higher one."""
         async with self._pulling:
-            if self._copy.generation > started_from:
+            if self._copy.generation >= generation:
                 return True
             asked_at = self._clock.now()
             found = await configuration_peer.pull(
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -213,6 +213,22 @@
                 assert len(fresh[0].holder.current.customers) == 2
                 assert 30.0 <= fresh[0].holder.unconfirmed_s < 31.0
                 del fleet.nodes[fresh[0].member.name]
+        # A whole zone is replaced at once and gets it from the others.
+        async with _daemons(fleet, "ddd") as replaced:
+            for node in replaced:
+                await node.spread.catch_up()
+                assert node.holder.current.generation == 3
+        # Every daemon of every zone is replaced at once.
+        fleet.nodes.clear()
+        async with _daemons(fleet, "abc") as all_new:
+            for node in all_new:
+                await node.spread.watch_once()
+                await node.spread.catch_up()
+            assert {n.holder.current.generation for n in all_new} == {0}
+            fleet.memory.gate.faults.down = False
+            await all_new[0].spread.watch_once()
+            await all_new[2].spread.catch_up()
+            assert all_new[2].holder.current.generation == 3
 
 
 @pytest.mark.parametrize("fault", ["skip", "fail", "gap"])
@@ -349,6 +365,20 @@
             assert node.holder.current.generation == 1
 
 
+async def test_pulls_at_the_same_time_end_at_the_highest_generation() -> None:
+    """Fails if `_pull_from` is content with any generation that came."""
+    fleet = Fleet()
+    async with _daemons(fleet, "aaa") as (node, *peers):
+        for peer in peers:
+            await fleet.add_customer(peer.member.name)
+            await peer.spread.read_platform()
+        async with anyio.create_task_group() as group:
+            for peer in peers:
+                node.spread.receive(peer.spread.peers.status())
+                group.start_soon(node.spread.handle_next)
+        assert node.holder.current.generation == 2
+
+
 async def test_a_status_that_waited_while_paused_is_not_taken_as_new() -> None:
     """Fails if `receive` takes a status as sent when it is received."""
     fleet = Fleet()
