Stop a real process in the middle of an order

Cause: the check of the lease at the write was not shown with a real signal. Change: a process connects, stops itself with SIGSTOP before it writes, is continued with SIGCONT after a rival has taken the lease and ordered; its order never arrives. With the check moved to before the connection the test fails: the order arrives after the rival's. Tests share their parts now.

--- a/tests/member_cluster.py
+++ b/tests/member_cluster.py
@@ -85,6 +85,17 @@
                 self._greet(node, seed)
         return node
 
+    def introduce_all(self) -> None:
+        """Fills every table before any link is open, which saves time."""
+        entries = [
+            entry
+            for node in self.nodes.values()
+            if (entry := node.table.find(node.table.own_run))
+        ]
+        for node in self.nodes.values():
+            for entry in entries:
+                node.table.merge(entry.member, entry.status, self.clock.now())
+
     def cut_zone(self, zone: str) -> None:
         inside = {n for n, node in self.nodes.items() if node.zone == zone}
         self.cut = {
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -2,55 +2,33 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Sequence
 import functools
 import itertools
+import os
+import signal
+import subprocess
+import sys
 
 import anyio
 import attrs
-import grpc
 import hypothesis
 from hypothesis import strategies
 import pytest
 
 from figstream import clock as clock_lib
-from figstream import configuration_holder
-from figstream import daemon_context
-from figstream import explain
+from figstream import http_server
 from figstream import lease
 from figstream import lease_store
-from figstream import membership_api
-from figstream import metrics
-from figstream import options
 from figstream import platform_api
 from figstream import platform_memory
-from figstream import scheduler
+from figstream import standin_platform
+from tests import lease_parts
+from tests import order_sender
 
 _TIMES = lease.LeaseTimes(duration_s=6.0, order_s=2.0)
 _NAMES = ("x", "y", "z")
 
 
-class _Members:
-    """Members of which each believes that it comes first."""
-
-    def __init__(self, name: str) -> None:
-        self._this = membership_api.Member(name, "a", "r", "", 1)
-
-    def this(self) -> membership_api.Member:
-        return self._this
-
-    def live(self) -> Sequence[membership_api.Member]:
-        return [self._this]
-
-    def ranked(
-        self, role: str, zone: str = ""
-    ) -> Sequence[membership_api.Member]:
-        return [self._this]
-
-    def channel(self, member: membership_api.Member) -> grpc.aio.Channel:
-        raise NotImplementedError
-
-
 @attrs.define
 class _FaultyStore(platform_memory.MemoryObjectStore):
     """Loses answers, delays writes, and lets others act meanwhile."""
@@ -95,17 +73,12 @@
 
     def make(self, name: str, start_number: int = 1) -> lease.HeldLease:
         platform = platform_memory.MemoryPlatform(objects=self.store)
-        context = daemon_context.DaemonContext(
-            options.Options(name, "a", "r", "", 0, 0, 0, ""),
-            self.clock,
-            start_number,
-            platform.interfaces(),
-            configuration_holder.ConfigurationHolder(self.clock),
-            scheduler.make_scheduler("a"),
-            explain.DecisionLog(),
-            metrics.make_unexported_metrics(),
+        context = lease_parts.make_context(
+            name, start_number, platform.interfaces(), self.clock
+        )
+        return lease.HeldLease(
+            "l", "a", context, lease_parts.OnlyMember(name), _TIMES
         )
-        return lease.HeldLease("l", "a", context, _Members(name), _TIMES)
 
     def order(self, name: str, delay_s: float) -> bool:
         fencing = self.leases[name].fencing()
@@ -351,3 +324,41 @@
     await _duel(world, "slow_resign", "x", "y", 0.0)
     world.advance(60.0)
     assert {name for _, _, name in world.arrived} == {"y"}
+
+
+@pytest.mark.anyio
+async def test_process_stopped_while_it_sends_an_order_does_not_send_it() -> (
+    None
+):
+    # Fails if the lease is checked before connecting instead of in
+    # `_CheckedStream.write`: the process stops between the two.
+    platform = platform_memory.MemoryPlatform()
+    platform.orders.checks_fencing = False
+    context = lease_parts.make_context("rival", 1, platform.interfaces())
+    rival = lease.HeldLease(
+        "l", "a", context, lease_parts.OnlyMember("rival"), order_sender.TIMES
+    )
+    app = standin_platform.make_app(platform)
+    with anyio.fail_after(120):
+        async with http_server.serve_app(app) as port:
+            command = [sys.executable, "-m", "tests.order_sender"]
+            sender = subprocess.Popen([*command, f"http://127.0.0.1:{port}"])
+            try:
+                await anyio.to_thread.run_sync(
+                    os.waitid, os.P_PID, sender.pid, os.WSTOPPED | os.WNOWAIT
+                )
+                while rival.fencing() is None:
+                    await rival.step()
+                    await anyio.sleep(0.05)
+                order = platform_api.ServerOrder(
+                    "rival-1", platform_api.OrderKind.START, "a", fencing=2
+                )
+                await platform.orders.send(order)
+                sender.send_signal(signal.SIGCONT)
+                await anyio.to_thread.run_sync(sender.wait)
+            finally:
+                sender.kill()
+                sender.wait()
+    got = [item.order_id for item in platform.orders.received]
+    before = [f"sender-{n + 1}" for n in range(order_sender.ORDERS_BEFORE_STOP)]
+    assert got == [*before, "rival-1"]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,21 +6,16 @@
 import grpc
 import pytest
 
-from figstream import clock as clock_lib
-from figstream import configuration_holder
-from figstream import daemon_context
-from figstream import explain
 from figstream import member_table
 from figstream import membership
-from figstream import metrics
-from figstream import options
 from figstream import platform_api
 from figstream import platform_memory
-from figstream import scheduler
+from tests import lease_parts
 from tests import member_cluster
 
 _ZONES = ("a", "b", "c")
 _NOTICED_S = 10
+_JOINING = 100
 # 12 KB/s are allowed for all control; heartbeats may take 5 of them. Framing:
 # HTTP/2 and gRPC 14 bytes, TCP/IP 52, and 52 for the acknowledgement.
 _BYTES_PER_S = 5000
@@ -33,6 +28,8 @@
     cluster = member_cluster.Cluster()
     for number in range(count):
         cluster.add(f"vm-{number:03}", _ZONES[number % len(_ZONES)])
+    if count > _JOINING:
+        cluster.introduce_all()
     cluster.run(8)
     everyone = set(cluster.nodes)
     assert all(node.live == everyone for node in cluster.nodes.values())
@@ -181,19 +178,8 @@
 def _daemon(
     name: str, address: str, platform: platform_api.Platform
 ) -> membership.Membership:
-    clock = clock_lib.SystemClock()
-    settings = options.Options(
-        name, "a", "r", "127.0.0.1", 0, 0, 0, "", heartbeat_s=0.1
-    )
-    context = daemon_context.DaemonContext(
-        settings,
-        clock,
-        time.time_ns(),
-        platform,
-        configuration_holder.ConfigurationHolder(clock),
-        scheduler.make_scheduler("a"),
-        explain.DecisionLog(),
-        metrics.make_unexported_metrics(),
+    context = lease_parts.make_context(
+        name, time.time_ns(), platform, heartbeat_s=0.1
     )
     return membership.make_membership(context, address)
 
--- a/tests/test_server_ordering.py
+++ b/tests/test_server_ordering.py
@@ -14,20 +14,15 @@
 
 from figstream import capacity_policy
 from figstream import clock as clock_lib
-from figstream import configuration_holder
-from figstream import daemon_context
 from figstream import demand
-from figstream import explain
 from figstream import lease
 from figstream import lease_store
 from figstream import leaving_servers
 from figstream import membership
-from figstream import metrics
-from figstream import options
 from figstream import platform_api
 from figstream import platform_memory
-from figstream import scheduler
 from figstream import server_ordering
+from tests import lease_parts
 
 _LAG_S = 20.0
 _FIRM = demand.DemandKey("m", 0, False)
@@ -97,15 +92,8 @@
 
     def restart(self) -> None:
         """Replaces the daemon; what it kept in memory is lost."""
-        self.context = daemon_context.DaemonContext(
-            options.Options("x", "a", "r", "", 0, 0, 0, ""),
-            self.clock,
-            next(self._starts),
-            self.platform.interfaces(),
-            configuration_holder.ConfigurationHolder(self.clock),
-            scheduler.make_scheduler("a"),
-            explain.DecisionLog(),
-            metrics.make_unexported_metrics(),
+        self.context = lease_parts.make_context(
+            "x", next(self._starts), self.platform.interfaces(), self.clock
         )
         members = membership.make_membership(self.context, "x:1")
         self.board = demand.DemandBoard(self.clock)
