Serve operators over gRPC, and cover every call by the command line

Customers, classes, backend servers, routes and keys are changed on the generation named; a set of changes applied again changes nothing; a key is shown once; withdrawing tells which zones have confirmed; explain asks the peers. Without a token digest in the settings only loopback is served.

--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -22,6 +22,8 @@
 from figstream import logs
 from figstream import membership
 from figstream import metrics as metrics_lib
+from figstream import operator_explain
+from figstream import operator_server
 from figstream import options as options_lib
 from figstream import ordering_roles
 from figstream import peer_server
@@ -74,9 +76,17 @@
         )
         accounting = usage_parts.make_usage_parts(context, self.members)
         self.usage = usage_totals.UsageTotals(accounting.ledger)
+        explainer = operator_explain.make_explainer(context, self.members)
+        self._operators = operator_server.make_operator_server(
+            context,
+            self.members,
+            lambda: self.members.unreachable_zones,
+            explainer,
+        )
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             self.spread,
             accounting.handover,
+            explainer,
             self.members,
         )
         claims = claim_journal.make_claim_journal(context)
@@ -89,6 +99,7 @@
             ),
             *accounting.roles,
             *ordering_roles.make_ordering_roles(context, self.members),
+            self._operators,
             self.spread,
             self.members,
         )
@@ -142,6 +153,11 @@
         """Returns the address that other daemons use."""
         return self._peers.address
 
+    @property
+    def operator_address(self) -> str:
+        """Returns the address that operators use."""
+        return self._operators.address
+
     @property
     def caller_port(self) -> int:
         """Returns the port that callers use."""
--- a/figstream/main.py
+++ b/figstream/main.py
@@ -10,6 +10,7 @@
 
 from figstream import demo
 from figstream import errors
+from figstream import operator_cli
 from figstream import options
 from figstream import serve
 from figstream import standin_cli
@@ -25,6 +26,7 @@
 )
 
 app.add_typer(standin_cli.app, name="stand-in")
+app.add_typer(operator_cli.app, name="operator")
 
 ConfigFile = Annotated[
     pathlib.Path, typer.Option("--config", help="The INI settings file.")
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -22,6 +22,26 @@
     "{write_id}, which never makes it twice ({detail})."
 )
 
+EMPTY_OPERATION: Final = "An operation names nothing to do; fill it in."
+NO_SUCH_ITEM: Final = "no {kind} {name!r}; use one of: {known}"
+CUSTOMER_HAS_KEYS: Final = (
+    "customer {name!r} has keys that work; withdraw them first: {keys}"
+)
+OPERATOR_TOKEN_UNSET: Final = (
+    "Calls from other VMs need a token; set token_digest in section "
+    "[operators] of the settings, or call from this VM."
+)
+OPERATOR_TOKEN_WRONG: Final = (
+    "The operator token is missing or wrong; put the right one into "
+    "FIGSTREAM_OPERATOR_TOKEN."
+)
+DAEMON_SILENT: Final = (
+    "No answer from the daemon at {address} ({detail}); check --address and "
+    "the daemon, or use another daemon, then look with 'operator show' "
+    "whether a change was made."
+)
+NO_CHANGE: Final = "Everything is as asked for; nothing was changed."
+
 REFUSALS: Final[Mapping[reasons.RefusalReason, str]] = {
     _R.MISSING_KEY: "No key was sent; add 'Authorization: Bearer KEY'.",
     _R.UNKNOWN_KEY: "The key is not known; ask the operator for a valid key.",
--- /dev/null
+++ b/figstream/operator_changeset.py
@@ -0,0 +1,93 @@
+"""The file of `figstream operator apply`: a whole set of changes.
+
+Items listed are created or replaced, items under `remove` are removed, and
+what the file does not name stays as it is. Applied again, it changes nothing.
+"""
+
+from collections.abc import Iterable
+import itertools
+
+import attrs
+
+from figstream import backend_server
+from figstream import configuration as configuration_lib
+from figstream import customer as customer_lib
+from figstream import operator_messages
+from figstream import request_class as request_class_lib
+from figstream import route as route_lib
+from figstream.rpc import operator_pb2
+
+_Operation = operator_pb2.Operation
+
+
+@attrs.frozen
+class Removals:
+    """Names of items that are to be absent."""
+
+    customers: tuple[str, ...] = ()
+    classes: tuple[str, ...] = ()
+    servers: tuple[str, ...] = ()
+    routes: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ChangeSet:
+    """A set of changes that is made at once.
+
+    Attributes:
+      customers: customers to create or replace.
+      classes: request classes to create or replace.
+      servers: backend servers to create or replace.
+      routes: routes to create or replace.
+      default_class: class of requests that name none, or None to keep it.
+      remove: items that are to be absent.
+    """
+
+    customers: tuple[customer_lib.Customer, ...] = ()
+    classes: tuple[request_class_lib.RequestClass, ...] = ()
+    servers: tuple[backend_server.BackendServer, ...] = ()
+    routes: tuple[route_lib.Route, ...] = ()
+    default_class: str | None = None
+    remove: Removals = Removals()
+
+
+def operations(
+    wanted: ChangeSet, present: configuration_lib.Configuration
+) -> Iterable[operator_pb2.Operation]:
+    """Returns the operations of a set of changes.
+
+    Args:
+      wanted: the set of changes.
+      present: tells which of the items to remove are there.
+    """
+    return itertools.chain(_puts(wanted), _removals(wanted.remove, present))
+
+
+def _puts(wanted: ChangeSet) -> Iterable[operator_pb2.Operation]:
+    convert = operator_messages.to_message
+    for request_class in wanted.classes:
+        yield _Operation(
+            put_class=convert(request_class, operator_pb2.RequestClass)
+        )
+    for customer in wanted.customers:
+        yield _Operation(put_customer=convert(customer, operator_pb2.Customer))
+    for server in wanted.servers:
+        yield _Operation(put_server=convert(server, operator_pb2.BackendServer))
+    for route in wanted.routes:
+        yield _Operation(put_route=convert(route, operator_pb2.Route))
+    if wanted.default_class is not None:
+        yield _Operation(set_default_class=wanted.default_class)
+
+
+def _removals(
+    remove: Removals, present: configuration_lib.Configuration
+) -> Iterable[operator_pb2.Operation]:
+    prefixes = {item.prefix for item in present.routes}
+    for prefix in prefixes.intersection(remove.routes):
+        yield _Operation(remove_route=prefix)
+    for name in present.servers_by_name.keys() & set(remove.servers):
+        yield _Operation(remove_server=name)
+    for name in present.customers_by_name.keys() & set(remove.customers):
+        yield _Operation(remove_customer=name)
+    for name in present.classes_by_name.keys() & set(remove.classes):
+        yield _Operation(remove_class=name)
--- /dev/null
+++ b/figstream/operator_cli.py
@@ -0,0 +1,177 @@
+"""The `figstream operator` commands, which cover every call of operators."""
+
+import pathlib
+import time
+from typing import Annotated
+from typing import Final
+
+import typer
+
+from figstream import errors
+from figstream import operator_changeset
+from figstream import operator_cli_items
+from figstream import operator_cli_keys
+from figstream import operator_client
+from figstream import operator_console
+from figstream import serialization
+from figstream.rpc import operator_pb2
+
+app: Final = typer.Typer(
+    help=(
+        "Operate a running system over gRPC. "
+        "Exit codes: 0 done, 3 conflict, 4 refused or invalid, 5 unavailable."
+    ),
+    no_args_is_help=True,
+)
+app.add_typer(operator_cli_items.customers, name="customer")
+app.add_typer(operator_cli_items.classes, name="class")
+app.add_typer(operator_cli_items.servers, name="server")
+app.add_typer(operator_cli_items.routes, name="route")
+app.add_typer(operator_cli_keys.keys, name="key")
+
+
+@app.callback()
+def connect(
+    context: typer.Context,
+    address: Annotated[
+        str,
+        typer.Option(
+            envvar="FIGSTREAM_OPERATOR_ADDRESS",
+            help="IP:PORT of any daemon's operator port.",
+        ),
+    ] = operator_console.DEFAULT_ADDRESS,
+    as_json: Annotated[
+        bool, typer.Option("--json", help="Print answers as JSON.")
+    ] = False,
+    token: Annotated[
+        str,
+        typer.Option(
+            envvar="FIGSTREAM_OPERATOR_TOKEN",
+            help="Operators' token; better set by the variable.",
+        ),
+    ] = "",
+) -> None:
+    """Operate a running system over gRPC."""
+    client = operator_client.OperatorClient(address, token)
+    context.obj = operator_console.Console(client, as_json)
+
+
+@app.command()
+def apply(
+    context: typer.Context,
+    file: Annotated[
+        pathlib.Path, typer.Argument(help="JSON file with the changes.")
+    ],
+    base: Annotated[
+        int | None,
+        typer.Option(
+            help="Generation the file was made on; the newest if left out."
+        ),
+    ] = None,
+) -> None:
+    """Make a whole set of changes at once; repeatable."""
+    with operator_console.reported():
+        wanted = _read(file)
+        console = operator_console.console(context)
+        found = console.client.configuration()
+        operations = operator_changeset.operations(
+            wanted, operator_client.domain(found)
+        )
+        console.change(operations, found.generation if base is None else base)
+
+
+@app.command()
+def show(context: typer.Context) -> None:
+    """Show the newest configuration, without keys."""
+    with operator_console.reported():
+        console = operator_console.console(context)
+        found = console.client.configuration()
+        named = (
+            ("customers", [item.name for item in found.customers]),
+            ("classes", [f"{i.name} (tier {i.tier})" for i in found.classes]),
+            ("servers", [f"{i.name} ({i.state})" for i in found.servers]),
+            ("routes", [item.prefix for item in found.routes]),
+            ("keys", [item.key_id for item in found.keys]),
+        )
+        console.show(
+            found,
+            (
+                f"generation: {found.generation}",
+                f"default class: {found.default_class}",
+                *(f"{kind}: {', '.join(names)}" for kind, names in named),
+            ),
+        )
+
+
+@app.command()
+def status(context: typer.Context) -> None:
+    """Show the generation in force in each zone and daemon."""
+    with operator_console.reported():
+        console = operator_console.console(context)
+        answer = console.client.call(
+            "GetStatus", operator_pb2.GetStatusRequest()
+        )
+        accepted = "unknown, the platform can't be reached"
+        if answer.HasField("accepted_generation"):
+            accepted = str(answer.accepted_generation)
+        daemons = (
+            f"{item.name}  {item.zone}  {item.address}  "
+            f"generation {item.generation}"
+            for item in answer.daemons
+        )
+        console.show(
+            answer,
+            (
+                f"accepted generation: {accepted}",
+                f"in force in {answer.answered_by}: {answer.generation}",
+                *operator_cli_keys.zone_lines(answer.zones),
+                *daemons,
+            ),
+        )
+
+
+@app.command()
+def explain(
+    context: typer.Context,
+    request_id: Annotated[
+        str, typer.Argument(help="Request id; the latest ones if left out.")
+    ] = "",
+    latest: Annotated[
+        int, typer.Option(help="Number of latest records.", min=1, max=1000)
+    ] = 20,
+) -> None:
+    """Show why requests were refused, delayed, retried or sent where."""
+    with operator_console.reported():
+        console = operator_console.console(context)
+        answer = console.client.call(
+            "Explain",
+            operator_pb2.ExplainRequest(request_id=request_id, latest=latest),
+        )
+        silent = (f"no answer from {name}" for name in answer.silent)
+        console.show(answer, (*map(_decision_line, answer.decisions), *silent))
+
+
+def _decision_line(item: operator_pb2.Decision) -> str:
+    at = time.strftime("%H:%M:%S", time.gmtime(item.at))
+    fields = (
+        at,
+        item.daemon,
+        item.request_id,
+        item.decision,
+        item.reason,
+        item.server and f"server={item.server}",
+        item.customer and f"customer={item.customer}",
+        item.request_class and f"class={item.request_class}",
+        item.detail,
+    )
+    return "  ".join(field for field in fields if field)
+
+
+def _read(file: pathlib.Path) -> operator_changeset.ChangeSet:
+    try:
+        text = file.read_bytes()
+    except OSError as error:
+        raise errors.ConfigurationError(
+            f"{file} can't be read ({error.strerror}); check the path"
+        ) from error
+    return serialization.from_json(text, operator_changeset.ChangeSet)
--- /dev/null
+++ b/figstream/operator_explain.py
@@ -0,0 +1,132 @@
+"""Finds the decisions about a request in this daemon and in its peers.
+
+Each daemon keeps its own records and answers its peers over the peer port.
+"""
+
+from collections.abc import Sequence
+from typing import Final
+
+import anyio
+import grpc
+
+from figstream import daemon_context
+from figstream import explain
+from figstream import membership_api
+from figstream import operator_messages
+from figstream.rpc import operator_pb2
+from figstream.rpc import operator_pb2_grpc
+
+_DEFAULT_LATEST: Final = 20
+_MAX_LATEST: Final = 1000
+_PEER_TIMEOUT_S: Final = 2.0
+_PARALLEL_CALLS: Final = 32
+
+
+class _Servicer(operator_pb2_grpc.DecisionRecordsServicer):
+    def __init__(self, explainer: "Explainer") -> None:
+        self._explainer = explainer
+
+    async def Find(  # noqa: N802
+        self, request: operator_pb2.ExplainRequest, context: object
+    ) -> operator_pb2.ExplainAnswer:
+        return self._explainer.find_here(request)
+
+
+class Explainer:
+    """Finds decisions; satisfies `daemon_context.RpcRole`."""
+
+    def __init__(
+        self, decisions: explain.DecisionLog, members: membership_api.Members
+    ) -> None:
+        """Reads the records of this daemon and asks its peers for theirs."""
+        self._decisions = decisions
+        self._members = members
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Adds the service for peers to the peer server."""
+        operator_pb2_grpc.add_DecisionRecordsServicer_to_server(
+            _Servicer(self), server
+        )
+
+    async def run(self) -> None:
+        """Has nothing to do in the background."""
+
+    async def hand_over(self) -> None:
+        """Has nothing to hand over."""
+
+    def find_here(
+        self, request: operator_pb2.ExplainRequest
+    ) -> operator_pb2.ExplainAnswer:
+        """Returns the records of this daemon."""
+        name = self._members.this().name
+        if request.request_id:
+            found = self._decisions.of_request(request.request_id)
+        else:
+            found = self._decisions.latest(_count(request))
+        return operator_pb2.ExplainAnswer(
+            decisions=[operator_messages.decision(item, name) for item in found]
+        )
+
+    async def find(
+        self, request: operator_pb2.ExplainRequest
+    ) -> operator_pb2.ExplainAnswer:
+        """Returns the records of all live daemons.
+
+        Those of one request come oldest first, the latest ones newest first.
+        """
+        answers = [self.find_here(request)]
+        silent: list[str] = []
+        limiter = anyio.CapacityLimiter(_PARALLEL_CALLS)
+
+        async def ask(member: membership_api.Member) -> None:
+            async with limiter:
+                answer = await self._ask(member, request)
+            if answer is None:
+                silent.append(member.name)
+            else:
+                answers.append(answer)
+
+        async with anyio.create_task_group() as group:
+            for member in self._members.live():
+                if member.name != self._members.this().name:
+                    group.start_soon(ask, member)
+        return operator_pb2.ExplainAnswer(
+            decisions=_in_order(request, answers), silent=sorted(silent)
+        )
+
+    async def _ask(
+        self,
+        member: membership_api.Member,
+        request: operator_pb2.ExplainRequest,
+    ) -> operator_pb2.ExplainAnswer | None:
+        channel = self._members.channel(member)
+        stub = operator_pb2_grpc.DecisionRecordsStub(channel)
+        try:
+            answer: operator_pb2.ExplainAnswer = await stub.Find(
+                request, timeout=_PEER_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError:
+            return None
+        return answer
+
+
+def _count(request: operator_pb2.ExplainRequest) -> int:
+    return min(request.latest or _DEFAULT_LATEST, _MAX_LATEST)
+
+
+def _in_order(
+    request: operator_pb2.ExplainRequest,
+    answers: Sequence[operator_pb2.ExplainAnswer],
+) -> Sequence[operator_pb2.Decision]:
+    found = [item for answer in answers for item in answer.decisions]
+    if request.request_id:
+        return sorted(found, key=lambda item: item.at)
+    newest = sorted(found, key=lambda item: item.at, reverse=True)
+    return newest[: _count(request)]
+
+
+def make_explainer(
+    context: daemon_context.DaemonContext, members: membership_api.Members
+) -> Explainer:
+    """Creates the role that finds decisions."""
+    return Explainer(context.decisions, members)
--- /dev/null
+++ b/figstream/operator_server.py
@@ -0,0 +1,67 @@
+"""The gRPC server for operators, on a port of its own."""
+
+from typing import Final
+
+import anyio
+import grpc
+
+from figstream import daemon_context
+from figstream import membership_api
+from figstream import operator_access
+from figstream import operator_explain
+from figstream import operator_service
+from figstream import operator_status
+from figstream import options as options_lib
+from figstream.rpc import operator_pb2_grpc
+
+_STOP_GRACE_S: Final = 2.0
+
+
+class OperatorServer:
+    """Serves operators; satisfies `daemon_context.Role`."""
+
+    def __init__(
+        self,
+        service: operator_service.OperatorService,
+        options: options_lib.Options,
+    ) -> None:
+        """Binds the port; 0 picks a free one."""
+        access = operator_access.AccessInterceptor(options.token_digest)
+        self._server = grpc.aio.server(
+            interceptors=(access,), options=(("grpc.so_reuseport", 0),)
+        )
+        operator_pb2_grpc.add_OperatorServicer_to_server(service, self._server)
+        port = self._server.add_insecure_port(
+            f"{options.address}:{options.operator_port}"
+        )
+        self._address = f"{options.address}:{port}"
+
+    @property
+    def address(self) -> str:
+        """Returns the address that operators use."""
+        return self._address
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        await self._server.start()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._server.stop(_STOP_GRACE_S)
+
+    async def hand_over(self) -> None:
+        """Has nothing to hand over; calls go on until the daemon exits."""
+
+
+def make_operator_server(
+    context: daemon_context.DaemonContext,
+    members: membership_api.Members,
+    unreachable_zones: operator_status.UnreachableZones,
+    explainer: operator_explain.Explainer,
+) -> OperatorServer:
+    """Creates the server of one daemon."""
+    service = operator_service.make_operator_service(
+        context, members, unreachable_zones, explainer
+    )
+    return OperatorServer(service, context.options)
--- a/figstream/options.py
+++ b/figstream/options.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+import string
 from typing import Final
 
 import attrs
@@ -47,6 +48,8 @@
       heartbeat_s: seconds between heartbeats.
       neighbours: number of daemons that heartbeats are sent to.
       seeds: addresses of daemons to join when the list of VMs is down.
+      token_digest: hexadecimal SHA-256 of the operators' token; "" takes
+        their calls from this VM only.
       explain_records: decisions kept for operators.
       log_level: lowest level that is logged.
     """
@@ -71,10 +74,16 @@
     heartbeat_s: float = defaults.HEARTBEAT_S
     neighbours: int = defaults.NEIGHBOURS
     seeds: tuple[str, ...] = ()
+    token_digest: str = ""
     explain_records: int = defaults.EXPLAIN_RECORDS
     log_level: str = defaults.LOG_LEVEL
 
 
+def _digest(value: str) -> object | None:
+    is_digest = len(value) == 64 and set(value) <= set(string.hexdigits)
+    return value.lower() if is_digest else None
+
+
 def _level(value: str) -> object | None:
     return value if value in logs.LEVELS else None
 
@@ -120,6 +129,13 @@
     _whole_field(
         "operators", "operator_port", 0, 65535, defaults.OPERATOR_PORT
     ),
+    _Field(
+        "operators",
+        "token_digest",
+        "SHA-256 of the token as 64 hexadecimal digits",
+        _digest,
+        "",
+    ),
     _whole_field(
         "operators",
         "explain_records",
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,275 @@
+"""Tests of the operators' calls, by the command line against a real server.
+
+To see them fail: accept on the newest generation whatever the caller names,
+leave out `_keeps` in the service, put the secret into the answers, or let
+`AccessInterceptor` admit every caller.
+"""
+
+from collections.abc import AsyncIterator
+from collections.abc import Sequence
+import contextlib
+import json
+import pathlib
+from typing import Any
+
+import anyio
+import attrs
+import grpc
+import pytest
+import typer.testing
+
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import configuration_store
+from figstream import explain
+from figstream import main
+from figstream import membership_api
+from figstream import operator_access
+from figstream import operator_explain
+from figstream import operator_server
+from figstream import operator_service
+from figstream import operator_status
+from figstream import options
+from figstream import peer_server
+from figstream import platform_memory
+from figstream.rpc import operator_pb2
+from figstream.rpc import operator_pb2_grpc
+
+_EXAMPLE = pathlib.Path(__file__).parent.parent / "examples/changes.json"
+
+
+@attrs.define
+class _Members:
+    """Two daemons in two zones whose generation a test sets."""
+
+    peer_address: str = ""
+    generations: dict[str, int] = attrs.field(
+        factory=lambda: {"entry-1": 0, "entry-2": 0}
+    )
+
+    def this(self) -> membership_api.Member:
+        return self.live()[0]
+
+    def live(self) -> Sequence[membership_api.Member]:
+        return [
+            membership_api.Member(
+                name, f"zone-{name[-1]}", "r", self.peer_address, 1, generation
+            )
+            for name, generation in self.generations.items()
+        ]
+
+    def ranked(
+        self, role: str, zone: str = ""
+    ) -> Sequence[membership_api.Member]:
+        return self.live()
+
+    def channel(self, member: membership_api.Member) -> grpc.aio.Channel:
+        return grpc.aio.insecure_channel(member.address)
+
+
+@attrs.define
+class _Bench:
+    """A daemon's operator side on the platform in memory."""
+
+    address: str
+    members: _Members
+    platform: platform_memory.MemoryPlatform
+    decisions: explain.DecisionLog
+
+    async def run(
+        self, *arguments: str, token: str = ""
+    ) -> typer.testing.Result:
+        """Runs a command of the operator in a thread."""
+        line = ("operator", "--address", self.address, "--json", *arguments)
+        environment = {"FIGSTREAM_OPERATOR_TOKEN": token}
+        runner = typer.testing.CliRunner()
+        return await anyio.to_thread.run_sync(
+            lambda: runner.invoke(main.app, line, env=environment)
+        )
+
+    async def done(self, *arguments: str) -> Any:
+        """Runs a command that must succeed; returns its JSON."""
+        result = await self.run(*arguments)
+        assert result.exit_code == 0, result.output
+        return json.loads(result.stdout)
+
+
+@contextlib.asynccontextmanager
+async def _serve(token_digest: str = "") -> AsyncIterator[_Bench]:
+    clock = clock_lib.SystemClock()
+    platform = platform_memory.MemoryPlatform()
+    members = _Members()
+    here, there = explain.DecisionLog(), explain.DecisionLog()
+    peers = peer_server.PeerServer("127.0.0.1", 0)
+    members.peer_address = peers.address
+    other = _Members(generations={"entry-2": 0})
+    await peers.start([operator_explain.Explainer(there, other)])
+    service = operator_service.OperatorService(
+        configuration_store.ConfigurationStore(platform.objects, clock),
+        operator_status.ZoneWatch(members, tuple, clock),
+        operator_explain.Explainer(here, members),
+        configuration_holder.ConfigurationHolder(clock),
+        "entry-1",
+    )
+    settings = options.Options(
+        *("entry-1", "zone-1", "r", "127.0.0.1", 0, 0, 0, "http://none"),
+        token_digest=token_digest,
+    )
+    server = operator_server.OperatorServer(service, settings)
+    async with anyio.create_task_group() as group:
+        group.start_soon(server.run)
+        yield _Bench(server.address, members, platform, there)
+        group.cancel_scope.cancel()
+    await peers.stop()
+
+
+@pytest.mark.anyio
+async def test_apply_twice_changes_nothing_and_a_race_conflicts() -> None:
+    async with _serve() as bench:
+        first = await bench.done("apply", str(_EXAMPLE))
+        assert first["outcome"]["result"] == "ACCEPTED"
+        again = await bench.done("apply", "--base", "0", str(_EXAMPLE))
+        assert again["outcome"]["result"] == "NO_CHANGE"
+        assert again["outcome"]["generation"] == "1"
+        shown = await bench.done("show")
+        assert [item["name"] for item in shown["classes"]] == [
+            *("batch", "calls", "chat")
+        ]
+        await bench.done("server", "drain", "engine-1")
+        await bench.done("customer", "set", "studio", "--weight", "3")
+        shown = await bench.done("show")
+        assert shown["servers"][0]["state"] == "draining"
+        assert shown["customers"][0]["weight"] == 3
+        assert shown["customers"][0]["limits"]["concurrency"] == 200
+        late = await bench.run("apply", "--base", "1", str(_EXAMPLE))
+        assert late.exit_code == 3
+        assert "read generation 3" in late.stderr
+
+
+@pytest.mark.anyio
+async def test_racing_operators_lose_nothing() -> None:
+    async with _serve() as bench:
+        channel = grpc.aio.insecure_channel(bench.address)
+        stub = operator_pb2_grpc.OperatorStub(channel)
+        conflicts = 0
+
+        async def create(name: str) -> None:
+            nonlocal conflicts
+            put = operator_pb2.Operation(
+                put_customer=operator_pb2.Customer(name=name)
+            )
+            base = 0
+            while True:
+                answer = await stub.Change(
+                    operator_pb2.ChangeRequest(
+                        base_generation=base, operations=[put]
+                    )
+                )
+                if answer.outcome.result == operator_pb2.ACCEPTED:
+                    return
+                assert answer.outcome.result == operator_pb2.CONFLICT
+                conflicts += 1
+                base = answer.outcome.generation
+
+        names = [f"customer-{number}" for number in range(10)]
+        async with anyio.create_task_group() as group:
+            for name in names:
+                group.start_soon(create, name)
+        assert conflicts > 0
+        shown = await bench.done("show")
+        assert [item["name"] for item in shown["customers"]] == names
+        assert shown["generation"] == "10"
+        await channel.close()
+
+
+@pytest.mark.anyio
+async def test_key_is_shown_once_and_withdrawal_names_the_zones() -> None:
+    async with _serve() as bench:
+        await bench.done("customer", "set", "studio")
+        created = await bench.done("key", "create", "studio")
+        key, key_id = created["key"], created["key_id"]
+        secret = key.rsplit("-", 1)[1]
+        names = await bench.platform.objects.list_names("")
+        assert isinstance(names, list)
+        for name in names:
+            found = await bench.platform.objects.read(name)
+            assert secret not in str(found)
+        listed = await bench.run("show")
+        assert secret not in listed.stdout
+        assert key_id in listed.stdout
+        refused = await bench.run("customer", "remove", "studio")
+        assert refused.exit_code == 4
+        assert f"withdraw them first: {key_id}" in refused.stderr
+        bench.members.generations = {"entry-1": 3, "entry-2": 2}
+        answer = await bench.done("key", "withdraw", key_id, "--wait-s", "0.2")
+        assert not answer["confirmed"]
+        assert [(z["zone"], z["behind"]) for z in answer["zones"]] == [
+            ("zone-1", []),
+            ("zone-2", ["entry-2"]),
+        ]
+        bench.members.generations["entry-2"] = 3
+        answer = await bench.done("key", "withdraw", key_id)
+        assert answer["outcome"]["result"] == "NO_CHANGE"
+        assert answer["confirmed"]
+        await bench.done("customer", "remove", "studio")
+
+
+@pytest.mark.anyio
+async def test_bad_changes_and_an_outage_name_the_remedy(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with _serve() as bench:
+        dangling = await bench.run("class", "default", "fast")
+        assert dangling.exit_code == 4
+        assert "add class 'fast' first" in dangling.stderr
+        broken = tmp_path / "broken.json"
+        broken.write_text('{"customers": [{"nam": "studio"}]}')
+        invalid = await bench.run("apply", str(broken))
+        assert invalid.exit_code == 4
+        assert "correct the fields named" in invalid.stderr
+        bench.platform.objects.faults.down = True
+        outage = await bench.run("customer", "set", "studio")
+        assert outage.exit_code == 5
+        assert "nothing was changed" in outage.stderr
+        answer = await bench.done("status")
+        assert "accepted_generation" not in answer
+    silent = await bench.run("status")
+    assert silent.exit_code == 5
+    assert "check --address" in silent.stderr
+
+
+@pytest.mark.anyio
+async def test_explain_asks_peers() -> None:
+    async with _serve() as bench:
+        record = explain.DecisionRecord(
+            5.0, "r-1", "studio", "chat", "refused", "unknown_model"
+        )
+        bench.decisions.add(record)
+        answer = await bench.done("explain", "r-1")
+        assert answer["decisions"][0]["reason"] == "unknown_model"
+        assert answer["decisions"][0]["daemon"] == "entry-2"
+        assert answer["silent"] == []
+        assert (await bench.done("explain"))["decisions"]
+
+
+@pytest.mark.anyio
+async def test_token_is_required_when_the_settings_hold_its_digest() -> None:
+    async with _serve(operator_access.digest("right")) as bench:
+        for token, code in ("", 4), ("wrong", 4), ("right", 0):
+            result = await bench.run("status", token=token)
+            assert result.exit_code == code
+
+
+@pytest.mark.parametrize(
+    ("peer", "loopback"),
+    [
+        ("ipv4:127.0.0.1:50000", True),
+        ("ipv6:%5B::1%5D:50000", True),
+        ("ipv4:10.0.0.4:50000", False),
+        ("unix:/run/socket", False),
+    ],
+)
+def test_without_a_token_only_this_vm_is_served(
+    peer: str, loopback: bool
+) -> None:
+    assert operator_access.is_loopback(peer) is loopback
