Queue a preempted stream again for its own server; split the request path

Cause: a stream cancelled for a higher tier was resumed at once at the same server and kept its slot, so preemption freed nothing; and each answered request was recorded as 'caller_gone', since the end of an answer looks like a disconnect. Ruled out: not preempting streams that have begun (nearly all long work streams). Change: a preempted stream gives its slot back and waits for its own server ('only_server'); the stand-in engine honours priorities; request_attempts.py holds one stay at a server. Seen: the new test fails before (batch, batch, batch, batch, chat) and passes after (four chats first, then four batch streams, each word once).

--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -123,19 +123,19 @@
             # The call goes on without its caller, so that its answer is kept.
             await self._path.serve(call, answer)
             return
-        gone = False
+        served = False
 
         async def watch(scope: anyio.CancelScope) -> None:
-            nonlocal gone
             await asgi.wait_for_disconnect(receive)
-            gone = True
             scope.cancel()
 
         async with anyio.create_task_group() as group:
             group.start_soon(watch, group.cancel_scope)
             await self._path.serve(call, answer)
+            # The end of an answer looks like a disconnect, too.
+            served = True
             group.cancel_scope.cancel()
-        if gone:
+        if not served:
             self._records.caller_gone(call)
 
     async def _check(
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -28,6 +28,7 @@
 from figstream import ordering_roles
 from figstream import peer_server
 from figstream import platform_api
+from figstream import request_attempts
 from figstream import request_path
 from figstream import request_records
 from figstream import retry_policy
@@ -120,7 +121,7 @@
         records = request_records.RequestRecords(
             context.clock, context.metrics, context.decisions
         )
-        services = request_path.RequestServices(
+        services = request_attempts.RequestServices(
             context.clock,
             authenticator,
             self._gate,
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -40,6 +40,7 @@
       resumable: whether a broken stream can go on at the engine.
       idempotent: whether it may be repeated.
       tried: names of servers where an attempt failed.
+      only_server: the one server that can go on with its stream, or "".
       attempt: number of attempts made so far.
     """
 
@@ -60,6 +61,7 @@
     resumable: bool = False
     idempotent: bool = True
     tried: set[str] = attrs.field(factory=set)
+    only_server: str = ""
     attempt: int = 0
 
 
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -140,6 +140,8 @@
         A straggler gets one request at a time that has no first-token target,
         so that its recovery is seen.
         """
+        if request.only_server in pool.names:
+            return pool.names - {request.only_server}
         avoid = frozenset(request.tried)
         slow = self._book.stragglers
         if slow:
--- a/figstream/standin_engine.py
+++ b/figstream/standin_engine.py
@@ -1,8 +1,9 @@
 """A stand-in model engine for tests, the demo and trying things by hand.
 
-It generates words at a steady pace in a bounded number of slots, streams
-them or answers whole, resumes and cancels streams, reports its load, and
-has faults that a test can set.
+It generates words at a steady pace in a bounded number of slots, which go to
+the highest tiers, also while others run; streams them or answers whole,
+resumes and cancels streams, reports its load, and has faults that a test can
+set.
 """
 
 from collections.abc import AsyncIterator
@@ -84,8 +85,15 @@
     total: int
     stream: bool
     chat: bool
+    tier: int
+    number: int
     cancelled: bool = False
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Returns the order in which the engine serves, lowest first."""
+        return self.tier, self.number
+
 
 class StandInEngine:
     """The engine; `application` is its ASGI entry point."""
@@ -104,18 +112,17 @@
         self.runs: dict[str, int] = {}
         self.cancelled: list[str] = []
         self.generated_tokens = 0
-        self._running = 0
-        self._waiting = 0
         self._started = time.time_ns()
-        self._slots = anyio.Semaphore(options.slots)
+        self._numbers = itertools.count()
+        self._active: list[_Generation] = []
         self._generations: dict[str, _Generation] = {}
 
     @property
     def load(self) -> engine_protocol.LoadReport:
         """Returns the present load."""
-        return engine_protocol.LoadReport(
-            self._running, self._waiting, self._started
-        )
+        running = min(len(self._active), self.options.slots)
+        waiting = len(self._active) - running
+        return engine_protocol.LoadReport(running, waiting, self._started)
 
     async def application(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -157,35 +164,54 @@
         self.seen_headers.append(headers)
         body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
         request_id = headers.get(engine_protocol.ID_HEADER, "")
-        if self.faults.refuse or self._waiting >= self.options.waiting_limit:
+        if self.faults.refuse or self._is_full():
             await self._refuse(send, request_id)
             return
         skip = int(headers.get(engine_protocol.RESUME_HEADER, 0))
         if skip and request_id not in self._generations:
             await self._refuse(send, request_id)
             return
-        generation = self._begin(request_id, scope["path"], body)
+        generation = self._begin(headers, scope["path"], body)
         if not skip:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
-        self._waiting += 1
+        self._active.append(generation)
         try:
-            await self._slots.acquire()
+            await self._run(generation, skip, body, send)
         finally:
-            self._waiting -= 1
-        self._running += 1
-        try:
-            if _POISON in body:
-                self.alive = False
-                if self._on_crash:
-                    self._on_crash()
-                raise EngineCrashError("the request crashed the engine")
-            await self._answer(generation, skip, send)
-        finally:
-            self._running -= 1
-            self._slots.release()
+            self._active.remove(generation)
+
+    def _is_full(self) -> bool:
+        most = self.options.slots + self.options.waiting_limit
+        return len(self._active) >= most
 
-    def _begin(self, request_id: str, path: str, body: bytes) -> _Generation:
+    async def _run(
+        self,
+        generation: _Generation,
+        skip: int,
+        body: bytes,
+        send: asgi.Send,
+    ) -> None:
+        await self._wait_for_slot(generation)
+        if _POISON in body:
+            self.alive = False
+            if self._on_crash:
+                self._on_crash()
+            raise EngineCrashError("the request crashed the engine")
+        await self._answer(generation, skip, send)
+
+    async def _wait_for_slot(self, generation: _Generation) -> None:
+        """Waits until the engine's priorities give the request a slot."""
+        while not generation.cancelled:
+            first = sorted(self._active, key=lambda item: item.rank)
+            if generation in first[: self.options.slots]:
+                return
+            await anyio.sleep(self.options.between_tokens_s)
+
+    def _begin(
+        self, headers: Mapping[str, str], path: str, body: bytes
+    ) -> _Generation:
         fields: dict[str, Any] = orjson.loads(body)
+        request_id = headers.get(engine_protocol.ID_HEADER, "")
         generation = _Generation(
             request_id,
             fields.get("model", ""),
@@ -193,6 +219,8 @@
             fields.get("max_tokens") or _DEFAULT_TOKENS,
             fields.get("stream", False),
             path.endswith("chat/completions"),
+            int(headers.get(engine_protocol.TIER_HEADER, 0)),
+            next(self._numbers),
         )
         self._generations[request_id] = generation
         return generation
@@ -258,10 +286,12 @@
         )
         for number in range(skip, generation.total):
             await anyio.sleep(max(0.0, due - time.monotonic()))
+            await self._wait_for_slot(generation)
             if generation.cancelled:
                 return
             self.generated_tokens += 1
-            due += self.options.between_tokens_s * self.faults.slowdown
+            step_s = self.options.between_tokens_s * self.faults.slowdown
+            due = max(due, time.monotonic() - step_s) + step_s
             yield f"w{number} "
 
 
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -173,6 +173,38 @@
         assert not stack.service.effects
 
 
+async def test_preempted_stream_yields_its_place_and_ends_whole() -> None:
+    """Breaks when a preempted stream resumes without queueing again."""
+    async with _one_engine(slots=4, between_tokens_s=0.1) as (stack, engine):
+        order: list[str] = []
+
+        async def ask(name: str, tokens: int) -> None:
+            headers = {**_headers(stack), inbound.CLASS_HEADER: name}
+            body = {
+                "model": demo_stack.MODEL,
+                "stream": True,
+                "max_tokens": tokens,
+            }
+            async with httpx.AsyncClient(timeout=60.0) as client:
+                answer = await client.post(
+                    stack.url(0) + inbound.CHAT_PATH, json=body, headers=headers
+                )
+            order.append(name)
+            words = [f'"w{number} "' for number in range(tokens)]
+            assert [answer.text.count(word) for word in words] == [1] * tokens
+            assert answer.text.endswith("data: [DONE]\n\n")
+
+        async with anyio.create_task_group() as group:
+            for _ in range(4):
+                group.start_soon(ask, "batch", 40)
+            while engine.generated_tokens < 8:
+                await anyio.sleep(0.01)
+            for _ in range(4):
+                group.start_soon(ask, "chat", 3)
+        assert order == [*["chat"] * 4, *["batch"] * 4]
+        assert engine.cancelled
+
+
 async def test_caller_that_leaves_a_claimed_call_gets_its_answer_later() -> (
     None
 ):
