Share servers by subsets; build and measure allotment and equal parts beside

Change: a plan of slots behind one Protocol: equal parts of all servers (a), parts allotted by a divider, tier first then max-min over customers (b), equal parts of a subset that leaves 4 slots a server (c), with naive ones beside.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,6 +8,7 @@
     "claims",
     "decision_cost",
     "scenarios",
+    "selection",
     "configuration_shards",
     "relay",
     "daemons",
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -83,12 +83,14 @@
         """Builds the fleet and plans the arrivals."""
         self.setting = setting
         self.time = virtual_time.VirtualTime()
+        self.cut_off = False
         self.work = run_records.Work()
         self.records: list[run_records.Record] = []
         self.engines: Mapping[str, fake_engine.FakeEngine] = {
             item.name: fake_engine.FakeEngine(item.name, item.slots, self.time)
             for item in setting.servers
         }
+        self._zones = {item.name: item.zone for item in setting.servers}
         self._random = random.Random(seed)
         names = {item.customer for item in arrivals}
         configuration = configuration_lib.Configuration(
@@ -149,7 +151,10 @@
             load = scheduler_api.ServerLoad(
                 engine.name, engine.running, engine.waiting, self.time.now
             )
+            zone = self._zones[engine.name]
             for daemon in self.daemons:
+                if self.cut_off and daemon.zone != zone:
+                    continue
                 if self._random.random() >= self.setting.report_loss:
                     deliver = functools.partial(
                         daemon.scheduler.report_load, load
--- a/bench/fleet_daemon.py
+++ b/bench/fleet_daemon.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import functools
 import itertools
 from typing import Final
@@ -18,6 +19,7 @@
 from bench import run_records
 from bench import traffic
 from bench import virtual_time
+from figstream import allotment
 from figstream import backend_server
 from figstream import blame as blame_lib
 from figstream import blame_api
@@ -30,6 +32,7 @@
 MODEL: Final = "m"
 _MAX_ATTEMPTS: Final = 3
 _MAX_TRIES: Final = 6
+_CONNECT_TIMEOUT_S: Final = 1.0
 _ENGINE_WAIT_S: Final = 0.5
 _PREFIX_TOKENS: Final = 300
 _LOAD_REASONS: Final = frozenset(
@@ -51,6 +54,7 @@
     work: run_records.Work
     records: list[run_records.Record]
     engines: Mapping[str, fake_engine.FakeEngine]
+    cut_off: bool
 
     def come_back(
         self, record: run_records.Record, told_s: float | None
@@ -96,6 +100,17 @@
         self._tries: collections.Counter[str] = collections.Counter()
         self._poll_at = float("inf")
 
+    def demands(self) -> Sequence[allotment.Demand]:
+        """Returns what waits and runs here, for a divider of slots."""
+        counts = collections.Counter(
+            (item.arrival.stream.request_class.tier, item.arrival.customer)
+            for item in self._records.values()
+        )
+        return [
+            allotment.Demand(str(self._index), tier, customer, count)
+            for (tier, customer), count in counts.items()
+        ]
+
     def arrive(self, arrival: traffic.Arrival) -> None:
         """Takes a request from a caller."""
         record = run_records.Record(arrival, self._index)
@@ -278,6 +293,14 @@
                 server, self._ended, request, attempt, whole, tokens
             ),
         )
+        if self._fleet.cut_off and server.zone != self.zone:
+            self._time.after(
+                _CONNECT_TIMEOUT_S,
+                functools.partial(
+                    self._failed, request, attempt, _Result.FAILED, 0
+                ),
+            )
+            return
         engine = self._fleet.engines[server.name]
         if not engine.submit(job):
             down = not engine.alive
--- /dev/null
+++ b/bench/selection.py
@@ -0,0 +1,201 @@
+"""The ways to share backend servers among daemons, against each other.
+
+Every way runs under the same scheduler, so that only the choice of servers
+and the slots that a daemon may fill differ.
+"""
+
+from collections.abc import Sequence
+import functools
+import random
+import sys
+from typing import Final
+
+import attrs
+
+from bench import fleet as fleet_lib
+from bench import measures
+from bench import scenarios
+from bench import traffic
+from figstream import allotment
+from figstream import scheduler
+from figstream import scheduler_api
+from figstream import server_load
+from figstream import server_pool
+from figstream import server_selection
+from figstream import slot_plan
+
+_SEEDS: Final = (21, 22)
+_DIVIDE_INTERVAL_S: Final = 1.0
+_DIVIDE_DELAY_S: Final = 0.05
+_ALLOTMENT_S: Final = 3.0
+_BIG_ZONE: Final = 16
+_BIG_SERVERS: Final = 36
+
+
+class NaiveSelection:
+    """A random server, or the one with the least load by its report."""
+
+    def __init__(
+        self, book: server_load.LoadBook, seed: int, by_report: bool
+    ) -> None:
+        """Chooses by report, or at random."""
+        self._book = book
+        self._random = random.Random(seed)
+        self._by_report = by_report
+
+    def choose(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        urgent: bool,
+        now: float,
+    ) -> server_selection.Choice | None:
+        """Returns a server where this daemon has fewer than all slots."""
+        able = [
+            item
+            for group in pool.groups
+            for item in group.servers
+            if self._book.state(item.name).own < item.slots
+            and item.name not in request.tried
+        ]
+        if not able:
+            return None
+        if not self._by_report:
+            return server_selection.Choice(self._random.choice(able), "random")
+        least = min(able, key=lambda item: self._book.state(item.name).others)
+        return server_selection.Choice(least, "report")
+
+    def slots(self, pool: server_pool.ServerPool, now: float) -> float:
+        """Returns all slots, as if there were no other daemon."""
+        return float(sum(group.slots for group in pool.groups))
+
+
+class Way:
+    """One way of sharing servers; builds schedulers and serves a fleet."""
+
+    def __init__(self, name: str) -> None:
+        """Names the way."""
+        self.name = name
+        self._plans: list[slot_plan.AllottedParts] = []
+
+    def make(self, zone: str, seed: int) -> scheduler_api.Scheduler:
+        """Creates a daemon's scheduler."""
+        if self.name == "b allotment":
+            allotted = slot_plan.AllottedParts()
+            self._plans.append(allotted)
+            return scheduler.make_scheduler(zone, seed, allotted)
+        if self.name.startswith("c subset"):
+            slots = int(self.name.rpartition(" ")[2])
+            subset = slot_plan.SubsetParts(f"d{seed}", slots)
+            return scheduler.make_scheduler(zone, seed, subset)
+        if self.name == "a all servers":
+            plan = slot_plan.EqualParts()
+            return scheduler.make_scheduler(zone, seed, plan)
+        by_report = self.name == "least by report"
+        return scheduler.make_scheduler_with(
+            zone, lambda book, _: NaiveSelection(book, seed, by_report)
+        )
+
+    def attach(self, fleet: fleet_lib.Fleet) -> None:
+        """Lets a divider in each zone allot slots."""
+        plans, self._plans = self._plans, []
+        if plans:
+            fleet.time.every(
+                _DIVIDE_INTERVAL_S, functools.partial(_divide, fleet, plans)
+            )
+
+
+def _divide(
+    fleet: fleet_lib.Fleet, plans: Sequence[slot_plan.AllottedParts]
+) -> None:
+    down = {name for name, item in fleet.engines.items() if not item.alive}
+    for zone in set(fleet.setting.zones):
+        servers = [
+            item
+            for item in fleet.setting.servers
+            if item.zone == zone and item.name not in down
+        ]
+        members = {
+            str(number): daemon
+            for number, daemon in enumerate(fleet.daemons)
+            if daemon.zone == zone
+        }
+        demands = [
+            demand for item in members.values() for demand in item.demands()
+        ]
+        total = sum(item.slots for item in servers)
+        shares = allotment.divide_slots(list(members), demands, total)
+        expires = fleet.time.now + _ALLOTMENT_S
+        for name, slots in allotment.divide_servers(servers, shares).items():
+            allotted = allotment.Allotment(expires, slots)
+            fleet.time.after(
+                _DIVIDE_DELAY_S,
+                functools.partial(plans[int(name)].set_allotment, allotted),
+            )
+
+
+WAYS: Final = (
+    "random",
+    "least by report",
+    "a all servers",
+    "b allotment",
+    "c subset, 2",
+    "c subset, 4",
+    "c subset, 8",
+)
+
+
+def _cut_off(fleet: fleet_lib.Fleet) -> None:
+    fleet.time.at(30.0, functools.partial(setattr, fleet, "cut_off", True))
+    fleet.time.at(60.0, functools.partial(setattr, fleet, "cut_off", False))
+
+
+def _big_zone() -> scenarios.Scenario:
+    factor = _BIG_SERVERS / 8.0
+    servers = tuple(
+        fleet_lib.make_engine_server(f"a{number}", "a")
+        for number in range(_BIG_SERVERS)
+    )
+    rates = {
+        name: traffic.steady(rate * factor)
+        for name, rate in scenarios.RATES.items()
+    }
+    caption = scenarios.RATES["caption"] * factor
+    rates["caption"] = traffic.burst(caption, 4.0, 10.0, 25.0)
+    setting = fleet_lib.Setting(servers, ("a",) * _BIG_ZONE, duration_s=40.0)
+    return scenarios.Scenario(
+        "16 daemons, 36 engines, captions at 4x their rate",
+        setting,
+        scenarios.streams(rates),
+    )
+
+
+def _chosen() -> Sequence[scenarios.Scenario]:
+    words = ("caption bursts", "4x latency", "reclaimable", "reports missing")
+    known = scenarios.scenarios()
+    found = [item for item in known if any(word in item.name for word in words)]
+    cut = attrs.evolve(
+        known[0],
+        name="the zones cut off from each other for 30 s",
+        setting=attrs.evolve(known[0].setting, faults=_cut_off),
+    )
+    return [*found, cut, _big_zone()]
+
+
+def main(wanted: Sequence[str] = ()) -> None:
+    """Prints one table for each scenario, or for those with a wanted word."""
+    for scenario in _chosen():
+        if wanted and not any(word in scenario.name for word in wanted):
+            continue
+        print(f"\n{scenario.name}\n{scenarios.header()}")
+        for name in WAYS:
+            way = Way(name)
+            fleets = [
+                scenarios.run(scenario, way.make, seed, way.attach)
+                for seed in _SEEDS
+            ]
+            print(scenarios.row(name, measures.measure(fleets)))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/figstream/allotment.py
@@ -0,0 +1,110 @@
+"""Divides the slots of a pool of servers among daemons ahead of demand.
+
+One daemon, the divider of a pool, hears each daemon's demand and allots it
+slots: the highest tier first, within a tier max-min over customers, and what
+is left in equal parts. An allotment expires, so that a divider that is gone
+leaves no one with slots that others use too.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import itertools
+
+import attrs
+
+from figstream import backend_server
+
+
+@attrs.frozen
+class Demand:
+    """Requests of one customer and tier, running or waiting at a daemon."""
+
+    daemon: str
+    tier: int
+    customer: str
+    requests: int
+
+
+@attrs.frozen
+class Allotment:
+    """Slots of each server that one daemon may fill.
+
+    Attributes:
+      expires_at: clock second of the receiver until which it holds.
+      slots: slots by the server's name.
+    """
+
+    expires_at: float
+    slots: Mapping[str, int]
+
+
+def max_min(demands: Mapping[str, float], total: float) -> dict[str, float]:
+    """Divides a total so that the least served get as much as possible."""
+    shares: dict[str, float] = {}
+    ranked = sorted(demands.items(), key=lambda item: item[1])
+    for rank, (name, wanted) in enumerate(ranked):
+        shares[name] = min(wanted, total / (len(ranked) - rank))
+        total -= shares[name]
+    return shares
+
+
+def divide_slots(
+    daemons: Sequence[str], demands: Iterable[Demand], slots: int
+) -> dict[str, int]:
+    """Returns the slots of each daemon; they add up to the slots given."""
+    wanted = sorted(demands, key=lambda item: item.tier)
+    shares: dict[str, float] = dict.fromkeys(daemons, 0.0)
+    left = float(slots)
+    for _, same_tier in itertools.groupby(wanted, key=lambda item: item.tier):
+        left -= _divide_tier(list(same_tier), left, shares)
+    for daemon in daemons:
+        shares[daemon] += left / len(daemons)
+    return _whole(shares, slots)
+
+
+def divide_servers(
+    servers: Sequence[backend_server.BackendServer], shares: Mapping[str, int]
+) -> dict[str, dict[str, int]]:
+    """Spreads each daemon's slots evenly over the servers.
+
+    Returns:
+      Slots by daemon and server; no server is given out beyond its slots.
+    """
+    units = [
+        server.name
+        for depth in range(max((item.slots for item in servers), default=0))
+        for server in servers
+        if depth < server.slots
+    ]
+    found: dict[str, dict[str, int]] = {}
+    position = 0
+    for daemon, count in shares.items():
+        mine = collections.Counter(units[position : position + count])
+        found[daemon] = dict(mine)
+        position += count
+    return found
+
+
+def _divide_tier(
+    demands: Sequence[Demand], total: float, shares: dict[str, float]
+) -> float:
+    by_customer: collections.Counter[str] = collections.Counter()
+    for item in demands:
+        by_customer[item.customer] += item.requests
+    granted = max_min(by_customer, total)
+    for item in demands:
+        part = item.requests / by_customer[item.customer]
+        shares[item.daemon] += granted[item.customer] * part
+    return sum(granted.values())
+
+
+def _whole(shares: Mapping[str, float], slots: int) -> dict[str, int]:
+    """Rounds down, then gives the rest to the largest remainders."""
+    floors = {name: int(share) for name, share in shares.items()}
+    ranked = sorted(shares, key=lambda name: floors[name] - shares[name])
+    rest = slots - sum(floors.values())
+    for name in ranked[:rest]:
+        floors[name] += 1
+    return floors
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -7,6 +7,7 @@
 does no input or output and holds no clock.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import random
 from typing import Final
@@ -28,6 +29,7 @@
 from figstream import server_load
 from figstream import server_pool
 from figstream import server_selection
+from figstream import slot_plan
 from figstream import straggler_api
 from figstream import straggler_pace
 from figstream import waiting_queues
@@ -262,19 +264,40 @@
 
 
 def make_scheduler(
-    zone: str, seed: int | None = None
+    zone: str,
+    seed: int | None = None,
+    plan: slot_plan.SlotPlan | None = None,
 ) -> scheduler_api.Scheduler:
     """Creates the scheduler that `figstream serve` runs.
 
     Args:
       zone: availability zone of the daemon.
       seed: makes the choices repeatable; without one they differ by daemon.
+      plan: how slots are shared among daemons; by default equal parts of a
+        subset of the servers.
     """
     if seed is None:
         seed = random.SystemRandom().getrandbits(64)
+    chosen = plan or slot_plan.SubsetParts(f"{zone}/{seed}")
+    return make_scheduler_with(
+        zone,
+        lambda book, affinity: server_selection.make_selection(
+            book, affinity, chosen, seed
+        ),
+    )
+
+
+def make_scheduler_with(
+    zone: str,
+    make_selection: Callable[
+        [server_load.LoadBook, prefix_affinity.PrefixAffinity],
+        server_selection.ServerSelection,
+    ],
+) -> scheduler_api.Scheduler:
+    """Creates a scheduler with another way to choose servers."""
     book = server_load.LoadBook()
     affinity = prefix_affinity.PrefixAffinity()
-    selection = server_selection.make_selection(book, affinity, seed)
+    selection = make_selection(book, affinity)
     index = server_pool.PoolIndex(zone)
     detector = straggler_pace.PaceDetector()
     return Scheduler(index, book, affinity, selection, detector)
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -24,6 +24,7 @@
 from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_pool
+from figstream import slot_plan
 
 BORROW_BELOW: Final = 0.9
 SPILL_BELOW: Final = 0.9
@@ -79,9 +80,11 @@
         self,
         book: server_load.LoadBook,
         affinity: prefix_affinity.PrefixAffinity,
+        plan: slot_plan.SlotPlan,
         source: random.Random,
     ) -> None:
-        """Reads the load book and the prefixes; draws from the source."""
+        """Reads the load book, prefixes and plan; draws from the source."""
+        self._plan = plan
         self._book = book
         self._affinity = affinity
         self._random = source
@@ -121,7 +124,7 @@
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
         """Returns how many slots of a pool this daemon may count on."""
         return sum(
-            item.share * self._open_part(item)
+            self._plan.slots(item, now) * self._open_part(item)
             for item in pool.groups
             if item.local
         )
@@ -224,7 +227,7 @@
     def _candidates(
         self, group: server_pool.ServerGroup
     ) -> Iterable[backend_server.BackendServer]:
-        servers = group.servers
+        servers = self._plan.candidates(group)
         if len(servers) <= _SCAN_LIMIT:
             return self._random.sample(servers, len(servers))
         draw = self._random.random
@@ -249,13 +252,12 @@
             return math.inf
         estimate = self._book.estimate(server.name, group.sharers, now)
         load = estimate / server.slots
+        part = self._plan.part(server, group, now)
         extra = _URGENT_EXTRA if urgent and group.local else 0.0
-        if load < self._ceiling(server.name, group, now) + extra:
+        ceiling = self._ceiling(server.name, group, now)
+        if part.may_borrow and load < ceiling + extra:
             return load
-        has_part = group.own < group.share and group.local
-        if has_part and state.own < server.slots // group.sharers:
-            return load
-        return math.inf
+        return load if group.local and state.own < part.slots else math.inf
 
     def _preferred(
         self,
@@ -272,7 +274,8 @@
 def make_selection(
     book: server_load.LoadBook,
     affinity: prefix_affinity.PrefixAffinity,
+    plan: slot_plan.SlotPlan,
     seed: int,
 ) -> ServerSelection:
     """Creates the way that `figstream serve` uses."""
-    return TwoChoices(book, affinity, random.Random(seed))
+    return TwoChoices(book, affinity, plan, random.Random(seed))
