Detect stragglers by ranks in a CUSUM, and compare seven ways to do it

Cause: a limit set for one distribution of latencies misfires on another. Conclusion: adopt the rank CUSUM; the paper's chart is not adopted.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 BENCHMARKS: Final[tuple[str, ...]] = (
     "claims",
     "decision_cost",
+    "stragglers",
     "scenarios",
     "selection",
     "configuration_shards",
--- /dev/null
+++ b/bench/stragglers.py
@@ -0,0 +1,291 @@
+"""Compares ways to detect a straggler, at equal in-control run length.
+
+Each way gets the same latencies and a reference sample of the pool for each
+run, and an alarm limit set so that its mean run length in control is
+`_IN_CONTROL` observations. Printed is the mean delay to detection in
+observations for a latency that grew by a factor, and what becomes of the run
+length in control when the limit was set on the other distribution.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import itertools
+import time
+from typing import Final
+
+import attrs
+import numpy as np
+import numpy.typing as npt
+
+from figstream import straggler_api
+from figstream import straggler_detection
+from figstream import straggler_pace
+
+_Array = npt.NDArray[np.float64]
+_RUNS: Final = 300
+_REFERENCE: Final = 500
+_IN_CONTROL: Final = 5_000
+_LENGTH: Final = 10_000
+_SHIFTED_LENGTH: Final = 1_500
+_SHIFTS: Final = (1.3, 2.0, 4.0)
+_WEIGHT: Final = 0.1
+_SEED: Final = 8
+_SERVERS: Final = 12
+_BATCHES: Final = 16
+_STEP_S: Final = 0.1
+_BUILT_LENGTH: Final = 200_000
+_BUILT_WARM_UP: Final = 3_000
+_BUILT_SEARCH: Final = 6_000
+_COST_LENGTH: Final = 50_000
+
+_Factory = Callable[[], straggler_api.StragglerDetector]
+_BUILT: Final[Sequence[tuple[str, _Factory]]] = (
+    ("rank cusum", straggler_detection.make_straggler_detector),
+    ("smoothed pace", straggler_pace.PaceDetector),
+)
+
+Distribution = Callable[[np.random.Generator, tuple[int, int]], _Array]
+
+
+def _lognormal(source: np.random.Generator, shape: tuple[int, int]) -> _Array:
+    return np.exp(source.normal(0.0, 0.5, shape))
+
+
+def _pareto(source: np.random.Generator, shape: tuple[int, int]) -> _Array:
+    return 1.0 + source.pareto(2.5, shape)
+
+
+_DISTRIBUTIONS: Final[Mapping[str, Distribution]] = {
+    "lognormal": _lognormal,
+    "pareto": _pareto,
+}
+
+
+@attrs.frozen
+class _Chart:
+    """A way to detect; turns latencies into increments or an average.
+
+    Attributes:
+      name: how the table names it.
+      score: turns latencies and reference samples into scores.
+      allowance: subtracted from each score of a cumulative sum.
+      subgroup: observations to each step.
+      average: whether it is an exponential average, not a cumulative sum.
+    """
+
+    name: str
+    score: Callable[[_Array, _Array], _Array]
+    allowance: float = 0.0
+    subgroup: int = 1
+    average: bool = False
+
+
+def _standard(values: _Array, reference: _Array) -> _Array:
+    mean = reference.mean(axis=1, keepdims=True)
+    deviation: _Array = reference.std(axis=1, keepdims=True)
+    scores: _Array = (values - mean) / deviation
+    return scores
+
+
+def _log_standard(values: _Array, reference: _Array) -> _Array:
+    return _standard(np.log(values), np.log(reference))
+
+
+def _subgroups(scores: _Array, size: int) -> _Array:
+    steps = scores.shape[1] // size
+    grouped = scores[:, : steps * size].reshape(len(scores), steps, size)
+    total: _Array = grouped.sum(axis=2)
+    return total
+
+
+def _rank_sum(size: int) -> Callable[[_Array, _Array], _Array]:
+    """The standardized rank sum of a subgroup against the reference."""
+    count = _REFERENCE
+    deviation = np.sqrt(size * count * (size + count + 1) / 12)
+
+    def score(values: _Array, reference: _Array) -> _Array:
+        ordered = np.sort(reference, axis=1)
+        below = np.array(
+            [
+                np.searchsorted(row, found)
+                for row, found in zip(ordered, values, strict=True)
+            ],
+            dtype=np.float64,
+        )
+        sums = _subgroups(below, size)
+        scores: _Array = (sums - size * count / 2) / deviation
+        return scores
+
+    return score
+
+
+def _exceedance(size: int) -> Callable[[_Array, _Array], _Array]:
+    """The standardized count of a subgroup above the reference's median."""
+
+    def score(values: _Array, reference: _Array) -> _Array:
+        median = np.median(reference, axis=1, keepdims=True)
+        above = _subgroups((values > median).astype(np.float64), size)
+        scores: _Array = (above - size / 2) / (np.sqrt(size) / 2)
+        return scores
+
+    return score
+
+
+_CHARTS: Final = (
+    _Chart("average of latency", _standard, average=True),
+    _Chart("average of logarithm", _log_standard, average=True),
+    _Chart("cusum of logarithm k=0.5", _log_standard, 0.5),
+    _Chart("rank-sum cusum n=5 k=0", _rank_sum(5), 0.0, 5),
+    _Chart("rank-sum cusum n=5 k=0.5", _rank_sum(5), 0.5, 5),
+    _Chart("exceedance cusum n=5 k=0", _exceedance(5), 0.0, 5),
+    _Chart("exceedance cusum n=5 k=0.5", _exceedance(5), 0.5, 5),
+    _Chart("rank cusum n=1 k=0", _rank_sum(1)),
+    _Chart("rank cusum n=1 k=0.5", _rank_sum(1), 0.5),
+    _Chart("exceedance cusum n=1 k=0", _exceedance(1)),
+    _Chart("exceedance cusum n=1 k=0.5", _exceedance(1), 0.5),
+)
+
+
+def _highest(chart: _Chart, scores: _Array) -> _Array:
+    """Returns the highest value of the statistic up to each step."""
+    value = np.zeros(len(scores))
+    found = np.empty_like(scores)
+    for step in range(scores.shape[1]):
+        if chart.average:
+            value = value + _WEIGHT * (scores[:, step] - value)
+        else:
+            value = np.maximum(0.0, value + scores[:, step] - chart.allowance)
+        found[:, step] = value
+    highest: _Array = np.maximum.accumulate(found, axis=1)
+    return highest
+
+
+def _mean_run(highest: _Array, limit: float, subgroup: int) -> float:
+    """Returns the mean observations to an alarm, with runs cut short."""
+    steps = (highest <= limit).sum(axis=1)
+    alarms = int((steps < highest.shape[1]).sum())
+    total = np.minimum(steps + 1, highest.shape[1]).sum() * subgroup
+    return float(total) / max(alarms, 1)
+
+
+def _limit(highest: _Array, subgroup: int) -> float:
+    low, high = 0.0, float(highest.max())
+    for _ in range(40):
+        middle = (low + high) / 2
+        if _mean_run(highest, middle, subgroup) < _IN_CONTROL:
+            low = middle
+        else:
+            high = middle
+    return high
+
+
+def _row(chart: _Chart, distribution: str) -> str:
+    source = np.random.default_rng(_SEED)
+    draw = _DISTRIBUTIONS[distribution]
+    reference = draw(source, (_RUNS, _REFERENCE))
+    healthy = draw(source, (_RUNS, _LENGTH))
+    highest = _highest(chart, chart.score(healthy, reference))
+    limit = _limit(highest, chart.subgroup)
+    delays = []
+    for shift in _SHIFTS:
+        slow = draw(source, (_RUNS, _SHIFTED_LENGTH)) * shift
+        shifted = _highest(chart, chart.score(slow, reference))
+        delays.append(_mean_run(shifted, limit, chart.subgroup))
+    crossed = [
+        _crossed(chart, limit, other)
+        for other in _DISTRIBUTIONS
+        if other != distribution
+    ]
+    figures = "".join(f"{delay:8.1f}" for delay in delays)
+    return f"{limit:8.2f}{figures}{crossed[0]:12.0f}"
+
+
+def _crossed(chart: _Chart, limit: float, distribution: str) -> float:
+    """Returns the run length in control under another distribution."""
+    source = np.random.default_rng(_SEED + 1)
+    draw = _DISTRIBUTIONS[distribution]
+    reference = draw(source, (_RUNS, _REFERENCE))
+    healthy = draw(source, (_RUNS, _LENGTH))
+    highest = _highest(chart, chart.score(healthy, reference))
+    return _mean_run(highest, limit, chart.subgroup)
+
+
+def _latencies(
+    source: np.random.Generator, distribution: str, count: int
+) -> Iterable[tuple[int, int, float]]:
+    """Yields server, batch size and seconds, which grow with the batch."""
+    servers = source.integers(0, _SERVERS, count).tolist()
+    batches = source.integers(1, _BATCHES, count).tolist()
+    latencies = _DISTRIBUTIONS[distribution](source, (1, count))[0].tolist()
+    for server, batch, latency in zip(servers, batches, latencies, strict=True):
+        yield server, batch, latency * (1 + batch / _BATCHES)
+
+
+def _false_alarms(distribution: str, make: _Factory) -> float:
+    """Returns the observations of a server to a false alarm, as built."""
+    detector = make()
+    source = np.random.default_rng(_SEED)
+    alarms, out = 0, frozenset[str]()
+    for step, (server, batch, seconds) in enumerate(
+        _latencies(source, distribution, _BUILT_LENGTH)
+    ):
+        detector.observe(f"s{server}", "p", seconds, batch, step * _STEP_S)
+        alarms += len(detector.stragglers() - out)
+        out = detector.stragglers()
+    return _BUILT_LENGTH / max(1, alarms)
+
+
+def _delay(distribution: str, make: _Factory, shift: float, seed: int) -> int:
+    """Returns the observations of the straggler until it is found."""
+    detector = make()
+    source = np.random.default_rng(seed)
+    delay = 0
+    for step, (server, batch, seconds) in enumerate(
+        _latencies(source, distribution, _BUILT_WARM_UP + _BUILT_SEARCH)
+    ):
+        slow = step >= _BUILT_WARM_UP and server == 0
+        delay += slow
+        seconds *= shift if slow else 1.0
+        detector.observe(f"s{server}", "p", seconds, batch, step * _STEP_S)
+        if slow and "s0" in detector.stragglers():
+            break
+    return delay
+
+
+def _built_row(distribution: str, make: _Factory) -> str:
+    means = [
+        np.mean([_delay(distribution, make, shift, seed) for seed in range(20)])
+        for shift in _SHIFTS
+    ]
+    figures = "".join(f"{mean:8.1f}" for mean in means)
+    return f"{'':8}{figures}{_false_alarms(distribution, make):12.0f}"
+
+
+def _cost_us() -> float:
+    detector = straggler_detection.make_straggler_detector()
+    source = np.random.default_rng(_SEED)
+    drawn = list(_latencies(source, "lognormal", _COST_LENGTH))
+    started_at = time.process_time()
+    for step, (server, batch, seconds) in enumerate(drawn):
+        detector.observe(f"s{server}", "p", seconds, batch, step * _STEP_S)
+    return (time.process_time() - started_at) / _COST_LENGTH * 1e6
+
+
+def main() -> None:
+    """Prints a table for each distribution."""
+    shifts = "".join(f"{shift:7.1f}x" for shift in _SHIFTS)
+    for name in _DISTRIBUTIONS:
+        print(f"{name:28}{'limit':>8}{shifts}{'other IC':>12}")
+        for chart in _CHARTS:
+            print(f"{chart.name:28}{_row(chart, name)}", flush=True)
+    print(f"{'as built, 12 servers':28}{'':8}{shifts}{'own IC':>12}")
+    for name, (title, make) in itertools.product(_DISTRIBUTIONS, _BUILT):
+        label = f"{title}, {name}"
+        print(f"{label:28}{_built_row(name, make)}")
+    print(f"cost of an observation: {_cost_us():.1f} us")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_straggler_detection.py
@@ -0,0 +1,113 @@
+"""Tests of straggler detection on seeded latencies.
+
+What to break: the sign of ALLOWANCE (false alarms), the test of
+`_STRAGGLER_SHARE` in `_alarm` (a slow pool loses its servers), the call of
+`_end_probations` (nobody comes back), `batch.bit_length()` (large batches
+look slow), `_latest.popleft` (the differential test).
+"""
+
+from collections.abc import Sequence
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from figstream import straggler_detection
+
+_SERVERS = 12
+_IN_CONTROL_TARGET = 5_000
+_STEP_S = 0.1
+
+
+class _Pool:
+    """A pool whose servers answer in turn, drawn by seed."""
+
+    def __init__(self, seed: int, *, heavy_tail: bool = False) -> None:
+        self.detector = straggler_detection.make_straggler_detector()
+        self.factors = [1.0] * _SERVERS
+        self.batches = [8] * _SERVERS
+        self.alarms = 0
+        self.now = 0.0
+        self._source = random.Random(seed)
+        self._heavy_tail = heavy_tail
+
+    def observe(self, count: int) -> None:
+        for _ in range(count):
+            self.now += _STEP_S
+            server = self._source.randrange(_SERVERS)
+            before = self.detector.stragglers()
+            self.detector.observe(
+                f"s{server}",
+                "p",
+                self._latency() * self.factors[server] * self.batches[server],
+                self.batches[server],
+                self.now,
+            )
+            self.alarms += len(self.detector.stragglers() - before)
+
+    def _latency(self) -> float:
+        if self._heavy_tail:
+            return self._source.paretovariate(2.5)
+        return self._source.lognormvariate(0.0, 0.5)
+
+
+@pytest.mark.parametrize("heavy_tail", [False, True])
+def test_healthy_servers_are_seldom_taken_for_stragglers(
+    heavy_tail: bool,
+) -> None:
+    pool = _Pool(3, heavy_tail=heavy_tail)
+    pool.observe(60_000)
+    assert pool.alarms <= 60_000 / _IN_CONTROL_TARGET
+
+
+@pytest.mark.parametrize(("factor", "limit"), [(4.0, 15), (2.0, 50)])
+def test_a_straggler_is_found_stays_out_and_comes_back(
+    factor: float, limit: int
+) -> None:
+    pool = _Pool(4)
+    pool.observe(3_000)
+    pool.factors[5] = factor
+    pool.observe(limit * _SERVERS)
+    assert "s5" in pool.detector.stragglers()
+    slow_alarms = pool.alarms
+    pool.observe(6_000)
+    assert 1 <= pool.alarms - slow_alarms <= 8
+    pool.factors[5] = 1.0
+    pool.observe(
+        int(2 * straggler_detection.LAST_PROBATION_S / _STEP_S) + 1_000
+    )
+    assert "s5" not in pool.detector.stragglers()
+
+
+def test_a_pool_that_slows_down_as_a_whole_keeps_its_servers() -> None:
+    pool = _Pool(5)
+    pool.observe(3_000)
+    pool.factors = [3.0] * _SERVERS
+    for _ in range(600):
+        pool.observe(1)
+        assert len(pool.detector.stragglers()) <= _SERVERS // 3
+    pool.observe(2_000)
+    assert len(pool.detector.stragglers()) <= 1
+
+
+def test_large_batches_do_not_make_a_straggler() -> None:
+    pool = _Pool(6)
+    pool.batches = [1] * (_SERVERS // 2) + [16] * (_SERVERS // 2)
+    pool.observe(6_000)
+    assert pool.alarms <= 2
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.integers(0, 50), min_size=60, max_size=600))
+def test_ranks_match_a_plain_reference(values: Sequence[int]) -> None:
+    reference = straggler_detection._Reference()
+    for value in values:
+        reference.add(float(value))
+    kept = values[-straggler_detection.REFERENCE_LENGTH :]
+    for value in values[:20]:
+        below = sum(item < value for item in kept)
+        same = sum(item == value for item in kept)
+        expected = ((below + same / 2) / len(kept) - 0.5) * 12**0.5
+        assert reference.score(float(value)) == pytest.approx(expected)
