Let the scheduler leave out only servers well slower than their pool

Change: an observation is divided by a tolerated factor of 1.5 until the server is out; allowance 0.5, limit 4.0. The smoothed pace moves to bench.

--- a/bench/stragglers.py
+++ b/bench/stragglers.py
@@ -20,9 +20,9 @@
 import numpy as np
 import numpy.typing as npt
 
+from bench import smoothed_pace
 from figstream import straggler_api
 from figstream import straggler_detection
-from figstream import straggler_pace
 
 _Array = npt.NDArray[np.float64]
 _RUNS: Final = 300
@@ -45,7 +45,7 @@
 _Factory = Callable[[], straggler_api.StragglerDetector]
 _BUILT: Final[Sequence[tuple[str, _Factory]]] = (
     ("normal-score cusum", straggler_detection.make_straggler_detector),
-    ("smoothed pace", straggler_pace.PaceDetector),
+    ("smoothed pace", smoothed_pace.PaceDetector),
 )
 
 Distribution = Callable[[np.random.Generator, tuple[int, int]], _Array]
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -31,7 +31,7 @@
 from figstream import server_selection
 from figstream import slot_plan
 from figstream import straggler_api
-from figstream import straggler_pace
+from figstream import straggler_detection
 from figstream import waiting_queues
 from figstream import waiting_room
 
@@ -299,5 +299,5 @@
     affinity = prefix_affinity.PrefixAffinity()
     selection = make_selection(book, affinity)
     index = server_pool.PoolIndex(zone)
-    detector = straggler_pace.PaceDetector()
+    detector = straggler_detection.make_straggler_detector()
     return Scheduler(index, book, affinity, selection, detector)
--- a/figstream/straggler_detection.py
+++ b/figstream/straggler_detection.py
@@ -3,7 +3,9 @@
 Each observation is ranked among recent observations of the pool at a like
 batch size. The rank becomes a normal score, and the scores of a server add up
 in a CUSUM. Ranks make the rate of false alarms the same for every
-distribution of latencies. A straggler comes back once its own observations
+distribution of latencies. An observation is divided by a tolerated factor
+first, since a small but steady difference is no reason to lose a server's
+capacity. A straggler comes back once its own observations
 are like the pool's again. If it gets no work to show that, it comes back on
 probation after a time. When too many servers of a pool alarm, the pool as a
 whole has become slower, and its history is begun anew.
@@ -16,8 +18,9 @@
 
 import attrs
 
-ALARM_LIMIT: Final = 5.0
-ALLOWANCE: Final = 0.75
+ALARM_LIMIT: Final = 4.0
+ALLOWANCE: Final = 0.5
+TOLERATED_FACTOR: Final = 1.5
 REFERENCE_LENGTH: Final = 256
 MIN_REFERENCE: Final = 50
 FIRST_PROBATION_S: Final = 30.0
@@ -104,7 +107,10 @@
         if self._out:
             self._end_probations(now)
         reference = self._pools[pool].references[batch.bit_length()]
-        total = known.sum + reference.score(seconds) - ALLOWANCE
+        # To come back, a server must be like the pool, not just tolerable.
+        factor = 1.0 if known.out else TOLERATED_FACTOR
+        score = reference.score(seconds / factor)
+        total = known.sum + score - ALLOWANCE
         known.sum = min(max(total, 0.0), _HIGHEST_SUM)
         if known.sum == 0.0:
             known.probation_s = FIRST_PROBATION_S
