--- a/figstream/configuration_peers.py
+++ b/figstream/configuration_peers.py
@@ -109,9 +109,12 @@
         async with anyio.create_task_group() as group:
             for member in one_of_each.values():
                 group.start_soon(ask, member)
+        # Without a configured zone, it isn't known whom to wait for.
+        if not self._copy.zones or not answered:
+            return False
         own_zone = self._members.this().zone
         others = (self._copy.zones | one_of_each.keys()) - {own_zone}
-        return bool(answered) and others <= answered
+        return others <= answered
 
     def _member(self, name: str) -> membership_api.Member | None:
         live = self._members.live()
--- a/figstream/configuration_spread.py
+++ b/figstream/configuration_spread.py
@@ -178,7 +178,9 @@
             makes the change twice.
         """
         asked_at = self._clock.now()
-        outcome = await self._store.accept(change, base_generation, write_id)
+        outcome = await self._store.accept(
+            change, base_generation, write_id, self.copy.snapshot.bodies
+        )
         if isinstance(outcome, configuration_store.Accepted):
             if outcome.snapshot:
                 self.copy.take(outcome.snapshot, asked_at, "operator")
--- a/figstream/configuration_store.py
+++ b/figstream/configuration_store.py
@@ -166,7 +166,11 @@
         return platform_api.Unavailable("the root keeps changing")
 
     async def accept(
-        self, change: Change, base_generation: int, write_id: str = ""
+        self,
+        change: Change,
+        base_generation: int,
+        write_id: str = "",
+        known: Mapping[str, bytes] | None = None,
     ) -> AcceptOutcome:
         """Makes a change on the generation named.
 
@@ -176,6 +180,7 @@
           base_generation: generation the change was made on.
           write_id: unique id of the change; a repeat with the same id never
             makes the change twice.
+          known: shards at hand, which are not read again.
         """
         write_id = write_id or uuid.uuid4().hex
         stored = await self.read_root()
@@ -185,7 +190,7 @@
             return Accepted(earlier)
         if stored.root.generation != base_generation:
             return GenerationConflict(stored.root.generation)
-        bodies = await self._read_shards(stored.root, {})
+        bodies = await self._read_shards(stored.root, known or {})
         if isinstance(bodies, platform_api.Unavailable):
             return PlatformDown(bodies.detail)
         if bodies is None:
