--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "configuration_shards",
     "relay",
     "daemons",
+    "usage",
 )
 
 
--- a/figstream/usage_copying.py
+++ b/figstream/usage_copying.py
@@ -77,7 +77,9 @@
         stub = usage_pb2_grpc.UsageHandoverStub(self._members.channel(keeper))
         try:
             answer: usage_pb2.KeepCopiesAnswer = await stub.KeepCopies(
-                request, timeout=CALL_TIMEOUT_S
+                request,
+                timeout=CALL_TIMEOUT_S,
+                compression=grpc.Compression.Gzip,
             )
         except grpc.aio.AioRpcError:
             self._metrics.event("usage_copy_failed")
--- a/figstream/usage_delivery.py
+++ b/figstream/usage_delivery.py
@@ -155,7 +155,9 @@
         stub = usage_pb2_grpc.UsageHandoverStub(self._members.channel(member))
         try:
             answer: usage_pb2.DeliverAnswer = await stub.Deliver(
-                request, timeout=usage_copying.CALL_TIMEOUT_S
+                request,
+                timeout=usage_copying.CALL_TIMEOUT_S,
+                compression=grpc.Compression.Gzip,
             )
         except grpc.aio.AioRpcError:
             return None
