Leave out leaving and unreachable servers alike; split the daemon's parts

Cause: announcements of leaving servers went straight to the scheduler and replaced the set of unreachable ones, and the other way round. Change: both go through ServerHealth; serving_parts.py builds what carries requests. Seen: tests/test_server_health.py uses only the sound server of three; with 'set_leaving' passed straight on it used the unreachable one as well.

--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -6,17 +6,13 @@
 
 import anyio
 
-from figstream import authentication
-from figstream import backend_client
 from figstream import blame as blame_lib
 from figstream import blame_spread
-from figstream import caller_app
 from figstream import claim_journal
 from figstream import clock as clock_lib
 from figstream import configuration_holder
 from figstream import configuration_spread
 from figstream import daemon_context
-from figstream import dispatch_gate
 from figstream import explain
 from figstream import http_server
 from figstream import logs
@@ -28,12 +24,8 @@
 from figstream import ordering_roles
 from figstream import peer_server
 from figstream import platform_api
-from figstream import request_attempts
-from figstream import request_path
-from figstream import request_records
-from figstream import retry_policy
 from figstream import scheduler
-from figstream import server_health
+from figstream import serving_parts
 from figstream import usage_parts
 from figstream import usage_totals
 
@@ -92,6 +84,9 @@
         )
         claims = claim_journal.make_claim_journal(context)
         blame = blame_lib.make_crash_blame()
+        self._serving = serving_parts.make_serving_parts(
+            context, claims, blame, self.usage
+        )
         # Membership comes last, since the other roles hand over to members.
         self._roles: Sequence[daemon_context.Role] = (
             claims,
@@ -99,56 +94,26 @@
                 blame, self.members.notices, context.clock
             ),
             *accounting.roles,
-            *ordering_roles.make_ordering_roles(context, self.members),
+            *ordering_roles.make_ordering_roles(
+                context, self.members, self._serving.health
+            ),
             self._operators,
             self.spread,
             self.members,
         )
-        self._gate = dispatch_gate.DispatchGate(
-            context.scheduler, context.clock
-        )
-        self._health = server_health.ServerHealth(
-            context.scheduler,
-            context.holder,
-            blame,
-            context.clock,
-            context.metrics,
-        )
-        self._backends = backend_client.BackendClient(self._health.on_load)
-        authenticator = authentication.Authenticator(
-            context.holder, context.options.key_trust_s
-        )
-        records = request_records.RequestRecords(
-            context.clock, context.metrics, context.decisions
-        )
-        services = request_attempts.RequestServices(
-            context.clock,
-            authenticator,
-            self._gate,
-            self._backends,
-            self._health,
-            retry_policy.make_retry_policy(),
-            claims,
-            blame,
-            self.usage,
-            records,
-        )
-        self.app = caller_app.CallerApp(
-            context.options,
-            context.clock,
-            context.holder,
-            authenticator,
-            request_path.RequestPath(services),
-            records,
-        )
         self._server = http_server.HttpServer(
-            self.app.application,
+            self._serving.app.application,
             context.options.address,
             context.options.caller_port,
             context.options.shutdown_limit_s,
             context.options.header_limit_bytes * _HEADER_HEADROOM,
         )
 
+    @property
+    def ready(self) -> bool:
+        """Returns whether the balancer may send requests."""
+        return self._serving.app.ready
+
     @property
     def peer_address(self) -> str:
         """Returns the address that other daemons use."""
@@ -172,8 +137,10 @@
             async with anyio.create_task_group() as group:
                 for role in self._roles:
                     group.start_soon(role.run)
-                group.start_soon(self._gate.run)
-                group.start_soon(self._health.run, self._backends)
+                group.start_soon(self._serving.gate.run)
+                group.start_soon(
+                    self._serving.health.run, self._serving.backends
+                )
                 logs.info(
                     "daemon_started",
                     vm=options.name,
@@ -186,12 +153,12 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._peers.stop()
-        await self._backends.close()
+        await self._serving.backends.close()
         logs.info("daemon_stopped", vm=options.name)
 
     async def shut_down(self) -> None:
         """Fails readiness, then stops accepting and lets requests finish."""
-        self.app.leaving = True
+        self._serving.app.leaving = True
         logs.info("daemon_leaving", vm=self.context.options.name)
         await anyio.sleep(self.context.options.drain_delay_s)
         self._server.shut_down()
--- a/figstream/demo_stack.py
+++ b/figstream/demo_stack.py
@@ -167,7 +167,7 @@
         group = await running.enter_async_context(anyio.create_task_group())
         for daemon in daemons:
             group.start_soon(daemon.run)
-        while not all(daemon.app.ready for daemon in daemons):
+        while not all(daemon.ready for daemon in daemons):
             await anyio.sleep(_READY_POLL_S)
         yield stack
         group.cancel_scope.cancel()
--- a/figstream/leaving_servers.py
+++ b/figstream/leaving_servers.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterable
 import itertools
 from typing import Final
+from typing import Protocol
 
 from google.protobuf import message as protobuf_message
 
 from figstream import clock as clock_lib
 from figstream import notices as notices_lib
-from figstream import scheduler_api
 from figstream.rpc import leaving_pb2
 
 KIND: Final = "leaving"
@@ -24,17 +24,24 @@
 _LOOK_S: Final = 5.0
 
 
+class LeavingListener(Protocol):
+    """What leaves the announced servers out."""
+
+    def set_leaving(self, servers: frozenset[str]) -> None:
+        """Takes note of all servers that are leaving now."""
+
+
 class LeavingServers:
     """The servers that this daemon gives no new work; a `Role`."""
 
     def __init__(
         self,
-        scheduler: scheduler_api.Scheduler,
+        listener: LeavingListener,
         notices: notices_lib.Notices,
         clock: clock_lib.Clock,
     ) -> None:
         """Starts with none."""
-        self._scheduler = scheduler
+        self._listener = listener
         self._notices = notices
         self._clock = clock
         self._until: dict[str, float] = {}
@@ -86,7 +93,7 @@
         names = frozenset(self._until)
         if names != self._told:
             self._told = names
-            self._scheduler.set_leaving(names)
+            self._listener.set_leaving(names)
 
 
 def _groups(names: Iterable[str]) -> Iterable[list[str]]:
--- a/figstream/ordering_roles.py
+++ b/figstream/ordering_roles.py
@@ -14,14 +14,16 @@
 
 
 def make_ordering_roles(
-    context: daemon_context.DaemonContext, members: membership.Membership
+    context: daemon_context.DaemonContext,
+    members: membership.Membership,
+    listener: leaving_servers.LeavingListener,
 ) -> Sequence[daemon_context.Role]:
     """Creates the lease, the orders, and the notices that go with them."""
     zone = context.options.zone
     lease = lease_lib.make_lease(LEASE_PREFIX + zone, zone, context, members)
     board = demand_lib.DemandBoard(context.clock)
     leaving = leaving_servers.LeavingServers(
-        context.scheduler, members.notices, context.clock
+        listener, members.notices, context.clock
     )
     publisher = demand_lib.DemandPublisher(
         context.options.name,
--- a/figstream/serve.py
+++ b/figstream/serve.py
@@ -29,6 +29,7 @@
     # Scripts read the ports from here, since port 0 picks free ones.
     typer.echo(f"callers=http://{options.address}:{daemon.caller_port}")
     typer.echo(f"peers={daemon.peer_address}")
+    typer.echo(f"operators={daemon.operator_address}")
     async with anyio.create_task_group() as group:
         group.start_soon(_stop_on_signal, daemon)
         await daemon.run()
--- /dev/null
+++ b/figstream/serving_parts.py
@@ -0,0 +1,76 @@
+"""Builds the parts of a daemon that carry requests, and connects them."""
+
+import attrs
+
+from figstream import authentication
+from figstream import backend_client
+from figstream import blame_api
+from figstream import caller_app
+from figstream import claims_api
+from figstream import daemon_context
+from figstream import dispatch_gate
+from figstream import request_attempts
+from figstream import request_path
+from figstream import request_records
+from figstream import retry_policy
+from figstream import server_health
+from figstream import usage_api
+
+
+@attrs.frozen
+class ServingParts:
+    """The parts of a daemon that carry requests.
+
+    Attributes:
+      gate: where requests wait for the scheduler.
+      health: the backend servers left out.
+      backends: the connections to backend servers.
+      app: the ASGI application for callers.
+    """
+
+    gate: dispatch_gate.DispatchGate
+    health: server_health.ServerHealth
+    backends: backend_client.BackendClient
+    app: caller_app.CallerApp
+
+
+def make_serving_parts(
+    context: daemon_context.DaemonContext,
+    claims: claims_api.ClaimJournal,
+    blame: blame_api.BlameTable,
+    usage: usage_api.UsageLedger,
+) -> ServingParts:
+    """Creates the parts that carry requests; nothing runs yet."""
+    clock = context.clock
+    gate = dispatch_gate.DispatchGate(context.scheduler, clock)
+    health = server_health.ServerHealth(
+        context.scheduler, context.holder, blame, clock, context.metrics
+    )
+    backends = backend_client.BackendClient(health.on_load)
+    authenticator = authentication.Authenticator(
+        context.holder, context.options.key_trust_s
+    )
+    records = request_records.RequestRecords(
+        clock, context.metrics, context.decisions
+    )
+    services = request_attempts.RequestServices(
+        clock,
+        authenticator,
+        gate,
+        backends,
+        health,
+        retry_policy.make_retry_policy(),
+        claims,
+        blame,
+        usage,
+        records,
+    )
+    app = caller_app.CallerApp(
+        context.options,
+        clock,
+        context.holder,
+        authenticator,
+        request_path.RequestPath(services),
+        records,
+    )
+    return ServingParts(gate, health, backends, app)
