Show the caller's own id in every record; log lines of pairs only

Cause: following the README by hand, 'operator explain ID' found nothing for a request refused before it was checked, and absl put a prefix and a warning before each line. Change: ids are drawn on arrival, explain takes the caller's id, log lines carry time and level as pairs.

--- a/figstream/caller_answer.py
+++ b/figstream/caller_answer.py
@@ -19,7 +19,7 @@
     """Sends the status once, then the body in pieces."""
 
     def __init__(
-        self, send: asgi.Send, caller_id: str = "", request_id: str = ""
+        self, send: asgi.Send, caller_id: str, request_id: str
     ) -> None:
         """Answers on an ASGI channel."""
         self._send = send
@@ -34,10 +34,10 @@
         """Returns the unique id of the request."""
         return self._request_id
 
-    def name(self, caller_id: str, request_id: str) -> None:
-        """Sets the ids that the answer shows."""
-        self._caller_id = caller_id
-        self._request_id = request_id
+    @property
+    def caller_id(self) -> str:
+        """Returns the id that the caller knows the request by."""
+        return self._caller_id
 
     async def start(self, status: int, content_type: bytes) -> None:
         """Sends the status and headers of an answer sent in pieces."""
--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -63,7 +63,11 @@
         """Serves one HTTP request."""
         if scope["type"] != "http":
             return
-        answer = caller_answer.CallerAnswer(send, *inbound.new_ids(""))
+        headers = asgi.headers_of(scope)
+        request_id, caller_id = inbound.new_ids(
+            headers.get(inbound.ID_HEADER, "")
+        )
+        answer = caller_answer.CallerAnswer(send, caller_id, request_id)
         try:
             if not await self._own_page(scope["path"], answer):
                 await self._serve(scope, receive, answer)
@@ -101,7 +105,10 @@
         answer: caller_answer.CallerAnswer,
     ) -> None:
         arrival = inbound.Arrival(
-            self._clock.now(), self._options.max_patience_s
+            self._clock.now(),
+            self._options.max_patience_s,
+            answer.request_id,
+            answer.caller_id,
         )
         identity, checked = await self._check(scope, receive, answer, arrival)
         if isinstance(checked, errors.Refusal):
@@ -110,7 +117,6 @@
             )
             await answer.refuse(checked)
         elif checked is not None:
-            answer.name(checked.caller_id, checked.request_id)
             await self._carry(checked, receive, answer)
 
     async def _carry(
--- a/figstream/explain.py
+++ b/figstream/explain.py
@@ -8,6 +8,8 @@
 import attrs
 
 DEFAULT_CAPACITY: Final = 4096
+# Stands between the caller's id and what makes the request's id unique.
+CALLER_ID_END: Final = "~"
 
 
 @attrs.frozen
@@ -49,8 +51,17 @@
         self._records.append(record)
 
     def of_request(self, request_id: str) -> Sequence[DecisionRecord]:
-        """Returns the records of one request, oldest first."""
-        return [item for item in self._records if item.request_id == request_id]
+        """Returns the records of a request, oldest first.
+
+        Args:
+          request_id: its unique id, or the id that its caller sent.
+        """
+        own = request_id + CALLER_ID_END
+        return [
+            item
+            for item in self._records
+            if item.request_id == request_id or item.request_id.startswith(own)
+        ]
 
     def latest(self, count: int) -> Sequence[DecisionRecord]:
         """Returns the latest records, newest first."""
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -16,6 +16,7 @@
 from figstream import authentication
 from figstream import configuration as configuration_lib
 from figstream import errors
+from figstream import explain
 from figstream import reasons
 from figstream import request_class as request_class_lib
 from figstream import route as route_lib
@@ -103,10 +104,19 @@
 
 @attrs.frozen
 class Arrival:
-    """When a request arrived and how long its caller may wait."""
+    """What a request gets as it arrives.
+
+    Attributes:
+      at: when it arrived, clock seconds.
+      max_patience_s: longest deadline that its caller may ask for.
+      request_id: unique id, which starts with the caller's own id.
+      caller_id: id that the caller sent, or the unique id.
+    """
 
     at: float
     max_patience_s: float
+    request_id: str
+    caller_id: str
 
 
 def new_ids(caller_id: str) -> tuple[str, str]:
@@ -115,7 +125,7 @@
     usable = caller_id.isascii() and caller_id.isprintable()
     if not caller_id or not usable or len(caller_id) > _MAX_ID_CHARS:
         return suffix, suffix
-    return f"{caller_id}~{suffix}", caller_id
+    return f"{caller_id}{explain.CALLER_ID_END}{suffix}", caller_id
 
 
 def check_generate(
@@ -137,10 +147,9 @@
     checked = _check_fields(fields, configuration)
     if isinstance(checked, errors.Refusal):
         return checked
-    request_id, caller_id = new_ids(http.headers.get(ID_HEADER, ""))
     return Call(
-        request_id,
-        caller_id,
+        arrival.request_id,
+        arrival.caller_id,
         http,
         identity,
         request_class,
@@ -168,10 +177,9 @@
     deadline = _deadline(http, request_class, arrival)
     if isinstance(deadline, errors.Refusal):
         return deadline
-    request_id, caller_id = new_ids(http.headers.get(ID_HEADER, ""))
     return Call(
-        request_id,
-        caller_id,
+        arrival.request_id,
+        arrival.caller_id,
         http,
         identity,
         request_class,
--- a/figstream/logs.py
+++ b/figstream/logs.py
@@ -7,8 +7,10 @@
 import json
 import logging as std_logging
 import sys
+import time
 from typing import Final
 
+from absl import flags
 from absl import logging
 
 _PLAIN: Final = frozenset(
@@ -20,15 +22,28 @@
 
 def configure(level: str) -> None:
     """Sends log lines of the given level and above to standard error."""
+    # absl warns of every line until its own flags, unused here, are parsed.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
-    logging.get_absl_handler().python_handler.stream = sys.stderr
+    handler = logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(_make_formatter())
     # Libraries log addresses and paths in a form of their own.
     for library in _LIBRARIES:
         std_logging.getLogger(library).setLevel(std_logging.WARNING)
 
 
+def _make_formatter() -> std_logging.Formatter:
+    formatter = std_logging.Formatter(
+        "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s %(message)s",
+        "%Y-%m-%dT%H:%M:%S",
+    )
+    formatter.converter = time.gmtime
+    return formatter
+
+
 def quote(value: object) -> str:
     """Returns the value, quoted when it holds anything but plain text."""
     text = str(value)
