Accept operators' changes through the daemon's own copy

A change accepted by a daemon is in force there at once and spreads without the platform, which confirmation by all zones relies on.

--- a/figstream/configuration_peers.py
+++ b/figstream/configuration_peers.py
@@ -155,7 +155,8 @@
             self._metrics.event("configuration_pull_failed")
             return False
         confirmed_at = asked_at - found.confirmed_age_s
-        return self._copy.take(found.snapshot, confirmed_at, member.name)
+        taken = self._copy.take(found.snapshot, confirmed_at, member.name)
+        return taken and self._copy.generation >= generation
 
     def _is_news(self, tree_root: str) -> bool:
         """Tells whether this tree has not yet carried what is known."""
--- a/figstream/configuration_store.py
+++ b/figstream/configuration_store.py
@@ -13,6 +13,7 @@
 import dataclasses
 import random
 from typing import Final
+from typing import Protocol
 import uuid
 
 import anyio
@@ -114,6 +115,15 @@
 )
 
 
+class Acceptor(Protocol):
+    """Makes changes of the configuration."""
+
+    async def accept(
+        self, change: Change, base_generation: int, write_id: str = ""
+    ) -> AcceptOutcome:
+        """Makes a change on the generation named."""
+
+
 @attrs.frozen
 class StoredRoot:
     """The root as stored; version 0 if there is none yet."""
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -75,6 +75,7 @@
             self.members,
             lambda: self.members.unreachable_zones,
             explainer,
+            self.spread,
         )
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             self.spread,
--- a/figstream/operator_server.py
+++ b/figstream/operator_server.py
@@ -5,6 +5,7 @@
 import anyio
 import grpc
 
+from figstream import configuration_store
 from figstream import daemon_context
 from figstream import membership_api
 from figstream import operator_access
@@ -59,9 +60,10 @@
     members: membership_api.Members,
     unreachable_zones: operator_status.UnreachableZones,
     explainer: operator_explain.Explainer,
+    acceptor: configuration_store.Acceptor,
 ) -> OperatorServer:
     """Creates the server of one daemon."""
     service = operator_service.make_operator_service(
-        context, members, unreachable_zones, explainer
+        context, members, unreachable_zones, explainer, acceptor
     )
     return OperatorServer(service, context.options)
--- a/figstream/operator_service.py
+++ b/figstream/operator_service.py
@@ -36,6 +36,7 @@
     def __init__(
         self,
         store: configuration_store.ConfigurationStore,
+        acceptor: configuration_store.Acceptor,
         zones: operator_status.ZoneWatch,
         explainer: operator_explain.Explainer,
         holder: configuration_holder.ConfigurationHolder,
@@ -43,6 +44,7 @@
     ) -> None:
         """Changes the stored configuration and reads the members' state."""
         self._store = store
+        self._acceptor = acceptor
         self._zones = zones
         self._explainer = explainer
         self._holder = holder
@@ -154,7 +156,9 @@
                 generation=newest.generation,
                 message=message_texts.NO_CHANGE,
             )
-        accepted = await self._store.accept(change, base_generation, change_id)
+        accepted = await self._acceptor.accept(
+            change, base_generation, change_id
+        )
         outcome = _outcome(accepted, change_id)
         logs.info(
             "operator_change",
@@ -204,12 +208,14 @@
     members: membership_api.Members,
     unreachable_zones: operator_status.UnreachableZones,
     explainer: operator_explain.Explainer,
+    acceptor: configuration_store.Acceptor,
 ) -> OperatorService:
     """Creates the service of one daemon."""
     return OperatorService(
         configuration_store.ConfigurationStore(
             context.platform.objects, context.clock
         ),
+        acceptor,
         operator_status.ZoneWatch(members, unreachable_zones, context.clock),
         explainer,
         context.holder,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -104,8 +104,10 @@
     members.peer_address = peers.address
     other = _Members(generations={"entry-2": 0})
     await peers.start([operator_explain.Explainer(there, other)])
+    store = configuration_store.ConfigurationStore(platform.objects, clock)
     service = operator_service.OperatorService(
-        configuration_store.ConfigurationStore(platform.objects, clock),
+        store,
+        store,
         operator_status.ZoneWatch(members, tuple, clock),
         operator_explain.Explainer(here, members),
         configuration_holder.ConfigurationHolder(clock),
