Try blocked targets again at once only for classes with a first-token target

Change: 0.1 s if the first class waiting has a first-token target, else 0.5 s; one estimate of trust for each load; rotation in place of a random sample.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -83,7 +83,8 @@
                 queue_limit=10**6,
                 queue_bytes=10**12,
                 service_level=request_class_lib.ServiceLevel(
-                    deadline_s=10000.0
+                    first_token_s=5000.0 if tier < 2 else 0.0,
+                    deadline_s=10000.0,
                 ),
             )
             for tier in range(size.tiers)
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -27,7 +27,8 @@
 from figstream import server_selection
 from figstream import waiting_queues
 
-_BLOCKED_S: Final = 0.1
+_BLOCKED_S: Final = 0.5
+_URGENT_BLOCKED_S: Final = 0.1
 _URGENT_SHARE: Final = 0.5
 _MOST_URGENT: Final = 0.5
 _LONG_AGO: Final = -1e9
@@ -102,7 +103,7 @@
         while ready:
             _, _, target = heapq.heappop(ready)
             if not self._dispatch_one(target, now):
-                self._state(target).blocked_until = now + _BLOCKED_S
+                self._block(target, now)
                 self._preempt(target, now)
             elif any(self._queues.of_target(target)):
                 self._enqueue(ready, target, now)
@@ -115,6 +116,13 @@
             state = self._targets[target] = _TargetState(order)
         return state
 
+    def _block(self, target: request_target.Target, now: float) -> None:
+        """Leaves a target until its servers change or some time passes."""
+        waiting = (item for item in self._queues.of_target(target) if item)
+        level = next(waiting).request_class.service_level
+        pause_s = _URGENT_BLOCKED_S if level.first_token_s else _BLOCKED_S
+        self._state(target).blocked_until = now + pause_s
+
     def _enqueue(
         self,
         ready: list[tuple[int, int, request_target.Target]],
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -247,7 +247,8 @@
         if seconds is None:
             return
         pool = queue.target.service or queue.target.model
-        batch = int(self._book.estimate(name, self._in_zone, now)) + 1
+        trust = self._book.trust(name, now)
+        batch = int(self._book.estimate(name, self._in_zone, trust)) + 1
         self._detector.observe(name, pool, seconds, batch, now)
         self._book.stragglers = self._detector.stragglers()
 
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -130,17 +130,16 @@
             return 0.0
         return math.exp(-age_s / _TURNOVER_S)
 
-    def estimate(self, server: str, sharers: int, now: float) -> float:
+    def estimate(self, server: str, sharers: int, trust: float) -> float:
         """Returns the expected number of requests at a server.
 
         Args:
           server: the backend server.
           sharers: daemons that send to it; without a fresh report they are
             taken to send as much as this one does.
-          now: the time in seconds.
+          trust: how far the last report still tells the load, 0 to 1.
         """
         state = self._states[server]
-        trust = self.trust(server, now)
         if not trust:
             return float(state.own * sharers)
         excess = state.others - state.others_mean
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Iterable
+import itertools
 import math
 import random
 from typing import Final
@@ -196,16 +197,6 @@
         reason = "two_choices" if group.local else "other_zone"
         return load, Choice(server, reason)
 
-    def _ceiling(
-        self, server: str, group: server_pool.ServerGroup, now: float
-    ) -> float:
-        """Returns the load, as a share of slots, up to which to send."""
-        trust = self._book.trust(server, now)
-        if not group.local:
-            return SPILL_BELOW if trust >= _SPILL_TRUST else 0.0
-        ceiling = 1.0 if group.own < group.share else BORROW_BELOW
-        return ceiling * (1.0 - _DOUBT * (1.0 - trust))
-
     def _probe(
         self,
         group: server_pool.ServerGroup,
@@ -228,10 +219,11 @@
         self, group: server_pool.ServerGroup
     ) -> Iterable[backend_server.BackendServer]:
         servers = self._plan.candidates(group)
-        if len(servers) <= _SCAN_LIMIT:
-            return self._random.sample(servers, len(servers))
         draw = self._random.random
         count = len(servers)
+        if count <= _SCAN_LIMIT:
+            start = int(draw() * count)
+            return itertools.chain(servers[start:], servers[:start])
         probes = _PROBES + (_MORE_PROBES if group.local else 0)
         return (servers[int(draw() * count)] for _ in range(probes))
 
@@ -250,11 +242,12 @@
         state = self._book.state(server.name)
         if state.reserved_for or state.paused_until > now:
             return math.inf
-        estimate = self._book.estimate(server.name, group.sharers, now)
+        trust = self._book.trust(server.name, now)
+        estimate = self._book.estimate(server.name, group.sharers, trust)
         load = estimate / server.slots
         part = self._plan.part(server, group, now)
         extra = _URGENT_EXTRA if urgent and group.local else 0.0
-        ceiling = self._ceiling(server.name, group, now)
+        ceiling = _ceiling(group, trust)
         if part.may_borrow and load < ceiling + extra:
             return load
         return load if group.local and state.own < part.slots else math.inf
@@ -271,6 +264,14 @@
         return next(item for item in group.servers if item.name == name)
 
 
+def _ceiling(group: server_pool.ServerGroup, trust: float) -> float:
+    """Returns the load, as a share of slots, up to which to send."""
+    if not group.local:
+        return SPILL_BELOW if trust >= _SPILL_TRUST else 0.0
+    ceiling = 1.0 if group.own < group.share else BORROW_BELOW
+    return ceiling * (1.0 - _DOUBT * (1.0 - trust))
+
+
 def make_selection(
     book: server_load.LoadBook,
     affinity: prefix_affinity.PrefixAffinity,
--- a/figstream/slot_plan.py
+++ b/figstream/slot_plan.py
@@ -35,6 +35,10 @@
     may_borrow: bool
 
 
+_NOTHING: Final = Part(0, False)
+_BORROW_ONLY: Final = Part(0, True)
+
+
 class SlotPlan(Protocol):
     """A way to share the slots of servers among daemons."""
 
@@ -65,8 +69,9 @@
         now: float,
     ) -> Part:
         """Returns what this daemon may use of a server."""
-        within = group.own < group.share
-        return Part(server.slots // group.sharers if within else 0, True)
+        if group.own >= group.share:
+            return _BORROW_ONLY
+        return Part(server.slots // group.sharers, True)
 
     def slots(self, group: server_pool.ServerGroup, now: float) -> float:
         """Returns the slots of a group that fall to this daemon."""
@@ -145,10 +150,11 @@
         """Returns what this daemon may use of a server."""
         subset = self._subset(group)
         if server.name not in subset:
-            return Part(0, False)
-        within = group.own < group.share
+            return _NOTHING
+        if group.own >= group.share:
+            return _BORROW_ONLY
         users = max(1.0, group.sharers * len(subset) / len(group.names))
-        return Part(server.slots // users if within else 0, True)
+        return Part(server.slots // users, True)
 
     def slots(self, group: server_pool.ServerGroup, now: float) -> float:
         """Returns the slots of a group that fall to this daemon."""
