Let the command line send a change again under its id

After a lost answer the message told operators to repeat the change with its id, which the command line could not do.

--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -18,7 +18,7 @@
     "({detail})."
 )
 CHANGE_UNKNOWN: Final = (
-    "The change may have been accepted; send it again with write id "
+    "The change may have been accepted; send it again with change id "
     "{write_id}, which never makes it twice ({detail})."
 )
 
--- a/figstream/operator_cli.py
+++ b/figstream/operator_cli.py
@@ -43,6 +43,15 @@
     as_json: Annotated[
         bool, typer.Option("--json", help="Print answers as JSON.")
     ] = False,
+    change_id: Annotated[
+        str,
+        typer.Option(
+            help=(
+                "Id of an earlier change whose outcome is unknown; sent "
+                "again with it, a change is never made twice."
+            )
+        ),
+    ] = "",
     token: Annotated[
         str,
         typer.Option(
@@ -53,7 +62,7 @@
 ) -> None:
     """Operate a running system over gRPC."""
     client = operator_client.OperatorClient(address, token)
-    context.obj = operator_console.Console(client, as_json)
+    context.obj = operator_console.Console(client, as_json, change_id)
 
 
 @app.command()
--- a/figstream/operator_console.py
+++ b/figstream/operator_console.py
@@ -25,10 +25,12 @@
     Attributes:
       client: connection to the daemon.
       as_json: whether to print the answer as JSON.
+      change_id: id of an earlier change that is sent again, or "".
     """
 
     client: operator_client.OperatorClient
     as_json: bool
+    change_id: str = ""
 
     def show(self, answer: Any, lines: Iterable[str]) -> None:
         """Prints an answer as JSON, or as the given lines."""
@@ -64,7 +66,9 @@
     ) -> None:
         """Sends operations made on a generation, prints and exits."""
         request = operator_pb2.ChangeRequest(
-            base_generation=base, operations=operations
+            base_generation=base,
+            operations=operations,
+            change_id=self.change_id,
         )
         answer = self.client.call("Change", request)
         self.finish(answer, answer.outcome)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -216,6 +216,21 @@
         await bench.done("customer", "remove", "studio")
 
 
+@pytest.mark.anyio
+async def test_change_sent_again_with_its_id_is_made_once() -> None:
+    """Fails if the console leaves the change id out."""
+    async with _serve() as bench:
+        first = ("--change-id", "c-1", "customer", "set", "studio", "--weight")
+        bench.platform.objects.faults.lose_answers = 1000
+        made = await bench.done(*first, "5")
+        bench.platform.objects.faults.lose_answers = 0
+        await bench.done("customer", "set", "studio", "--weight", "7")
+        again = await bench.done(*first, "5")
+        assert again["outcome"] == made["outcome"]
+        shown = await bench.done("show")
+        assert shown["customers"][0]["weight"] == 7
+
+
 @pytest.mark.anyio
 async def test_bad_changes_and_an_outage_name_the_remedy(
     tmp_path: pathlib.Path,
