--- a/figstream/standin_engine.py
+++ b/figstream/standin_engine.py
@@ -55,8 +55,8 @@
 
     Attributes:
       slowdown: factor on every duration.
-      break_after_events: closes a stream after so many events, once for
-        each count in `breaks_left`.
+      break_after_events: closes a stream in the middle of the event after
+        so many, once for each count in `breaks_left`.
       breaks_left: streams that will still be broken.
       wrong_id: answers with another request's id.
       omit_terminator: ends streams without the terminator.
@@ -260,8 +260,12 @@
             if not started:
                 await asgi.send_start(send, 200, headers)
                 started = True
-            await asgi.send_body(send, _event(generation, word), more=True)
-            self._break_if_due(next(sent))
+            event = _event(generation, word)
+            broken = self._is_break_due(next(sent))
+            cut = event[: len(event) // 2] if broken else event
+            await asgi.send_body(send, cut, more=True)
+            if broken:
+                raise EngineCrashError("the connection was broken")
         if generation.cancelled:
             return
         if not started:
@@ -271,11 +275,12 @@
             tail += engine_protocol.TERMINATOR
         await asgi.send_body(send, tail, more=False)
 
-    def _break_if_due(self, sent: int) -> None:
-        due = sent == self.faults.break_after_events
-        if due and self.faults.breaks_left > 0:
-            self.faults.breaks_left -= 1
-            raise EngineCrashError("the connection was broken")
+    def _is_break_due(self, sent: int) -> bool:
+        if sent != self.faults.break_after_events + 1:
+            return False
+        due = self.faults.breaks_left > 0
+        self.faults.breaks_left -= due
+        return due
 
     async def _words(
         self, generation: _Generation, skip: int
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -202,7 +202,9 @@
             for _ in range(4):
                 group.start_soon(ask, "chat", 3)
         assert order == [*["chat"] * 4, *["batch"] * 4]
-        assert engine.cancelled
+        records = stack.daemons[0].context.decisions.latest(999)
+        sent = [item for item in records if item.decision == "dispatched"]
+        assert len(sent) == 8 + len(engine.cancelled) > 8
 
 
 async def test_caller_that_leaves_a_claimed_call_gets_its_answer_later() -> (
