--- a/tests/test_claim_journal.py
+++ b/tests/test_claim_journal.py
@@ -28,6 +28,7 @@
 from figstream import platform_memory
 from figstream import reasons
 
+_HAND_OVER_LIMIT_S = 10.0
 _DAEMONS = 3
 _KEYS = ("k0", "k1")
 _FAULTS = ("ok", "ok", "down", "lose_answer", "lose_request", "late")
@@ -62,8 +63,10 @@
         fault = self._next_fault()
         if fault == "down":
             return platform_api.Unavailable("down")
-        if fault == "late":
+        if fault in {"late", "hang"}:
             self.late.append((name, body, expected_version))
+        if fault == "hang":
+            await anyio.sleep_forever()
         if fault in {"late", "lose_request"}:
             return platform_api.Unknown(fault)
         outcome = await super().write(name, body, expected_version)
@@ -147,12 +150,13 @@
     store: platform_api.ObjectStore,
     owner: str,
     clock: clock_lib.Clock | None = None,
+    timeout_s: float = 5.0,
 ) -> claim_journal.PlatformClaimJournal:
     return claim_journal.PlatformClaimJournal(
         store,
         clock or _StillClock(),
         owner,
-        timeout_s=5.0,
+        timeout_s=timeout_s,
         metrics=metrics.make_unexported_metrics(),
         jitter=random.Random(1),
         range_count=1,
@@ -268,6 +272,30 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_a_platform_that_hangs_refuses_and_does_not_block_the_key() -> (
+    None
+):
+    """Breaks without the timeouts in `RangeWriter` or without `_withdraw`."""
+    store = _FaultyStore(["ok"] + ["hang", "down"] * 3)
+    async with anyio.create_task_group() as tasks:
+        first = _journal(store, "a", timeout_s=0.02)
+        second = _journal(store, "b")
+        for journal in (first, second):
+            tasks.start_soon(journal.run)
+        await anyio.lowlevel.checkpoint()
+        hung = await first.claim("c", "k", 7)
+        assert _refusal(hung) == ("claim_unavailable", "not_run")
+        assert store.late
+        store.script.clear()
+        await store.land_late_write()
+        with anyio.fail_after(_HAND_OVER_LIMIT_S):
+            await first.hand_over()
+        outcome = await second.claim("c", "k", 7)
+        assert isinstance(outcome, claims_api.Claimed)
+        tasks.cancel_scope.cancel()
+
+
 def _refusal(outcome: claims_api.ClaimOutcome) -> tuple[str, str]:
     assert isinstance(outcome, errors.Refusal)
     assert outcome.reason in reasons.RefusalReason
