Stop looking for expired claims at the first that is not

Cause: each write of a page read the expiry of every line. Change: lines stand in the order of the claims, so the search stops early.

--- a/figstream/claim_record.py
+++ b/figstream/claim_record.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 import hashlib
+import itertools
 from typing import Final
 
 import attrs
@@ -173,10 +174,10 @@
         return b"\n".join(self._lines.values())
 
     def _expired_digests(self, wall_s: float) -> Iterable[str]:
-        return (
-            digest
-            for digest, line in self._lines.items()
-            if int(line.split(b" ", 2)[1]) <= wall_s
+        # Lines stand in the order in which they were claimed.
+        return itertools.takewhile(
+            lambda digest: _expires_at(self._lines[digest]) <= wall_s,
+            self._lines,
         )
 
     def _put(self, record: ClaimRecord) -> None:
@@ -189,3 +190,7 @@
     def _remove(self, digest: str) -> None:
         self._size_bytes -= len(self._lines.pop(digest)) + 1
         self.changed = True
+
+
+def _expires_at(line: bytes) -> int:
+    return int(line.split(b" ", 2)[1])
