--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -158,10 +158,10 @@
 
 
 def run_all(
-    scenario: Scenario, factory: SchedulerFactory
+    scenario: Scenario, factory: SchedulerFactory, seeds: Sequence[int]
 ) -> Sequence[fleet_lib.Fleet]:
     """Runs one scenario once for each seed."""
-    return [run(scenario, factory, seed) for seed in _SEEDS]
+    return [run(scenario, factory, seed) for seed in seeds]
 
 
 def run(
@@ -217,14 +217,21 @@
     return [name for name, holds in checks.items() if not holds]
 
 
-def main(wanted: Sequence[str] = ()) -> None:
-    """Prints the tables, of all scenarios or of those with a wanted word."""
+def main(arguments: Sequence[str] = ()) -> None:
+    """Prints the tables.
+
+    Args:
+      arguments: numbers are seeds to use; other words pick the scenarios
+        whose name has one of them.
+    """
+    seeds = [int(word) for word in arguments if word.isdigit()] or _SEEDS
+    wanted = [word for word in arguments if not word.isdigit()]
     for scenario in scenarios():
         if wanted and not any(word in scenario.name for word in wanted):
             continue
         print(f"\n{scenario.name}\n{header()}")
         found = {
-            name: measures.measure(run_all(scenario, factory))
+            name: measures.measure(run_all(scenario, factory, seeds))
             for name, factory in VERSIONS.items()
         }
         for name, figures in found.items():
