Check the lease again as a usage report is written

Cause: the lease was checked before the report's call, which may queue and connect for seconds, so a paused holder could still send it, with the same bytes, after another took over. Change: reports take the way of orders, whose check and write have no await between. The test ends the lease at each platform call of a step; with the check left out it fails.

--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -1,4 +1,4 @@
-"""Sends one order over a connection of its own, checked as it is written.
+"""Sends an order or a report over its own connection, checked as it is written.
 
 Between the check of the lease and the write to the socket stands no await, so
 a daemon that was paused while it connected or queued finds out before a byte
@@ -61,20 +61,22 @@
         return _CheckedStream(connected, self._allowed)
 
 
-async def post(
+async def send(
+    method: str,
     url: str,
     body: bytes,
-    headers: Mapping[bytes | str, bytes | str],
+    headers: Mapping[str, str],
     timeout_s: float,
     allowed: Callable[[], bool],
 ) -> httpcore.Response | platform_api.Unavailable | platform_api.Unknown:
-    """Posts an order if it is still allowed when it is written.
+    """Sends an order or a report if it is still allowed when it is written.
 
     Args:
+      method: HTTP method.
       url: where to; plain HTTP at an IP number.
-      body: the order.
+      body: the order or report.
       headers: sent along.
-      timeout_s: for connection, order and answer together.
+      timeout_s: for connection, request and answer together.
       allowed: called with no await between it and each write.
     """
     backend = _CheckedBackend(allowed, timeout_s)
@@ -84,7 +86,7 @@
                 network_backend=backend
             ) as pool:
                 return await pool.request(
-                    "POST", url, headers=headers, content=body
+                    method, url, headers=list(headers.items()), content=body
                 )
     except (
         NotAllowedError,
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -239,9 +239,21 @@
     """The interface that takes one usage report for each window."""
 
     async def report(
-        self, window: str, body: bytes, fencing: int
+        self,
+        window: str,
+        body: bytes,
+        fencing: int,
+        allowed: Callable[[], bool] = always,
     ) -> ReportOutcome:
-        """Reports the figures of one window."""
+        """Reports the figures of one window.
+
+        Args:
+          window: name of the window.
+          body: the exact text of the report.
+          fencing: fencing number of the lease it is sent under.
+          allowed: whether the lease still holds; called with no await
+            between it and the write.
+        """
 
 
 class WeightStore(Protocol):
--- a/figstream/platform_gated.py
+++ b/figstream/platform_gated.py
@@ -129,13 +129,17 @@
     """Usage reports behind the gate."""
 
     async def report(
-        self, window: str, body: bytes, fencing: int
+        self,
+        window: str,
+        body: bytes,
+        fencing: int,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.ReportOutcome:
         """Reports the figures of one window."""
         return await self._gate.write(
             _Kind.REPORT,
             self._client,
-            lambda: self._platform.usage.report(window, body, fencing),
+            lambda: self._platform.usage.report(window, body, fencing, allowed),
         )
 
 
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -77,6 +77,27 @@
         except httpx.HTTPError as error:
             return platform_api.Unknown(_describe(error))
 
+    async def call_if_allowed(
+        self,
+        method: str,
+        path: str,
+        content: bytes,
+        headers: Mapping[str, str],
+        allowed: Callable[[], bool],
+    ) -> httpx.Response | platform_api.Unavailable | platform_api.Unknown:
+        """Makes one call if it is still allowed when it is written."""
+        answer = await order_transport.send(
+            method,
+            self.url + path,
+            content,
+            {wire.CLIENT_HEADER: self.client_name, **headers},
+            self.timeout_s,
+            allowed,
+        )
+        if not isinstance(answer, httpcore.Response):
+            return answer
+        return httpx.Response(answer.status, content=answer.content)
+
     async def get(
         self,
         path: str,
@@ -193,17 +214,11 @@
         allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.OrderOutcome:
         """Sends one order if it is still allowed when it is written."""
-        caller = self._caller
-        answer = await order_transport.post(
-            caller.url + wire.ORDERS,
-            serialization.to_json(order),
-            {wire.CLIENT_HEADER: caller.client_name},
-            caller.timeout_s,
-            allowed,
+        found = await self._caller.call_if_allowed(
+            "POST", wire.ORDERS, serialization.to_json(order), {}, allowed
         )
-        if not isinstance(answer, httpcore.Response):
-            return answer
-        found = httpx.Response(answer.status, content=answer.content)
+        if not isinstance(found, httpx.Response):
+            return found
         if found.status_code == wire.OK:
             accepted = _decode(found, platform_api.OrderAccepted)
             return accepted or _without_outcome(found)
@@ -230,14 +245,19 @@
         self._caller = caller
 
     async def report(
-        self, window: str, body: bytes, fencing: int
+        self,
+        window: str,
+        body: bytes,
+        fencing: int,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.ReportOutcome:
-        """Reports the figures of one window."""
-        answer = await self._caller.call(
+        """Reports a window if it is still allowed when it is written."""
+        answer = await self._caller.call_if_allowed(
             "PUT",
             wire.USAGE + _quote(window),
-            content=body,
-            headers={wire.FENCING_HEADER: str(fencing)},
+            body,
+            {wire.FENCING_HEADER: str(fencing)},
+            allowed,
         )
         if not isinstance(answer, httpx.Response):
             return answer
--- a/figstream/platform_memory.py
+++ b/figstream/platform_memory.py
@@ -254,10 +254,14 @@
         self.calls: list[tuple[str, bytes, int]] = []
 
     async def report(
-        self, window: str, body: bytes, fencing: int
+        self,
+        window: str,
+        body: bytes,
+        fencing: int,
+        allowed: Callable[[], bool] = platform_api.always,
     ) -> platform_api.ReportOutcome:
         """Books the figures of a window; refuses different ones."""
-        if self.down:
+        if self.down or not allowed():
             return platform_api.Unavailable("the platform is down")
         self.calls.append((window, body, fencing))
         if self.booked.setdefault(window, body) != body:
--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -162,7 +162,10 @@
         if window is None or fencing is None:
             return False
         outcome = await self._reports.report(
-            window.name, window.report.encode(), fencing
+            window.name,
+            window.report.encode(),
+            fencing,
+            lambda: self._lease.fencing() == fencing,
         )
         if not isinstance(outcome, platform_api.ReportAccepted):
             self._metrics.event("usage_report_unconfirmed")
--- a/tests/test_usage_sealing.py
+++ b/tests/test_usage_sealing.py
@@ -85,17 +85,26 @@
     async def watch(self, prefix: str, position: int, timeout_s: float) -> Any:
         raise NotImplementedError
 
-    async def report(self, window: str, body: bytes, fencing: int) -> Any:
-        return await self._gate(self._inner.usage.report, window, body, fencing)
+    async def report(
+        self,
+        window: str,
+        body: bytes,
+        fencing: int,
+        allowed: Callable[[], bool] = platform_api.always,
+    ) -> Any:
+        call = self._inner.usage.report
+        return await self._gate(call, window, body, fencing, allowed)
 
 
-class _CertainLease:
-    """A lease that its holder always believes to hold."""
+@attrs.define
+class _Lease:
+    """A lease that its holder believes to hold until a test ends it."""
 
-    name = "usage"
+    number: int | None = 1
+    name: str = "usage"
 
     def fencing(self) -> int | None:
-        return 1
+        return self.number
 
 
 class _World:
@@ -108,13 +117,15 @@
         self.created: list[usage_delta.UsageDelta] = []
         self.kept: list[usage_delta.UsageDelta] = []
 
-    def holder(self, gate: _Gate | None = None) -> usage_sealing.UsageSealing:
+    def holder(
+        self, gate: _Gate | None = None, lease: _Lease | None = None
+    ) -> usage_sealing.UsageSealing:
         gated = _GatedPlatform(self.platform, gate or _Gate())
         interfaces = attrs.evolve(
             self.platform.interfaces(), objects=gated, usage=gated
         )
         return usage_sealing.UsageSealing(
-            _CertainLease(), interfaces, self.clock, _METRICS, _WINDOW_S
+            lease or _Lease(), interfaces, self.clock, _METRICS, _WINDOW_S
         )
 
     def count(self, age_s: float = 0.0) -> None:
@@ -230,6 +241,32 @@
             raise AssertionError(f"no crash at call {crash_at}")
 
 
+def test_holder_whose_lease_ends_as_it_reports_sends_nothing() -> None:
+    """Fails if the lease isn't checked again as the report is written."""
+    calls = itertools.count(1)
+    while True:
+        world = _World()
+        lease = _Lease()
+        holder = world.holder(lease=lease)
+        _finish(holder.step())
+        world.count()
+        world.deliver(holder)
+        world.clock.advance(2 * _WINDOW_S)
+        step = holder.step()
+        stop_at = next(calls)
+        try:
+            for _ in range(stop_at):
+                step.send(None)
+        except StopIteration:
+            break
+        sent = len(world.platform.usage.calls)
+        lease.number = None
+        _finish(step)
+        assert len(world.platform.usage.calls) == sent
+        world.heal_and_check()
+    assert stop_at > 5
+
+
 def test_late_items_are_listed_apart() -> None:
     world = _World()
     _scenario(world, _Gate())
