Count platform reads and writes apart; read the new form of log lines

The benchmark had stopped finding when daemons took a generation, since the form of the log lines had changed; it failed instead of printing.

--- a/bench/daemon_processes.py
+++ b/bench/daemon_processes.py
@@ -26,8 +26,7 @@
 _PAGE_BYTES: Final = os.sysconf("SC_PAGE_SIZE")
 _STAT_UTIME: Final = 11
 _TAKEN: Final = re.compile(
-    r"^I(\d{4} \d\d:\d\d:\d\d\.\d+) .*"
-    r"event=configuration_taken generation=(\d+) "
+    r"^time=(\S+) .*event=configuration_taken generation=(\d+) "
 )
 
 
@@ -209,9 +208,7 @@
 
 
 def _read_taken(log: pathlib.Path) -> Iterator[tuple[int, float]]:
-    year = datetime.datetime.now().year
     for line in log.read_text(errors="replace").splitlines():
         if match := _TAKEN.match(line):
-            text = f"{year}{match.group(1)}"
-            at = datetime.datetime.strptime(text, "%Y%m%d %H:%M:%S.%f")
+            at = datetime.datetime.fromisoformat(match.group(1))
             yield int(match.group(2)), at.timestamp()
--- a/bench/daemons.py
+++ b/bench/daemons.py
@@ -29,7 +29,7 @@
 from figstream import serialization
 
 _PLATFORM_TIMEOUT_S: Final = 5.0
-_START_LIMIT_S: Final = 90.0
+_START_LIMIT_S: Final = 30.0
 _CHANGE_LIMIT_S: Final = 30.0
 _SETTLE_S: Final = 4.0
 _IDLE_S: Final = 5.0
@@ -38,6 +38,12 @@
 _UNAUTHORIZED: Final = 401
 _MEGABYTE: Final = 1e6
 _SLOW_CALL_S: Final = 0.5
+_WRITES: Final = (
+    platform_faults.CallKind.WRITE,
+    platform_faults.CallKind.DELETE,
+    platform_faults.CallKind.ORDER,
+    platform_faults.CallKind.REPORT,
+)
 _ZONE: Final = "zone-0"
 
 
@@ -60,7 +66,8 @@
       start_s: until all daemons had the first generation.
       change_s: until a change was in force everywhere, the longest.
       withdrawal_s: until a withdrawn key was refused everywhere.
-      calls_per_s: platform calls of the idle fleet.
+      reads_per_s: platform calls without effect, of the idle fleet.
+      writes_per_s: platform calls with an effect, of the idle fleet.
       core_share: share of a core that an idle daemon uses.
       bytes_per_s: bytes that an idle daemon sends.
       resident_mb: memory of the largest daemon.
@@ -70,12 +77,21 @@
     start_s: float
     change_s: float
     withdrawal_s: float
-    calls_per_s: float
+    reads_per_s: float
+    writes_per_s: float
     core_share: float
     bytes_per_s: float
     resident_mb: float
 
 
+@attrs.frozen
+class Calls:
+    """Numbers of platform calls without and with an effect."""
+
+    reads: int
+    writes: int
+
+
 @attrs.frozen
 class Delay:
     """Seconds until a change was in force everywhere.
@@ -296,15 +312,18 @@
             start_s,
             change_s,
             withdrawal_s,
-            (calls_after - calls) / elapsed_s,
+            (calls_after.reads - calls.reads) / elapsed_s,
+            (calls_after.writes - calls.writes) / elapsed_s,
             cpu_s / daemon_s,
             (sent_after - sent) / daemon_s,
             largest / _MEGABYTE,
         )
 
-    async def _count_calls(self) -> int:
+    async def _count_calls(self) -> Calls:
         answer = await self._http.get(f"{self._fleet.platform_url}/counters")
-        return sum(answer.json()["calls"].values())
+        calls = answer.json()["calls"]
+        writes = sum(calls[kind.value] for kind in _WRITES)
+        return Calls(sum(calls.values()) - writes, writes)
 
 
 async def _measure(directory: pathlib.Path, size: Size) -> Row:
@@ -326,21 +345,23 @@
     print(
         f"{size.daemons:7}{size.zones:6}{size.customers:10}{size.servers:8}"
         f"{row.start_s:9.1f}{row.change_s:10.2f}{row.withdrawal_s:12.2f}"
-        f"{row.calls_per_s:9.1f}{row.core_share:8.2%}"
+        f"{row.reads_per_s:9.1f}{row.writes_per_s:10.2f}{row.core_share:8.2%}"
         f"{row.bytes_per_s:10.0f}{row.resident_mb:9.0f}"
     )
 
 
 def _print_slopes(small: Row, large: Row) -> None:
     daemons = large.size.daemons - small.size.daemons
-    calls = (large.calls_per_s - small.calls_per_s) / daemons
+    reads = (large.reads_per_s - small.reads_per_s) / daemons
+    writes = (large.writes_per_s - small.writes_per_s) / daemons
     core = (large.core_share - small.core_share) / daemons
     sent = (large.bytes_per_s - small.bytes_per_s) / daemons
     held = (large.resident_mb - small.resident_mb) / daemons
     change = (large.change_s - small.change_s) / daemons
     print(
-        f"for each further daemon: {calls:.3f} calls/s, {core:.4%} of a core, "
-        f"{sent:.1f} B/s and {held:.3f} MB per daemon, {change:.4f} s a change"
+        f"for each further daemon: {reads:.3f} reads/s, {writes:.4f} writes/s; "
+        f"{core:.4%} of a core, {sent:.1f} B/s and {held:.3f} MB per daemon; "
+        f"{change:.4f} s a change"
     )
 
 
@@ -348,7 +369,7 @@
     """Measures fleets of several sizes."""
     print(
         "daemons zones customers servers start s  change s  withdrawal s "
-        "calls/s    core  B/s sent  largest MB"
+        "reads/s  writes/s    core  B/s sent  largest MB"
     )
     with tempfile.TemporaryDirectory() as name:
         rows = []
