--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -72,6 +72,8 @@
         engine.faults.breaks_left = 1
         answer = await _chat(stack)
         assert len(_words(answer)) == 12
+        for event in answer.text.split("\n\n")[:-2]:
+            assert json.loads(event.removeprefix("data: "))["model"]
         assert answer.text.endswith("data: [DONE]\n\n")
         assert sum(engine.runs.values()) == 1
 
