--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -141,20 +141,14 @@
     request_class = _class_of(http, identity, configuration)
     if isinstance(request_class, errors.Refusal):
         return request_class
-    deadline = _deadline(http, request_class, arrival)
-    if isinstance(deadline, errors.Refusal):
-        return deadline
     checked = _check_fields(fields, configuration)
     if isinstance(checked, errors.Refusal):
         return checked
-    return Call(
-        arrival.request_id,
-        arrival.caller_id,
-        http,
-        identity,
-        request_class,
-        arrival.at,
-        deadline,
+    call = _make_call(http, identity, request_class, arrival)
+    if isinstance(call, errors.Refusal):
+        return call
+    return attrs.evolve(
+        call,
         model=checked.model,
         adapter=checked.adapter,
         stream=checked.stream,
@@ -174,6 +168,23 @@
     if named not in {None, route.request_class}:
         return errors.Refusal(_R.UNKNOWN_CLASS, detail="class of this route")
     request_class = configuration.classes_by_name[route.request_class]
+    call = _make_call(http, identity, request_class, arrival)
+    if isinstance(call, errors.Refusal):
+        return call
+    return attrs.evolve(
+        call,
+        route=route,
+        idempotency_key=http.headers.get(IDEMPOTENCY_HEADER, ""),
+    )
+
+
+def _make_call(
+    http: HttpRequest,
+    identity: authentication.Identity,
+    request_class: request_class_lib.RequestClass,
+    arrival: Arrival,
+) -> Call | errors.Refusal:
+    """Returns what calls to models and to services have in common."""
     deadline = _deadline(http, request_class, arrival)
     if isinstance(deadline, errors.Refusal):
         return deadline
@@ -185,8 +196,6 @@
         request_class,
         arrival.at,
         deadline,
-        route=route,
-        idempotency_key=http.headers.get(IDEMPOTENCY_HEADER, ""),
     )
 
 
