Test that no slot and no limit leaks, whatever ends a request

Cause: a count that doesn't come back would starve a customer or a server without a sign. Change: a property test over answers, failures, callers who leave and requests that run alone; afterwards all slots and the whole limit are there. Measured: 'python -m pytest tests/test_scheduler.py' passes; on a scratch copy the test fails without the release, the count or the reservation's end.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -17,8 +17,8 @@
 from figstream import server_pool
 from tests import scheduling
 
-_PREEMPTED = scheduler_api.AttemptReport(
-    scheduler_api.AttemptResult.PREEMPTED, 3, 0, 0.1, 0.5
+_FAILED = scheduler_api.AttemptReport(
+    scheduler_api.AttemptResult.FAILED, 3, 0, 0.1, 0.5
 )
 _LOAD = {
     reasons.RefusalReason.QUEUE_COUNT_FULL,
@@ -353,3 +353,51 @@
             for _ in range(6)
         )
     assert 4 <= held < 4 + daemons
+
+
+@hypothesis.given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(["offer", "end", "fail", "leave", "alone"]),
+            st.integers(0, 9),
+        ),
+        max_size=60,
+    )
+)
+@hypothesis.settings(deadline=None, max_examples=60)
+def test_no_slot_or_limit_leaks(steps: list[tuple[str, int]]) -> None:
+    """Break: a `change_own` or a `release` in `Scheduler`."""
+    limits = customer_lib.CustomerLimits(concurrency=6)
+    level = scheduling.make_class(1)
+    traffic = _Traffic(
+        scheduling.make_scheduler(
+            scheduling.make_server("s1"),
+            scheduling.make_server("s2"),
+            customers=(customer_lib.Customer("one", limits=limits),),
+        )
+    )
+    for number, (kind, index) in enumerate(steps):
+        now = number * 0.1
+        if kind in {"offer", "alone"}:
+            request = scheduling.make_request(level, now=now)
+            request.alone = kind == "alone"
+            traffic.offer(request, now)
+        elif kind == "leave" and traffic.waiting:
+            name = sorted(traffic.waiting)[index % len(traffic.waiting)]
+            traffic.scheduler.withdraw(traffic.waiting.pop(name), now)
+        elif kind in {"end", "fail"} and traffic.running:
+            report = scheduling.ANSWERED if kind == "end" else _FAILED
+            item = traffic.running.pop(index % len(traffic.running))
+            traffic.scheduler.finish(item.request, item.server, report, now)
+        traffic.poll(now)
+    for second in range(100, 200):
+        while traffic.running:
+            traffic.finish(0, float(second))
+        traffic.poll(float(second))
+    assert not traffic.waiting
+    for _ in range(7):
+        request = scheduling.make_request(level, now=200.0)
+        traffic.offer(request, 200.0)
+        traffic.poll(200.0)
+    assert len(traffic.running) == 4
+    assert len(traffic.waiting) == 2
