--- a/tests/lease_parts.py
+++ b/tests/lease_parts.py
@@ -42,12 +42,22 @@
     platform: platform_api.Platform,
     clock: clock_lib.Clock | None = None,
     heartbeat_s: float = 1.0,
+    seeds: tuple[str, ...] = (),
 ) -> daemon_context.DaemonContext:
     """Creates what the parts of a daemon share."""
     clock = clock or clock_lib.SystemClock()
     return daemon_context.DaemonContext(
         options.Options(
-            name, "a", "r", "", 0, 0, 0, "", heartbeat_s=heartbeat_s
+            name,
+            "a",
+            "r",
+            "",
+            0,
+            0,
+            0,
+            "",
+            heartbeat_s=heartbeat_s,
+            seeds=seeds,
         ),
         clock,
         start_number,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -176,10 +176,13 @@
 
 
 def _daemon(
-    name: str, address: str, platform: platform_api.Platform
+    name: str,
+    address: str,
+    platform: platform_api.Platform,
+    seeds: tuple[str, ...] = (),
 ) -> membership.Membership:
     context = lease_parts.make_context(
-        name, time.time_ns(), platform, heartbeat_s=0.1
+        name, time.time_ns(), platform, heartbeat_s=0.1, seeds=seeds
     )
     return membership.make_membership(context, address)
 
@@ -239,7 +242,7 @@
     streams = _daemon("x", "127.0.0.1:1", platform)._streams
     cycles = 0
     async with anyio.create_task_group() as group:
-        for number in range(60):
+        for number in range(200):
             streams.keep(group, frozenset({address}))
             await anyio.sleep(0.002 * (number % 10))
             streams.keep(group, frozenset())
@@ -247,4 +250,25 @@
             cycles += 1
         group.cancel_scope.cancel()
     await server.stop(None)
-    assert cycles == 60
+    assert cycles == 200
+
+
+@pytest.mark.anyio
+async def test_seeds_serve_while_the_list_of_vms_is_down() -> None:
+    # Fails if discovery looks at the list of VMs only.
+    platform = platform_memory.MemoryPlatform()
+    platform.vms.down = True
+    server = grpc.aio.server()
+    address = f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}"
+    old = _daemon("y", address, platform.interfaces())
+    old.register(server)
+    await server.start()
+    new = _daemon("x", "127.0.0.1:1", platform.interfaces(), (address,))
+    with anyio.fail_after(60):
+        async with anyio.create_task_group() as group:
+            group.start_soon(old.run)
+            group.start_soon(new.run)
+            while len(new.live()) < 2:
+                await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+    await server.stop(None)
