Name only the lines that the leak test was seen to catch

Change: the docstring names the release and the reservation. Measured: without either the test fails; without 'change_own(.., -1)' in 'finish' it passes, which is left open. Conclusion: a check of the group's count is still to be written.

--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -366,7 +366,7 @@
 )
 @hypothesis.settings(deadline=None, max_examples=60)
 def test_no_slot_or_limit_leaks(steps: list[tuple[str, int]]) -> None:
-    """Break: a `change_own` or a `release` in `Scheduler`."""
+    """Break: a `release` in `Scheduler`, or the end of a reservation."""
     limits = customer_lib.CustomerLimits(concurrency=6)
     level = scheduling.make_class(1)
     traffic = _Traffic(
