Start a role again when it stops, and say so

Change: each role runs under a supervisor that logs, counts and starts it again; an error in a role no longer stops the daemon and the streams in flight. Seen: tests/test_role_supervisor.py, a role that ends, raises or is cancelled by a stray error runs a fourth time after three stops.

--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -24,6 +24,7 @@
 from figstream import ordering_roles
 from figstream import peer_server
 from figstream import platform_api
+from figstream import role_supervisor
 from figstream import scheduler
 from figstream import serving_parts
 from figstream import usage_parts
@@ -137,7 +138,12 @@
         try:
             async with anyio.create_task_group() as group:
                 for role in self._roles:
-                    group.start_soon(role.run)
+                    group.start_soon(
+                        role_supervisor.keep_running,
+                        role,
+                        self.context.clock,
+                        self.context.metrics,
+                    )
                 group.start_soon(self._serving.gate.run)
                 group.start_soon(
                     self._serving.health.run, self._serving.backends
--- /dev/null
+++ b/tests/test_role_supervisor.py
@@ -0,0 +1,55 @@
+"""Tests that a role which stops is started again."""
+
+import asyncio
+
+import anyio
+import anyio.lowlevel
+import attrs
+import pytest
+
+from figstream import clock
+from figstream import metrics
+from figstream import role_supervisor
+
+
+@attrs.define
+class _Role:
+    """Stops in the given way, three times; then runs on."""
+
+    stop: BaseException | None
+    runs: int = 0
+    runs_on: anyio.Event = attrs.field(factory=anyio.Event)
+
+    async def run(self) -> None:
+        self.runs += 1
+        if self.runs > 3:
+            self.runs_on.set()
+            await anyio.sleep_forever()
+        await anyio.lowlevel.checkpoint()
+        if self.stop:
+            raise self.stop
+
+    async def hand_over(self) -> None:
+        pass
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "stop", [None, ValueError("broken"), asyncio.CancelledError()]
+)
+async def test_a_stopped_role_runs_again_until_it_is_cancelled(
+    stop: BaseException | None,
+) -> None:
+    """Breaks when `_run_once` lets the error through."""
+    role = _Role(stop)
+    async with anyio.create_task_group() as group:
+        group.start_soon(
+            role_supervisor.keep_running,
+            role,
+            clock.ManualClock(),
+            metrics.make_unexported_metrics(),
+        )
+        with anyio.fail_after(10):
+            await role.runs_on.wait()
+        group.cancel_scope.cancel()
+    assert role.runs == 4
