--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,12 @@
 """Fixtures shared by all tests."""
 
+import hypothesis
 import pytest
 
+# The same examples in every run, however slow the machine is.
+hypothesis.settings.register_profile("ci", derandomize=True, deadline=None)
+hypothesis.settings.load_profile("ci")
+
 
 @pytest.fixture
 def anyio_backend() -> str:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -8,8 +8,7 @@
 import random
 
 import attrs
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 
 from figstream import blame
@@ -101,8 +100,8 @@
     return outbreak
 
 
-@settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.integers(1, 6), st.integers(0, 10_000))
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(st.integers(1, 6), st.integers(0, 10_000))
 def test_one_request_takes_down_a_bounded_number_of_servers(
     daemons: int, seed: int
 ) -> None:
--- a/tests/test_claim_journal.py
+++ b/tests/test_claim_journal.py
@@ -13,8 +13,7 @@
 import anyio.abc
 import anyio.lowlevel
 import attrs
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -192,8 +191,8 @@
 )
 
 
-@settings(max_examples=400, deadline=None, derandomize=True)
-@given(_STEPS, st.lists(st.sampled_from(_FAULTS), max_size=40))
+@hypothesis.settings(max_examples=400, deadline=None, derandomize=True)
+@hypothesis.given(_STEPS, st.lists(st.sampled_from(_FAULTS), max_size=40))
 def test_a_call_runs_at_most_once_and_no_key_stays_blocked(
     steps: Sequence[tuple[int, str, str, int]], faults: Sequence[str]
 ) -> None:
--- a/tests/test_configuration_store.py
+++ b/tests/test_configuration_store.py
@@ -7,8 +7,7 @@
 import anyio
 import anyio.lowlevel
 import attrs
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -160,8 +159,8 @@
     assert len(accepted) + len(undecided) == 50
 
 
-@settings(max_examples=60, deadline=None, derandomize=True)
-@given(st.lists(st.integers(0, 23), max_size=200))
+@hypothesis.settings(max_examples=60, deadline=None, derandomize=True)
+@hypothesis.given(st.lists(st.integers(0, 23), max_size=200))
 def test_races_with_any_faults(draws: list[int]) -> None:
     """Fails if a root is written without its expected version."""
     accepted, undecided, final = anyio.run(_race, draws, 3, 3)
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -9,8 +9,7 @@
 import dataclasses
 import random
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -74,8 +73,8 @@
     )
 
 
-@settings(max_examples=300, deadline=None, derandomize=True)
-@given(_REQUESTS, st.integers(0, 5))
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(_REQUESTS, st.integers(0, 5))
 def test_repeats_are_safe_in_time_and_within_the_budget(
     plan: Sequence[
         tuple[
--- a/tests/test_straggler_detection.py
+++ b/tests/test_straggler_detection.py
@@ -12,8 +12,7 @@
 import random
 import statistics
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 import pytest
 
@@ -121,8 +120,8 @@
     assert pool.alarms.total() <= 2
 
 
-@settings(max_examples=100, deadline=None, derandomize=True)
-@given(st.lists(st.integers(0, 50), min_size=60, max_size=600))
+@hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+@hypothesis.given(st.lists(st.integers(0, 50), min_size=60, max_size=600))
 def test_ranks_match_a_plain_reference(values: Sequence[int]) -> None:
     reference = straggler_detection._Reference()
     for value in values:
