Test operators' changes through running daemons, to callers

Cause: no test went from an operator's call at one daemon to a caller at another. Change: a key made and withdrawn at one daemon counts at all three, explain shows both decisions and no key; a drained engine gets none of 18 requests.

--- a/figstream/demo.py
+++ b/figstream/demo.py
@@ -102,8 +102,8 @@
         rows.append(
             f"{name:8}{len(mine):6}{len(whole):10}"
             f"{len(attained) / len(mine):10.1%}"
-            f"{_p95([i.first_s for i in streamed]):9.3f} s"
-            f"{_p95([i.between_s for i in streamed]):11.4f} s"
+            f"{_p95([i.first_s for i in streamed]):>11}"
+            f"{_p95([i.between_s for i in streamed]):>13}"
             f"  {dict(refused) or '-'}"
         )
     return "\n".join(rows)
@@ -125,10 +125,11 @@
     return "\n".join(rows)
 
 
-def _p95(values: Sequence[float]) -> float:
+def _p95(values: Sequence[float]) -> str:
+    """Returns the 95th percentile, "-" for answers that were not streamed."""
     if len(values) < 2:
-        return values[0] if values else 0.0
-    return statistics.quantiles(values, n=20)[-1]
+        return "-"
+    return f"{statistics.quantiles(values, n=20)[-1]:.4f} s"
 
 
 def _all_whole(results: Sequence[load_client.LoadResult]) -> Promise:
--- a/figstream/dispatch_gate.py
+++ b/figstream/dispatch_gate.py
@@ -31,7 +31,7 @@
 
 
 class DispatchGate:
-    """The request tasks' door to the scheduler."""
+    """Connects request tasks to the scheduler."""
 
     def __init__(
         self, scheduler: scheduler_api.Scheduler, clock: clock_lib.Clock
--- a/figstream/member_table.py
+++ b/figstream/member_table.py
@@ -1,4 +1,4 @@
-"""The table of members: what one daemon believes about every other.
+"""The table of members: what one daemon knows of every other.
 
 Each run of a daemon numbers the versions of its own status. A neighbour that
 hears nothing marks the version it knows as suspected, and the suspicion
@@ -26,7 +26,7 @@
 
 
 class MemberState(enum.Enum):
-    """What the table believes about a member."""
+    """The state of a member in the table."""
 
     ALIVE = "alive"
     SUSPECTED = "suspected"
@@ -69,7 +69,7 @@
       member: the daemon as the rest of the program sees it.
       run: identifies the run.
       version: number of its latest known status.
-      state: what the table believes.
+      state: alive, suspected or dead, as far as is known.
       since: when the state was entered, clock seconds.
     """
 
--- /dev/null
+++ b/tests/test_operator_whole_path.py
@@ -0,0 +1,87 @@
+"""Tests of operators' changes through running daemons, to callers."""
+
+from collections.abc import AsyncIterator
+import json
+from typing import Any
+
+import anyio
+import httpx
+import pytest
+import typer.testing
+
+from figstream import demo_stack
+from figstream import inbound
+from figstream import main
+
+pytestmark = pytest.mark.anyio
+
+_FAILS_AFTER_S = 60.0
+
+
+@pytest.fixture
+async def stack() -> AsyncIterator[demo_stack.Stack]:
+    async with demo_stack.run_stack(demo_stack.StackOptions()) as running:
+        yield running
+
+
+async def _operate(stack: demo_stack.Stack, *words: str) -> Any:
+    address = stack.daemons[0].operator_address
+    line = ("operator", "--address", address, "--json", *words)
+    result = await anyio.to_thread.run_sync(
+        lambda: typer.testing.CliRunner().invoke(main.app, line)
+    )
+    assert result.exit_code == 0, result.output
+    return json.loads(result.stdout)
+
+
+async def _ask(stack: demo_stack.Stack, daemon: int, key: str) -> int:
+    async with httpx.AsyncClient(timeout=30.0) as client:
+        answer = await client.post(
+            stack.url(daemon) + inbound.CHAT_PATH,
+            json={"model": demo_stack.MODEL, "max_tokens": 2},
+            headers={
+                "authorization": f"Bearer {key}",
+                inbound.ID_HEADER: f"asked-{daemon}",
+            },
+        )
+    return answer.status_code
+
+
+async def _until(stack: demo_stack.Stack, key: str, status: int) -> None:
+    with anyio.fail_after(_FAILS_AFTER_S):
+        for daemon in range(len(stack.daemons)):
+            while await _ask(stack, daemon, key) != status:
+                await anyio.sleep(0.05)
+
+
+async def test_key_made_and_withdrawn_at_one_daemon_counts_at_all(
+    stack: demo_stack.Stack,
+) -> None:
+    """Breaks when `still_valid` doesn't look at withdrawn keys."""
+    made = await _operate(stack, "key", "create", "studio")
+    await _until(stack, made["key"], 200)
+    await _operate(stack, "key", "withdraw", made["key_id"])
+    await _until(stack, made["key"], 401)
+    explained = json.dumps(await _operate(stack, "explain", "asked-2"))
+    assert '"withdrawn_key"' in explained
+    assert '"answered"' in explained
+    assert made["key"].rpartition("-")[2] not in explained
+
+
+async def test_drained_server_gets_no_new_work(
+    stack: demo_stack.Stack,
+) -> None:
+    """Breaks when `PoolIndex` takes servers that are not active."""
+    await _operate(stack, "server", "drain", "engine-1")
+    with anyio.fail_after(_FAILS_AFTER_S):
+        while any(
+            daemon.context.holder.current.generation < 2
+            for daemon in stack.daemons
+        ):
+            await anyio.sleep(0.05)
+    key = stack.keys["studio"]
+    for number in range(18):
+        assert await _ask(stack, number % len(stack.daemons), key) == 200
+    counts = [len(engine.runs) for engine in stack.engines]
+    assert counts[1] == 0
+    assert counts[0] + counts[2] == 18
