Take only IP numbers and plain HTTP as addresses of backend servers

Cause: read-through. A name in a backend server's url would have been looked up by a blocking call in the event loop, and an https url failed each request with an internal error. Change: 'configuration.check' refuses both and names the remedy.

--- a/figstream/configuration.py
+++ b/figstream/configuration.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
+import ipaddress
+import urllib.parse
 
 import attrs
 
@@ -147,6 +149,23 @@
     for server in configuration.servers:
         if server.slots < 1:
             yield f"backend server {server.name!r}: slots must be 1 or more"
+        if not _is_plain_address(server.url):
+            yield (
+                f"backend server {server.name!r}: url must be http://IP:PORT, "
+                "an IP number without a path"
+            )
     for route in configuration.routes:
         if not route.prefix.startswith("/") or len(route.prefix) < 2:
             yield f"route {route.prefix!r}: start the prefix with '/'"
+
+
+def _is_plain_address(url: str) -> bool:
+    """Tells whether a url can be reached without looking up a name."""
+    try:
+        parts = urllib.parse.urlsplit(url)
+        ipaddress.ip_address(parts.hostname or "")
+        has_port = parts.port is not None
+    except ValueError:
+        return False
+    rest = (parts.path, parts.query, parts.fragment, parts.username)
+    return parts.scheme == "http" and has_port and not any(rest)
