Count tokens billed and tokens thrown away

Cause: read-through. Change: prompt and output tokens of each customer as they are billed, and 'wasted' for those of attempts that ended without a whole answer.

--- a/figstream/metrics.py
+++ b/figstream/metrics.py
@@ -67,7 +67,13 @@
         self._events.add(amount, {"event": name})
 
     def tokens(self, kind: str, customer: str, amount: int) -> None:
-        """Counts tokens of a customer; kind is "prompt" or "output"."""
+        """Counts tokens of a customer.
+
+        Args:
+          kind: "prompt", "output" or "wasted".
+          customer: name of the customer.
+          amount: number of tokens.
+        """
         self._tokens.add(amount, {"kind": kind, "customer": customer})
 
     def first_token(self, request_class: str, seconds: float) -> None:
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -90,6 +90,10 @@
             )
             if outcome is None:
                 self._count_usage(progress, report)
+            if _is_wasted(outcome):
+                self._services.records.wasted(
+                    progress.call, report.output_tokens
+                )
         if isinstance(outcome, attempt_outcome.Answered):
             self._answered(progress, report, dispatched.server)
         return outcome
@@ -202,6 +206,9 @@
     def _count_usage(
         self, progress: Progress, report: scheduler_api.AttemptReport
     ) -> None:
+        self._services.records.consumed(
+            progress.call, report.prompt_tokens, report.output_tokens
+        )
         self._services.usage.add(
             usage_api.UsageItem(
                 progress.call.identity.customer,
@@ -212,6 +219,15 @@
         )
 
 
+def _is_wasted(outcome: attempt_outcome.AttemptOutcome | None) -> bool:
+    """Tells whether what an attempt generated is thrown away."""
+    if isinstance(outcome, attempt_outcome.Answered):
+        return False
+    # A preempted stream goes on after the part that its caller has.
+    preempted = reasons.RetryReason.PREEMPTED
+    return outcome is None or outcome.reason is not preempted
+
+
 def _report(
     progress: Progress,
     outcome: attempt_outcome.AttemptOutcome | None,
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -90,6 +90,19 @@
         total_s = self._clock.now() - call.arrived
         self._of_call(call, "answered", "", server, f"total_s={total_s:.3f}")
 
+    def consumed(
+        self, call: inbound.Call, prompt_tokens: int, output_tokens: int
+    ) -> None:
+        """Counts the tokens that a customer is billed for."""
+        customer = call.identity.customer
+        self._metrics.tokens("prompt", customer, prompt_tokens)
+        self._metrics.tokens("output", customer, output_tokens)
+
+    def wasted(self, call: inbound.Call, tokens: int) -> None:
+        """Counts tokens that were generated and thrown away."""
+        if tokens:
+            self._metrics.tokens("wasted", call.identity.customer, tokens)
+
     def caller_gone(self, call: inbound.Call) -> None:
         """Records that the caller closed the connection."""
         self._metrics.event("caller_gone")
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -86,6 +86,9 @@
         assert "event: error" in answer.text
         assert '"code":"answer_incomplete"' in answer.text
         assert '"run_state":"ran"' in answer.text
+        async with httpx.AsyncClient() as client:
+            metrics = (await client.get(stack.url(0) + "/metrics")).text
+        assert 'kind="wasted"' in metrics
 
 
 async def test_crossed_answer_never_reaches_the_caller() -> None:
@@ -249,4 +252,7 @@
             for line in metrics.splitlines()
         )
         assert 'reason="connection_lost"' in metrics
+        assert 'figstream_tokens_total{customer="studio",kind="output"' in (
+            metrics
+        )
         assert "figstream_first_token_seconds_bucket" in metrics
