Read the headers of a request once; drop an unused method

The caller's application turned the headers into a mapping twice for each request, once for the id and once for the checks; LeaseRecord.same_holder had no caller. Change: the mapping is passed on; the method is gone.

--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -1,5 +1,6 @@
 """The ASGI application for callers: checks a request, hands it on."""
 
+from collections.abc import Mapping
 from typing import Final
 
 import anyio
@@ -70,7 +71,7 @@
         answer = caller_answer.CallerAnswer(send, caller_id, request_id)
         try:
             if not await self._own_page(scope["path"], answer):
-                await self._serve(scope, receive, answer)
+                await self._serve(scope, headers, receive, answer)
         except asgi.CallerGoneError:
             pass
         except Exception as error:
@@ -101,6 +102,7 @@
     async def _serve(
         self,
         scope: asgi.Scope,
+        headers: Mapping[str, str],
         receive: asgi.Receive,
         answer: caller_answer.CallerAnswer,
     ) -> None:
@@ -110,7 +112,9 @@
             answer.request_id,
             answer.caller_id,
         )
-        identity, checked = await self._check(scope, receive, answer, arrival)
+        identity, checked = await self._check(
+            scope, headers, receive, answer, arrival
+        )
         if isinstance(checked, errors.Refusal):
             self._records.refused_unchecked(
                 checked, answer.request_id, identity.customer
@@ -147,6 +151,7 @@
     async def _check(
         self,
         scope: asgi.Scope,
+        headers: Mapping[str, str],
         receive: asgi.Receive,
         answer: caller_answer.CallerAnswer,
         arrival: inbound.Arrival,
@@ -155,7 +160,6 @@
         configuration = self._holder.current
         if refusal := self._check_head(scope, configuration):
             return anonymous, refusal
-        headers = asgi.headers_of(scope)
         path = scope["path"]
         route = configuration.route_for(path)
         identity = self._identify(route, headers.get("authorization", ""))
--- a/figstream/lease_store.py
+++ b/figstream/lease_store.py
@@ -38,14 +38,6 @@
     write_id: str
     state: str = ""
 
-    def same_holder(self, other: "LeaseRecord") -> bool:
-        """Tells whether both are of one holder's one tenure."""
-        return (self.holder, self.start_number, self.fencing) == (
-            other.holder,
-            other.start_number,
-            other.fencing,
-        )
-
 
 @attrs.frozen
 class StoredLease:
