--- a/figstream/api_key.py
+++ b/figstream/api_key.py
@@ -4,6 +4,7 @@
 secret proves the key; the secret itself is kept nowhere.
 """
 
+from collections.abc import Callable
 import hashlib
 import hmac
 import secrets
@@ -11,10 +12,14 @@
 
 import attrs
 
+# Finds the id and the secret of a key; None if it is malformed.
+Split = Callable[[str], tuple[str, str] | None]
+
 _PREFIX: Final = "fs"
 _ID_BYTES: Final = 6
 _SECRET_BYTES: Final = 24
 _SALT_BYTES: Final = 16
+_GIVEN_ID_DIGITS: Final = 32
 
 
 @attrs.frozen
@@ -65,5 +70,23 @@
     return parts[1], parts[2]
 
 
+def given(text: str, customer: str) -> KeyRecord:
+    """Returns the record of a key that somebody else has made.
+
+    Its id is a digest, so that the key itself is kept nowhere.
+    """
+    key_id = _given_id(text)
+    return KeyRecord(key_id, customer, "", _digest("", text))
+
+
+def split_given(text: str) -> tuple[str, str] | None:
+    """Returns the id and the secret of a key that somebody else has made."""
+    return (_given_id(text), text) if text else None
+
+
+def _given_id(text: str) -> str:
+    return hashlib.sha256(f"id:{text}".encode()).hexdigest()[:_GIVEN_ID_DIGITS]
+
+
 def _digest(salt: str, secret: str) -> str:
     return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
--- a/figstream/attempt_outcome.py
+++ b/figstream/attempt_outcome.py
@@ -14,14 +14,22 @@
 
     Attributes:
       status: HTTP status code.
-      content_type: media type of the body.
+      headers: headers of the answer, names in lower case.
       body: the body, kept only when it was not streamed.
     """
 
     status: int
-    content_type: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
     body: bytes = b""
 
+    @property
+    def content_type(self) -> bytes:
+        """Returns the media type of the body."""
+        return next(
+            (value for name, value in self.headers if name == b"content-type"),
+            b"application/octet-stream",
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
@@ -34,6 +42,7 @@
       server_lost: whether the connection broke, as when a server dies.
       retry_after_s: seconds that the server asked to wait, or None.
       detail: what was found, without prompt text.
+      answer: the server's own answer, if it may reach the caller.
     """
 
     reason: reasons.RetryReason
@@ -42,6 +51,7 @@
     server_lost: bool = False
     retry_after_s: float | None = None
     detail: str = ""
+    answer: Answered | None = None
 
 
 AttemptOutcome = Answered | Failed
--- a/figstream/authentication.py
+++ b/figstream/authentication.py
@@ -32,16 +32,25 @@
         self,
         holder: configuration_holder.ConfigurationHolder,
         key_trust_s: float,
+        split: api_key.Split = api_key.split,
     ) -> None:
-        """Trusts keys for some seconds after the last confirmation."""
+        """Creates it.
+
+        Args:
+          holder: the configuration in force.
+          key_trust_s: seconds for which keys are trusted after the last
+            confirmation.
+          split: finds the id and the secret of a key.
+        """
         self._holder = holder
         self._key_trust_s = key_trust_s
+        self._split = split
 
     def identify(self, authorization: str) -> Identity | errors.Refusal:
         """Returns whose key the Authorization header carries."""
         if authorization[: len(_SCHEME)].lower() != _SCHEME:
             return errors.Refusal(reasons.RefusalReason.MISSING_KEY)
-        parts = api_key.split(authorization[len(_SCHEME) :].strip())
+        parts = self._split(authorization[len(_SCHEME) :].strip())
         if parts is None:
             return errors.Refusal(reasons.RefusalReason.UNKNOWN_KEY)
         key_id, secret = parts
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -2,67 +2,64 @@
 
 from collections.abc import Callable
 import contextlib
+import dataclasses
 from typing import Final
+import urllib.parse
 
 import anyio
-import attrs
 import httpcore
-import httpx
 
 from figstream import attempt_outcome
+from figstream import backend_dialect
 from figstream import backend_server
 from figstream import backend_transport
+from figstream import clock as clock_lib
 from figstream import engine_protocol
-from figstream import inbound
 from figstream import reasons
 from figstream import stream_relay
 
-# Everything else stays here, the caller's key above all.
-_PASSED_HEADERS: Final = (
-    "accept",
-    "content-language",
-    "content-type",
-    inbound.IDEMPOTENCY_HEADER,
-)
+# Bounds of calls beside the requests: closing a run, asking for the load.
 _CANCEL_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 1.0
-_REFUSED_STATUSES: Final = frozenset({429, 503})
 _R = reasons.RetryReason
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
-
-
-@attrs.frozen
-class Attempt:
-    """What to send where.
-
-    Attributes:
-      call: the caller's call.
-      server: the backend server.
-      relay: the relay to the caller.
-      resume: whether to go on after the events that the caller has.
-    """
-
-    call: inbound.Call
-    server: backend_server.BackendServer
-    relay: stream_relay.StreamRelay
-    resume: bool
+_Answer = backend_transport.Answer
 
 
 class BackendClient:
     """The connections to backend servers."""
 
-    def __init__(self, on_load: LoadListener) -> None:
+    def __init__(
+        self,
+        dialect: backend_dialect.BackendDialect,
+        clock: clock_lib.Clock,
+        on_load: LoadListener,
+    ) -> None:
         """Hands load reports in answers to a listener."""
-        self._client = httpx.AsyncClient(
-            transport=backend_transport.BackendTransport(), timeout=None
-        )
+        self._dialect = dialect
+        self._clock = clock
         self._on_load = on_load
+        self._transport = backend_transport.BackendTransport()
 
-    async def attempt(self, attempt: Attempt) -> attempt_outcome.AttemptOutcome:
-        """Sends the call to the server and relays the answer."""
+    @property
+    def opened(self) -> int:
+        """Returns how many connections were opened so far."""
+        return self._transport.opened
+
+    async def attempt(
+        self,
+        attempt: backend_dialect.Attempt,
+        on_start: Callable[[], None] | None = None,
+    ) -> attempt_outcome.AttemptOutcome:
+        """Sends the call to the server and relays the answer.
+
+        Args:
+          attempt: what to send where.
+          on_start: called once when the server has begun to run the call.
+        """
         try:
-            outcome = await self._exchange(attempt)
+            outcome = await self._exchange(attempt, on_start)
             if isinstance(outcome, attempt_outcome.Answered):
                 return outcome
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -70,12 +67,12 @@
                 _R.CONNECT_FAILED, type(error).__name__
             )
         except httpcore.ReadTimeout:
-            outcome = self._failed(attempt, _R.IDLE_TIMEOUT)
+            outcome = _failed(attempt, _R.IDLE_TIMEOUT)
         except stream_relay.AnswerTooLongError:
-            outcome = self._failed(attempt, _R.SERVER_ERROR, "too long")
+            outcome = _failed(attempt, _R.SERVER_ERROR, "too long")
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
-            detail = type(error).__name__
-            return self._failed(attempt, _R.CONNECTION_LOST, detail)
+            detail = f"{type(error).__name__} {error}".strip()
+            return _failed(attempt, _R.CONNECTION_LOST, detail)
         except anyio.get_cancelled_exc_class():
             await self._cancel(attempt)
             raise
@@ -87,138 +84,128 @@
         self, server: backend_server.BackendServer
     ) -> engine_protocol.LoadReport | None:
         """Asks a server for its load; None if it does not answer."""
-        url = server.url + engine_protocol.LOAD_PATH
+        request = backend_dialect.make_request(
+            b"GET",
+            engine_protocol.LOAD_PATH.encode(),
+            [(b"host", backend_dialect.host_of(server))],
+        )
         with anyio.move_on_after(_PROBE_TIMEOUT_S):
             try:
-                response = await self._client.get(url)
-            except (httpcore.NetworkError, httpcore.ProtocolError):
+                answer = await self._transport.send(
+                    _place(server), request, _PROBE_TIMEOUT_S
+                )
+            except (
+                httpcore.TimeoutException,
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
+            ):
                 return None
-            if response.status_code != 200:
+            try:
+                await stream_relay.read_whole(answer)
+            finally:
+                await answer.close()
+            if answer.head.status != 200:
                 return None
-            return _load_of(response)
+            return self._dialect.load(answer.head)
         return None
 
+    async def listens(self, server: backend_server.BackendServer) -> bool:
+        """Tells whether a server still takes connections."""
+        return await self._transport.reaches(_place(server), _PROBE_TIMEOUT_S)
+
+    async def forget_except(self, servers: frozenset[str]) -> None:
+        """Closes idle connections to servers that are gone."""
+        await self._transport.forget_except(servers)
+
     async def close(self) -> None:
         """Closes all connections."""
-        await self._client.aclose()
+        await self._transport.close()
 
     async def _exchange(
-        self, attempt: Attempt
+        self,
+        attempt: backend_dialect.Attempt,
+        on_start: Callable[[], None] | None,
     ) -> attempt_outcome.AttemptOutcome:
         timeouts = attempt.call.request_class.timeouts
-        response: httpx.Response | None = None
+        left_s = attempt.call.deadline - self._clock.now()
+        answer: _Answer | None = None
         with anyio.move_on_after(timeouts.first_byte_s):
-            response = await self._client.send(
-                self._request(attempt), stream=True
+            answer = await self._transport.send(
+                _place(attempt.server),
+                self._dialect.request(attempt, left_s),
+                timeouts.connect_s,
+                max(timeouts.idle_s, timeouts.first_byte_s),
+                once=not attempt.call.idempotent,
             )
-        if response is None:
-            return self._failed(attempt, _R.FIRST_BYTE_TIMEOUT)
+        if answer is None:
+            return _failed(attempt, _R.FIRST_BYTE_TIMEOUT)
         try:
-            return await self._receive(attempt, response)
+            return await self._receive(attempt, answer, on_start)
         finally:
-            with anyio.CancelScope(shield=True):
-                await response.aclose()
+            await answer.close()
 
     async def _receive(
-        self, attempt: Attempt, response: httpx.Response
+        self,
+        attempt: backend_dialect.Attempt,
+        answer: _Answer,
+        on_start: Callable[[], None] | None,
     ) -> attempt_outcome.AttemptOutcome:
-        if load := _load_of(response):
+        head = answer.head
+        if load := self._dialect.load(head):
             self._on_load(attempt.server.name, load)
-        if fault := self._fault_of(attempt, response):
+        fault = self._dialect.fault(attempt, head)
+        ran = fault is None or fault.run_state is not reasons.RunState.NOT_RUN
+        if on_start and ran:
+            on_start()
+        if fault and not self._dialect.passes_failures:
             return fault
-        if stream_relay.is_event_stream(response):
-            return await self._receive_events(attempt, response)
-        if not _is_framed(response):
-            return self._failed(attempt, _R.ANSWER_TRUNCATED, "no length")
-        body = await stream_relay.read_whole(response)
-        kind = response.headers.get("content-type", "application/octet-stream")
-        return attempt_outcome.Answered(
-            response.status_code, kind.encode(), body
-        )
+        if fault is None and stream_relay.is_event_stream(head):
+            return await self._receive_events(attempt, answer)
+        if self._dialect.needs_framing and not head.framed:
+            return _failed(attempt, _R.ANSWER_TRUNCATED, "no length")
+        if fault and fault.reason is _R.ANSWER_CROSSED:
+            return fault
+        body = await stream_relay.read_whole(answer)
+        answered = attempt_outcome.Answered(head.status, head.headers, body)
+        if fault is None:
+            return answered
+        return dataclasses.replace(fault, answer=answered)
 
     async def _receive_events(
-        self, attempt: Attempt, response: httpx.Response
+        self, attempt: backend_dialect.Attempt, answer: _Answer
     ) -> attempt_outcome.AttemptOutcome:
-        await attempt.relay.relay_events(
-            response, attempt.call.request_class.timeouts.idle_s
-        )
-        if not attempt.relay.monitor.whole:
-            return self._failed(attempt, _R.ANSWER_TRUNCATED)
-        kind = response.headers["content-type"].encode()
-        return attempt_outcome.Answered(response.status_code, kind)
-
-    def _fault_of(
-        self, attempt: Attempt, response: httpx.Response
-    ) -> attempt_outcome.Failed | None:
-        status = response.status_code
-        shown_id = response.headers.get(engine_protocol.ID_HEADER)
-        if status in _REFUSED_STATUSES and _says_not_run(response):
-            return attempt_outcome.not_run(_R.REFUSED_BY_SERVER)
-        is_engine = attempt.server.kind is backend_server.ServerKind.ENGINE
-        if status >= 500 and (is_engine or shown_id is None):
-            lost = shown_id is None
-            reason = _R.CONNECTION_LOST if lost else _R.SERVER_ERROR
-            return self._failed(attempt, reason, f"status {status}")
-        if shown_id != attempt.call.request_id:
-            return self._failed(attempt, _R.ANSWER_CROSSED)
-        return None
-
-    def _failed(
-        self,
-        attempt: Attempt,
-        reason: reasons.RetryReason,
-        detail: str = "",
-    ) -> attempt_outcome.Failed:
-        return attempt_outcome.may_have_run(
-            reason, attempt.relay.events_relayed, detail
-        )
-
-    def _request(self, attempt: Attempt) -> httpx.Request:
-        call = attempt.call
-        timeouts = call.request_class.timeouts
-        headers = {
-            name: call.http.headers[name]
-            for name in _PASSED_HEADERS
-            if name in call.http.headers
-        }
-        headers[engine_protocol.ID_HEADER] = call.request_id
-        headers[engine_protocol.TIER_HEADER] = str(call.request_class.tier)
-        if attempt.resume:
-            events = attempt.relay.events_relayed
-            headers[engine_protocol.RESUME_HEADER] = str(events)
-        query = f"?{call.http.query}" if call.http.query else ""
-        return self._client.build_request(
-            call.http.method,
-            attempt.server.url + call.http.path + query,
-            content=call.http.body,
-            headers=headers,
-            timeout=httpx.Timeout(
-                None,
-                connect=timeouts.connect_s,
-                read=max(timeouts.idle_s, timeouts.first_byte_s),
-            ),
-        )
-
-    async def _cancel(self, attempt: Attempt) -> None:
-        if attempt.server.kind is not backend_server.ServerKind.ENGINE:
+        idle_s = attempt.call.request_class.timeouts.idle_s
+        await attempt.relay.relay_events(answer, idle_s)
+        if not attempt.relay.whole:
+            return _failed(attempt, _R.ANSWER_TRUNCATED)
+        return attempt_outcome.Answered(answer.head.status, answer.head.headers)
+
+    async def _cancel(self, attempt: backend_dialect.Attempt) -> None:
+        request = self._dialect.cancelling(attempt.call)
+        if request is None:
             return
-        path = engine_protocol.CANCEL_PATH + attempt.call.request_id
         with anyio.move_on_after(_CANCEL_TIMEOUT_S, shield=True):
             with contextlib.suppress(
-                httpcore.NetworkError, httpcore.ProtocolError
+                httpcore.TimeoutException,
+                httpcore.NetworkError,
+                httpcore.ProtocolError,
             ):
-                await self._client.delete(attempt.server.url + path)
+                answer = await self._transport.send(
+                    _place(attempt.server), request, _CANCEL_TIMEOUT_S
+                )
+                await answer.close()
 
 
-def _load_of(response: httpx.Response) -> engine_protocol.LoadReport | None:
-    return engine_protocol.parse_load(
-        response.headers.get(engine_protocol.LOAD_HEADER, "")
+def _place(server: backend_server.BackendServer) -> backend_transport.Place:
+    parts = urllib.parse.urlsplit(server.url)
+    return backend_transport.Place(
+        parts.hostname or "", parts.port or 80, server.name
     )
 
 
-def _says_not_run(response: httpx.Response) -> bool:
-    return engine_protocol.NOT_RUN_HEADER in response.headers
-
-
-def _is_framed(response: httpx.Response) -> bool:
-    return bool({"content-length", "transfer-encoding"} & set(response.headers))
+def _failed(
+    attempt: backend_dialect.Attempt,
+    reason: reasons.RetryReason,
+    detail: str = "",
+) -> attempt_outcome.Failed:
+    return backend_dialect.may_have_run(attempt, reason, detail)
--- a/figstream/backend_network.py
+++ b/figstream/backend_network.py
@@ -163,9 +163,25 @@
         return True
 
 
+# Probes of an idle connection, in seconds and tries: a peer that has gone
+# silent is noticed within about three seconds.
+_PROBE_AFTER_S: Final = 1
+_PROBE_TRIES: Final = 2
+
+
 class PacedBackend(httpcore.AsyncNetworkBackend):
     """Opens plain connections whose reads can be paced."""
 
+    def __init__(self, silence_ms: int = 0) -> None:
+        """Creates it.
+
+        Args:
+          silence_ms: milliseconds for which a peer may leave data
+            unacknowledged before the connection breaks; 0 leaves this to the
+            kernel.
+        """
+        self._silence_ms = silence_ms
+
     async def connect_tcp(
         self,
         host: str,
@@ -185,6 +201,8 @@
         try:
             opened.setblocking(False)
             opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._silence_ms:
+                watch_silence(opened, self._silence_ms)
             with anyio.fail_after(timeout):
                 await _connect(opened, host, port)
         except TimeoutError as error:
@@ -212,6 +230,16 @@
         await anyio.sleep(seconds)
 
 
+def watch_silence(opened: socket.socket, silence_ms: int) -> None:
+    """Lets the kernel break a connection whose peer has gone silent."""
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    opened.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_AFTER_S)
+    opened.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBE_TRIES)
+    opened.setsockopt(tcp, socket.TCP_USER_TIMEOUT, silence_ms)
+
+
 async def _connect(opened: socket.socket, host: str, port: int) -> None:
     try:
         opened.connect((host, port))
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -1,75 +1,172 @@
-"""The httpx transport towards backend servers.
+"""The connections to backend servers, kept for reuse.
 
-It runs on an httpcore pool with the paced network layer and hands the
-connection to the relay as the response extension `paced_stream`.
+A server closes idle connections without notice, and a request that is lost
+on one may have run. A connection is therefore reused only while it has been
+idle for a part of the time that its server keeps it, and for a smaller part
+where the request may run once at most.
 """
 
+import collections
 from collections.abc import AsyncIterator
 from typing import Final
 
+import anyio
+import attrs
 import httpcore
-import httpx
 
+from figstream import backend_connection
 from figstream import backend_network
 
-PACED_STREAM: Final = "paced_stream"
-_IDLE_CONNECTIONS: Final = 256
-_IDLE_S: Final = 30.0
+# Parts of a server's own idle timeout: the rest covers the way of a request
+# and, where it must not be lost, clocks that run at different speeds too.
+_REPEATABLE_SHARE: Final = 0.8
+_ONCE_SHARE: Final = 0.5
+_IDLE_PER_SERVER: Final = 64
+# Unacknowledged data or silence after which the kernel gives a connection up.
+_SILENCE_MS: Final = 3_000
 
 
-class _AnswerStream(httpx.AsyncByteStream):
-    """The body of an answer as it arrives."""
+@attrs.frozen
+class Place:
+    """Where connections go.
 
-    def __init__(self, response: httpcore.Response) -> None:
-        self._response = response
+    Attributes:
+      host: IP number.
+      port: TCP port.
+      server: name of the backend server; an address may be used again by
+        another server.
+    """
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
-        async for chunk in self._response.aiter_stream():
-            yield chunk
+    host: str
+    port: int
+    server: str
 
-    async def aclose(self) -> None:
-        await self._response.aclose()
 
+class Answer:
+    """The answer to one request; must be closed."""
 
-class BackendTransport(httpx.AsyncBaseTransport):
+    def __init__(
+        self,
+        transport: "BackendTransport",
+        place: Place,
+        connection: backend_connection.Connection,
+        head: backend_connection.Head,
+    ) -> None:
+        """Holds the connection until it is closed."""
+        self._transport = transport
+        self._place = place
+        self._connection = connection
+        self.head = head
+
+    @property
+    def stream(self) -> backend_network.PacedStream | None:
+        """Returns the network stream, if its reads can be paced."""
+        found = self._connection.stream
+        return found if isinstance(found, backend_network.PacedStream) else None
+
+    def body(self) -> AsyncIterator[bytes]:
+        """Returns the pieces of the body as they arrive."""
+        return self._connection.body()
+
+    async def close(self) -> None:
+        """Keeps the connection if it is clean, else closes it."""
+        with anyio.CancelScope(shield=True):
+            await self._transport.give_back(self._place, self._connection)
+
+
+class BackendTransport:
     """Sends requests to backend servers."""
 
     def __init__(self) -> None:
         """Starts without connections."""
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None,
-            max_keepalive_connections=_IDLE_CONNECTIONS,
-            keepalive_expiry=_IDLE_S,
-            network_backend=backend_network.PacedBackend(),
-        )
-
-    async def handle_async_request(
-        self, request: httpx.Request
-    ) -> httpx.Response:
-        """Sends one request; httpcore's exceptions pass through."""
-        url = httpcore.URL(
-            scheme=request.url.raw_scheme,
-            host=request.url.raw_host,
-            port=request.url.port,
-            target=request.url.raw_path,
-        )
-        response = await self._pool.handle_async_request(
-            httpcore.Request(
-                method=request.method,
-                url=url,
-                headers=request.headers.raw,
-                content=await request.aread(),
-                extensions=request.extensions,
+        self._network = backend_network.PacedBackend(_SILENCE_MS)
+        self._idle: dict[
+            Place, collections.deque[backend_connection.Connection]
+        ] = {}
+        self.opened = 0
+
+    async def send(
+        self,
+        place: Place,
+        request: backend_connection.Request,
+        connect_s: float,
+        read_s: float | None = None,
+        *,
+        once: bool = False,
+    ) -> Answer:
+        """Sends a request and returns its answer once the head is there.
+
+        Args:
+          place: the server.
+          request: the request.
+          connect_s: timeout of a new connection.
+          read_s: longest wait for the next bytes of the answer.
+          once: whether the request may run once at most.
+
+        Raises:
+          httpcore.ConnectError: no connection; nothing was sent.
+          httpcore.ConnectTimeout: the same, in time.
+          httpcore.NetworkError: the connection broke.
+          httpcore.ProtocolError: what came is no answer.
+        """
+        connection = await self._take(place, once=once)
+        if connection is None:
+            stream = await self._network.connect_tcp(
+                place.host, place.port, connect_s
+            )
+            self.opened += 1
+            connection = backend_connection.Connection(stream)
+        connection.read_timeout_s = read_s
+        try:
+            head = await connection.send(request)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await connection.close()
+            raise
+        return Answer(self, place, connection, head)
+
+    async def reaches(self, place: Place, connect_s: float) -> bool:
+        """Tells whether a server takes new connections."""
+        try:
+            stream = await self._network.connect_tcp(
+                place.host, place.port, connect_s
             )
-        )
-        stream = response.extensions.get("network_stream")
-        return httpx.Response(
-            status_code=response.status,
-            headers=response.headers,
-            stream=_AnswerStream(response),
-            extensions={PACED_STREAM: stream},
-        )
-
-    async def aclose(self) -> None:
-        """Closes all connections."""
-        await self._pool.aclose()
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            return False
+        await stream.aclose()
+        return True
+
+    async def give_back(
+        self, place: Place, connection: backend_connection.Connection
+    ) -> None:
+        """Keeps a connection for the next request if it is clean."""
+        idle = self._idle.setdefault(place, collections.deque())
+        if connection.reusable and len(idle) < _IDLE_PER_SERVER:
+            idle.append(connection)
+        else:
+            await connection.close()
+
+    async def forget_except(self, servers: frozenset[str]) -> None:
+        """Closes idle connections to servers that are gone."""
+        for place in [
+            item for item in self._idle if item.server not in servers
+        ]:
+            for connection in self._idle.pop(place):
+                await connection.close()
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        await self.forget_except(frozenset())
+
+    async def _take(
+        self, place: Place, *, once: bool
+    ) -> backend_connection.Connection | None:
+        share = _ONCE_SHARE if once else _REPEATABLE_SHARE
+        idle = self._idle.get(place)
+        while idle:
+            # The one used last is the likeliest to be open still.
+            connection = idle.pop()
+            if connection.usable_after_idle(share):
+                return connection
+            await connection.close()
+        return None
--- a/figstream/caller_answer.py
+++ b/figstream/caller_answer.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Mapping
 from typing import Final
+from typing import Protocol
 
 import orjson
 
 from figstream import asgi
+from figstream import attempt_outcome
 from figstream import errors
 from figstream import inbound
 
@@ -15,6 +17,32 @@
 _MILLISECONDS: Final = b"x-retry-after-ms"
 
 
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Answer(Protocol):
+    """What the request path does with the answer to a caller."""
+
+    @property
+    def started(self) -> bool:
+        """Returns whether the status was sent."""
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the status and headers of an answer sent in pieces."""
+
+    async def write(self, body: bytes) -> None:
+        """Sends a piece of the body."""
+
+    async def end(self) -> None:
+        """Ends the body."""
+
+    async def whole(self, answered: attempt_outcome.Answered) -> None:
+        """Sends a whole answer."""
+
+    async def refuse(self, refusal: errors.Refusal) -> None:
+        """Sends a refusal, or breaks off an answer that has begun."""
+
+
 class CallerAnswer:
     """Sends the status once, then the body in pieces."""
 
@@ -25,9 +53,13 @@
         self._send = send
         self._caller_id = caller_id
         self._request_id = request_id
-        self.started = False
-        self.streamed = False
-        self.bytes_sent = 0
+        self._started = False
+        self._streamed = False
+
+    @property
+    def started(self) -> bool:
+        """Returns whether the status was sent."""
+        return self._started
 
     @property
     def request_id(self) -> str:
@@ -39,45 +71,46 @@
         """Returns the id that the caller knows the request by."""
         return self._caller_id
 
-    async def start(self, status: int, content_type: bytes) -> None:
-        """Sends the status and headers of an answer sent in pieces."""
-        self.started = True
-        self.streamed = content_type.startswith(asgi.EVENT_STREAM)
-        headers = [(b"content-type", content_type), *self._id_headers()]
-        await asgi.send_start(self._send, status, headers)
+    async def start(self, status: int, headers: Headers) -> None:
+        """Sends the status and media type of an answer sent in pieces."""
+        content_type = dict(headers).get(b"content-type", b"")
+        self._started = True
+        self._streamed = content_type.startswith(asgi.EVENT_STREAM)
+        shown = [(b"content-type", content_type), *self._id_headers()]
+        await asgi.send_start(self._send, status, shown)
 
     async def write(self, body: bytes) -> None:
         """Sends a piece of the body."""
-        self.bytes_sent += len(body)
         await asgi.send_body(self._send, body, more=True)
 
     async def end(self) -> None:
         """Ends the body."""
         await asgi.send_body(self._send, b"", more=False)
 
-    async def whole(
-        self, status: int, content_type: bytes, body: bytes
-    ) -> None:
+    async def whole(self, answered: attempt_outcome.Answered) -> None:
         """Sends a whole answer."""
-        self.started = True
-        self.bytes_sent += len(body)
+        await self.page(answered.status, answered.content_type, answered.body)
+
+    async def page(self, status: int, content_type: bytes, body: bytes) -> None:
+        """Sends a whole answer of the daemon's own."""
+        self._started = True
         headers = [(b"content-type", content_type), *self._id_headers()]
         await asgi.send_whole(self._send, status, headers, body)
 
     async def refuse(self, refusal: errors.Refusal) -> None:
         """Sends a refusal, as an error event if the answer has begun."""
         body = orjson.dumps(_error_fields(refusal, self._request_id))
-        if not self.started:
+        if not self._started:
             headers = [
                 (b"content-type", asgi.JSON),
                 *self._id_headers(),
                 *_retry_headers(refusal),
             ]
-            self.started = True
+            self._started = True
             await asgi.send_whole(
                 self._send, refusal.http_status, headers, body
             )
-        elif self.streamed:
+        elif self._streamed:
             event = b"event: error\ndata: " + body + b"\n\n"
             await asgi.send_body(self._send, event, more=False)
         else:
--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -3,12 +3,12 @@
 from collections.abc import Mapping
 from typing import Final
 
-import anyio
 import orjson
 
 from figstream import asgi
 from figstream import authentication
 from figstream import caller_answer
+from figstream import caller_watch
 from figstream import clock as clock_lib
 from figstream import configuration as configuration_lib
 from figstream import configuration_holder
@@ -88,13 +88,13 @@
         self, path: str, answer: caller_answer.CallerAnswer
     ) -> bool:
         if path == _HEALTH_PATH:
-            await answer.whole(200, _TEXT, b"alive\n")
+            await answer.page(200, _TEXT, b"alive\n")
         elif path == _READY_PATH and self.ready:
-            await answer.whole(200, _TEXT, b"ready\n")
+            await answer.page(200, _TEXT, b"ready\n")
         elif path == _READY_PATH:
-            await answer.whole(503, _TEXT, b"not ready\n")
+            await answer.page(503, _TEXT, b"not ready\n")
         elif path == _METRICS_PATH:
-            await answer.whole(200, _TEXT, metrics_lib.exposition())
+            await answer.page(200, _TEXT, metrics_lib.exposition())
         else:
             return False
         return True
@@ -129,24 +129,9 @@
         receive: asgi.Receive,
         answer: caller_answer.CallerAnswer,
     ) -> None:
-        if not call.idempotent:
-            # The call goes on without its caller, so that its answer is kept.
-            await self._path.serve(call, answer)
-            return
-        served = False
-
-        async def watch(scope: anyio.CancelScope) -> None:
-            await asgi.wait_for_disconnect(receive)
-            scope.cancel()
-
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch, group.cancel_scope)
-            await self._path.serve(call, answer)
-            # The end of an answer looks like a disconnect, too.
-            served = True
-            group.cancel_scope.cancel()
-        if not served:
-            self._records.caller_gone(call)
+        await caller_watch.carry(
+            self._path, self._records, call, receive, answer
+        )
 
     async def _check(
         self,
@@ -227,7 +212,7 @@
         }
         listed = [{"id": name, "object": "model"} for name in sorted(names)]
         body = orjson.dumps({"object": "list", "data": listed})
-        await answer.whole(200, asgi.JSON, body)
+        await answer.page(200, asgi.JSON, body)
 
 
 def _check_call(
--- a/figstream/configuration.py
+++ b/figstream/configuration.py
@@ -16,6 +16,7 @@
 from figstream import backend_server
 from figstream import customer as customer_lib
 from figstream import errors
+from figstream import gateway_route
 from figstream import request_class as request_class_lib
 from figstream import route as route_lib
 
@@ -32,6 +33,11 @@
       servers: all backend servers.
       routes: all routes to plain services.
       default_class: class of requests that name none.
+      gateway_routes: routes of the gateway.
+      gateway_services: services behind the gateway.
+      gateway_limits: what callers of the gateway may send.
+      gateway_tiers: tiers of customers whose requests do not have that of
+        their route.
     """
 
     generation: int = 0
@@ -41,6 +47,12 @@
     servers: tuple[backend_server.BackendServer, ...] = ()
     routes: tuple[route_lib.Route, ...] = ()
     default_class: str = ""
+    gateway_routes: tuple[gateway_route.GatewayRoute, ...] = ()
+    gateway_services: tuple[gateway_route.GatewayService, ...] = ()
+    gateway_limits: gateway_route.GatewayLimits = attrs.field(
+        factory=gateway_route.GatewayLimits
+    )
+    gateway_tiers: Mapping[str, int] = attrs.field(factory=dict)
 
     @functools.cached_property
     def customers_by_name(self) -> Mapping[str, customer_lib.Customer]:
@@ -71,6 +83,11 @@
             sorted({model for item in self.servers for model in item.models})
         )
 
+    @functools.cached_property
+    def gateway_table(self) -> gateway_route.RouteTable:
+        """Returns the gateway's routes by host and prefix."""
+        return gateway_route.RouteTable(self.gateway_routes)
+
     @functools.cached_property
     def routes_by_length(self) -> tuple[route_lib.Route, ...]:
         """Returns the routes, longest prefix first."""
--- /dev/null
+++ b/figstream/feed_peers.py
@@ -0,0 +1,170 @@
+"""Lets a daemon that the store turns away learn from the others.
+
+While this daemon's own calls fail, or while a peer has a newer configuration
+in force, it asks two other daemons, drawn anew each time, for what they know.
+"""
+
+import random
+from typing import Final
+
+import anyio
+import attrs
+from google.protobuf import message as protobuf_message
+import grpc
+
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import daemon_context
+from figstream import errors
+from figstream import logs
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+from figstream import object_follower
+from figstream import platform_api
+from figstream import serialization
+from figstream.rpc import feed_pb2
+from figstream.rpc import feed_pb2_grpc
+
+# A quarter of the bound in which a change must be in force (2 s).
+_ASK_S: Final = 0.5
+_CALL_TIMEOUT_S: Final = 0.5
+_PEERS_ASKED: Final = 2
+
+
+@attrs.frozen
+class _Items:
+    """The objects of a kind as they travel."""
+
+    items: tuple[platform_api.StoredItem, ...]
+
+
+class _Servicer(feed_pb2_grpc.FeedPeersServicer):
+    def __init__(self, peers: "FeedPeers") -> None:
+        self._peers = peers
+
+    async def Pull(  # noqa: N802
+        self, request: feed_pb2.PullRequest, context: object
+    ) -> feed_pb2.PullAnswer:
+        return self._peers.answer(request)
+
+
+class FeedPeers:
+    """Exchanges followed kinds with peers; a `daemon_context.RpcRole`."""
+
+    def __init__(
+        self,
+        followers: tuple[object_follower.ObjectFollower, ...],
+        members: membership_api.Members,
+        holder: configuration_holder.ConfigurationHolder,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Serves and asks for the given kinds."""
+        self._followers = {item.kind: item for item in followers}
+        self._members = members
+        self._holder = holder
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random()
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Adds the gRPC service to the peer server."""
+        feed_pb2_grpc.add_FeedPeersServicer_to_server(_Servicer(self), server)
+
+    async def run(self) -> None:
+        """Asks peers whenever they may know more; until cancelled."""
+        while True:
+            await self._clock.sleep(_ASK_S * self._random.uniform(0.5, 1.0))
+            if self._may_be_behind():
+                await self.ask()
+
+    async def hand_over(self) -> None:
+        """Has nothing to give up."""
+
+    async def ask(self) -> None:
+        """Asks a few peers and adopts what is newer."""
+        this = self._members.this().name
+        others = [item for item in self._members.live() if item.name != this]
+        ahead = [item for item in others if self._is_ahead(item)]
+        count = min(_PEERS_ASKED, len(others))
+        chosen = self._random.sample(others, count)
+        if ahead:
+            chosen[0] = self._random.choice(ahead)
+        async with anyio.create_task_group() as group:
+            for member in chosen:
+                group.start_soon(self._pull, member)
+
+    def answer(self, request: feed_pb2.PullRequest) -> feed_pb2.PullAnswer:
+        """Returns the kinds that this daemon knows a newer state of."""
+        newer = []
+        for known in request.known:
+            follower = self._followers.get(known.kind)
+            if follower and follower.position > known.position:
+                items = _Items(tuple(follower.items.values()))
+                newer.append(
+                    feed_pb2.KindState(
+                        kind=known.kind,
+                        position=follower.position,
+                        items=serialization.to_json(items),
+                    )
+                )
+        return feed_pb2.PullAnswer(newer=newer)
+
+    def _may_be_behind(self) -> bool:
+        if any(item.failing for item in self._followers.values()):
+            return True
+        return any(self._is_ahead(item) for item in self._members.live())
+
+    def _is_ahead(self, member: membership_api.Member) -> bool:
+        return member.generation > self._holder.current.generation
+
+    async def _pull(self, member: membership_api.Member) -> None:
+        stub = feed_pb2_grpc.FeedPeersStub(self._members.channel(member))
+        request = feed_pb2.PullRequest(
+            known=[
+                feed_pb2.KindPosition(kind=item.kind, position=item.position)
+                for item in self._followers.values()
+            ]
+        )
+        try:
+            answer: feed_pb2.PullAnswer = await stub.Pull(
+                request, timeout=_CALL_TIMEOUT_S
+            )
+        except grpc.aio.AioRpcError as error:
+            self._metrics.event("feed_peer_failed")
+            logs.debug(
+                "feed_peer_failed", peer=member.name, code=error.code().name
+            )
+            return
+        for state in answer.newer:
+            self._adopt(member.name, state)
+
+    def _adopt(self, peer: str, state: feed_pb2.KindState) -> None:
+        follower = self._followers.get(state.kind)
+        if follower is None:
+            return
+        try:
+            found = serialization.from_json(state.items, _Items)
+        except (errors.ConfigurationError, protobuf_message.Error) as error:
+            logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
+            return
+        items = {item.name: item for item in found.items}
+        if follower.adopt(state.position, items):
+            self._metrics.event("feed_taken_from_peer")
+            logs.info(
+                "feed_taken_from_peer",
+                peer=peer,
+                kind=state.kind,
+                position=state.position,
+            )
+
+
+def make_feed_peers(
+    context: daemon_context.DaemonContext,
+    followers: tuple[object_follower.ObjectFollower, ...],
+    members: membership_api.Members,
+) -> FeedPeers:
+    """Creates the role of a daemon."""
+    return FeedPeers(
+        followers, members, context.holder, context.clock, context.metrics
+    )
--- /dev/null
+++ b/figstream/gateway_answer.py
@@ -0,0 +1,126 @@
+"""The answer to a caller of the gateway as it is being sent.
+
+Answers of backend servers pass unchanged. An answer that has begun and can't
+be completed is broken off, so that it never looks complete. A refusal says
+by its status whether the request ran: 503 promises that it did not.
+"""
+
+from collections.abc import Callable
+from typing import Final
+
+import orjson
+
+from figstream import asgi
+from figstream import attempt_outcome
+from figstream import caller_answer
+from figstream import errors
+from figstream import gateway_dialect
+from figstream import reasons
+
+_NOT_RUN_STATUS: Final = 503
+_UNSURE_STATUS: Final = 502
+_LATE_STATUS: Final = 504
+_CLOSE: Final = (b"connection", b"close")
+_R = reasons.RefusalReason
+# The caller's own fault, which no retry mends.
+_CALLER_FAULTS: Final = frozenset(
+    {
+        _R.MISSING_KEY,
+        _R.UNKNOWN_KEY,
+        _R.WITHDRAWN_KEY,
+        _R.UNKNOWN_ROUTE,
+        _R.BODY_TOO_LARGE,
+        _R.HEADERS_TOO_LARGE,
+        _R.INVALID_HEADER,
+    }
+)
+_NO_BODY_STATUSES: Final = frozenset({204, 304})
+
+
+class GatewayAnswer:
+    """Sends the status once, then the body; satisfies `Answer`."""
+
+    def __init__(
+        self,
+        send: asgi.Send,
+        dialect: gateway_dialect.CallerDialect,
+        request_id: str,
+        leaving: Callable[[], bool],
+    ) -> None:
+        """Answers on an ASGI channel.
+
+        Args:
+          send: the channel.
+          dialect: words refusals.
+          request_id: the caller's id of the request.
+          leaving: whether the daemon shuts down and connections must close.
+        """
+        self._send = send
+        self._dialect = dialect
+        self._request_id = request_id
+        self._leaving = leaving
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Returns whether the status was sent."""
+        return self._started
+
+    async def start(self, status: int, headers: caller_answer.Headers) -> None:
+        """Sends the status and headers of an answer sent in pieces."""
+        self._started = True
+        shown = self._dialect.passed_back(headers)
+        await asgi.send_start(self._send, status, self._closing(shown))
+
+    async def write(self, body: bytes) -> None:
+        """Sends a piece of the body."""
+        await asgi.send_body(self._send, body, more=True)
+
+    async def end(self) -> None:
+        """Ends the body."""
+        await asgi.send_body(self._send, b"", more=False)
+
+    async def whole(self, answered: attempt_outcome.Answered) -> None:
+        """Sends a whole answer of a backend server."""
+        self._started = True
+        shown = self._closing(self._dialect.passed_back(answered.headers))
+        if answered.status in _NO_BODY_STATUSES:
+            await asgi.send_start(self._send, answered.status, shown)
+            await self.end()
+            return
+        await asgi.send_whole(self._send, answered.status, shown, answered.body)
+
+    async def refuse(self, refusal: errors.Refusal) -> None:
+        """Sends a refusal, or breaks off an answer that has begun."""
+        if self._started:
+            raise asgi.CallerGoneError
+        self._started = True
+        fields = {
+            "code": refusal.reason.value,
+            "message": refusal.message,
+            "run_state": refusal.run_state.value,
+        }
+        headers = (
+            (b"content-type", asgi.JSON),
+            *self._dialect.refusal_headers(refusal, self._request_id),
+        )
+        await asgi.send_whole(
+            self._send,
+            status_of(refusal),
+            self._closing(headers),
+            orjson.dumps({"error": fields}),
+        )
+
+    def _closing(self, headers: caller_answer.Headers) -> caller_answer.Headers:
+        return (*headers, _CLOSE) if self._leaving() else headers
+
+
+def status_of(refusal: errors.Refusal) -> int:
+    """Returns the status code of a refusal by the gateway."""
+    if refusal.run_state is reasons.RunState.NOT_RUN:
+        if refusal.reason in _CALLER_FAULTS:
+            return refusal.http_status
+        return _NOT_RUN_STATUS
+    if refusal.reason is _R.DEADLINE_PASSED:
+        return _LATE_STATUS
+    return _UNSURE_STATUS
--- /dev/null
+++ b/figstream/gateway_app.py
@@ -0,0 +1,174 @@
+"""The ASGI application of the gateway: host and path select a route.
+
+A request is read whole before it is answered, so that a refusal leaves the
+connection usable. Everything is checked before the request is queued; such a
+refusal is always a true "not run".
+"""
+
+import random
+
+import attrs
+
+from figstream import asgi
+from figstream import authentication
+from figstream import caller_watch
+from figstream import clock as clock_lib
+from figstream import configuration_holder
+from figstream import errors
+from figstream import gateway_answer
+from figstream import gateway_dialect
+from figstream import gateway_route
+from figstream import inbound
+from figstream import logs
+from figstream import reasons
+from figstream import request_path
+from figstream import request_records
+
+_R = reasons.RefusalReason
+
+
+class GatewayApp:
+    """Serves callers; `application` is the ASGI entry point."""
+
+    def __init__(
+        self,
+        dialect: gateway_dialect.CallerDialect,
+        clock: clock_lib.Clock,
+        holder: configuration_holder.ConfigurationHolder,
+        authenticator: authentication.Authenticator,
+        path: request_path.RequestPath,
+        records: request_records.RequestRecords,
+    ) -> None:
+        """Hands checked calls to the request path."""
+        self._dialect = dialect
+        self._clock = clock
+        self._holder = holder
+        self._authenticator = authenticator
+        self._path = path
+        self._records = records
+        self._random = random.Random()
+        self._in_flight = 0
+        self.leaving = False
+
+    @property
+    def ready(self) -> bool:
+        """Returns whether the balancer may send requests."""
+        return not self.leaving and self._holder.current.generation > 0
+
+    @property
+    def in_flight(self) -> int:
+        """Returns the number of requests being served."""
+        return self._in_flight
+
+    async def application(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one HTTP request."""
+        if scope["type"] != "http":
+            return
+        self._in_flight += 1
+        try:
+            await self._serve(scope, receive, send)
+        except asgi.CallerGoneError:
+            return
+        finally:
+            self._in_flight -= 1
+
+    async def _serve(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        arrived = self._clock.now()
+        head = self._dialect.read(scope)
+        caller_id = ""
+        if isinstance(head, gateway_dialect.CallerHead):
+            caller_id = head.request_id
+        answer = gateway_answer.GatewayAnswer(
+            send, self._dialect, caller_id, lambda: self.leaving
+        )
+        call = await self._check(head, receive, arrived)
+        if isinstance(call, errors.Refusal):
+            self._records.refused_unchecked(call, caller_id, "")
+            await answer.refuse(call)
+            return
+        try:
+            await caller_watch.carry(
+                self._path, self._records, call, receive, answer
+            )
+        except asgi.CallerGoneError:
+            raise
+        except Exception as error:
+            logs.error(
+                "request_failed",
+                request=call.request_id,
+                kind=type(error).__name__,
+                detail=str(error),
+            )
+            if answer.started:
+                raise
+            state = reasons.RunState.MAY_HAVE_RUN
+            refusal = errors.Refusal(_R.INTERNAL_ERROR, state)
+            self._records.refused(call, refusal)
+            await answer.refuse(refusal)
+
+    async def _check(
+        self,
+        head: gateway_dialect.CallerHead | errors.Refusal,
+        receive: asgi.Receive,
+        arrived: float,
+    ) -> inbound.Call | errors.Refusal:
+        limits = self._holder.current.gateway_limits
+        try:
+            body = await asgi.read_body(receive, limits.body_bytes)
+        except asgi.BodyTooLargeError:
+            return errors.Refusal(_R.BODY_TOO_LARGE)
+        if isinstance(head, errors.Refusal):
+            return head
+        # The configuration may have changed while the body came in.
+        configuration = self._holder.current
+        if configuration.generation == 0:
+            return errors.Refusal(_R.NO_CONFIGURATION, retry_after_s=1.0)
+        route = configuration.gateway_table.find(head.host, head.path)
+        if route is None:
+            return errors.Refusal(_R.UNKNOWN_ROUTE)
+        identity = authentication.ANONYMOUS
+        if configuration.customers and not route.open:
+            found = self._authenticator.identify(head.key)
+            if isinstance(found, errors.Refusal):
+                return found
+            identity = found
+        return self._call(head, body, route, identity, arrived)
+
+    def _call(
+        self,
+        head: gateway_dialect.CallerHead,
+        body: bytes,
+        route: gateway_route.GatewayRoute,
+        identity: authentication.Identity,
+        arrived: float,
+    ) -> inbound.Call:
+        request_id, _ = inbound.new_ids(head.request_id)
+        wait_s = route.timeout_s
+        if head.wait_s is not None:
+            wait_s = min(wait_s, head.wait_s)
+        tier = self._holder.current.gateway_tiers.get(identity.customer)
+        request_class = route.request_class
+        if tier is not None:
+            request_class = attrs.evolve(
+                request_class, name=f"{request_class.name}@{tier}", tier=tier
+            )
+        return inbound.Call(
+            request_id,
+            head.request_id,
+            inbound.HttpRequest(
+                head.method, head.path, head.query, {}, body, head.passed
+            ),
+            identity,
+            request_class,
+            arrived,
+            arrived + wait_s,
+            stream=route.streamed,
+            max_output_tokens=head.prompt.max_output_tokens,
+            passed=inbound.PassedCall(
+                route, route.choose(self._random), head.prompt
+            ),
+        )
--- /dev/null
+++ b/figstream/gateway_daemon.py
@@ -0,0 +1,361 @@
+"""One gateway daemon: builds its parts, runs them, and shuts down gracefully.
+
+It shares scheduler, request path, membership, leases and usage with the
+daemon of `figstream serve`; what it speaks to the outside comes as a
+`GatewayPlatform`, which the platform's adapter fills in.
+"""
+
+from collections.abc import Sequence
+import pathlib
+import random
+import time
+from typing import Final
+
+import anyio
+import attrs
+
+from figstream import api_key
+from figstream import authentication
+from figstream import backend_client
+from figstream import backend_dialect
+from figstream import blame as blame_lib
+from figstream import blame_spread
+from figstream import claims_api
+from figstream import clock as clock_lib
+from figstream import configuration_feed
+from figstream import configuration_holder
+from figstream import daemon_context
+from figstream import dispatch_gate
+from figstream import errors
+from figstream import explain
+from figstream import feed_peers
+from figstream import gateway_app
+from figstream import gateway_dialect
+from figstream import gateway_options
+from figstream import gateway_pages
+from figstream import http_server
+from figstream import logs
+from figstream import membership
+from figstream import metrics as metrics_lib
+from figstream import object_follower
+from figstream import peer_server
+from figstream import placement
+from figstream import platform_api
+from figstream import reasons
+from figstream import request_attempts
+from figstream import request_path
+from figstream import request_records
+from figstream import retry_budget
+from figstream import retry_policy
+from figstream import role_supervisor
+from figstream import scheduler as scheduler_lib
+from figstream import server_directory
+from figstream import server_health_passive
+from figstream import usage_parts
+from figstream import usage_totals
+from figstream import vm_registration
+
+# The platform cuts requests off at the end of the grace time; a sixth of it
+# is what a request in flight may be denied, less the exit itself.
+_IN_FLIGHT_SHARE: Final = 0.88
+# The balancer asks once a second and needs two misses; until then new
+# connections arrive and are served.
+_NOTICED_S: Final = 2.6
+_HAND_OVER_S: Final = 0.6
+_POLL_S: Final = 0.05
+_HEADER_LIMIT_BYTES: Final = 65_536
+# Keys work for as long as the daemon is cut off from the store.
+_KEY_TRUST_S: Final = 86_400.0
+
+
+@attrs.frozen
+class GatewayPlatform:
+    """What the platform's adapter brings.
+
+    Attributes:
+      interfaces: store, usage reports and the like.
+      feed: objects that operators and backend servers write.
+      scaling: takes the numbers of servers wanted.
+      callers: the wire towards callers.
+      backends: the wire towards backend servers.
+      configuration_kind: kind of the operator's object.
+      configuration_name: name of the operator's object.
+      servers_kind: kind of the entries of backend servers.
+      decode_configuration: reads the operator's object.
+      decode_server: reads the entry of a backend server.
+      ready_path: path of the balancer's question.
+    """
+
+    interfaces: platform_api.Platform
+    feed: platform_api.ObjectFeed
+    scaling: platform_api.ServiceScaling
+    callers: gateway_dialect.CallerDialect
+    backends: backend_dialect.BackendDialect
+    configuration_kind: str
+    configuration_name: str
+    servers_kind: str
+    decode_configuration: configuration_feed.Decode
+    decode_server: server_directory.Decode
+    ready_path: str
+
+
+class NoClaims:
+    """Claims nothing: each attempt of a caller has an id of its own."""
+
+    async def claim(
+        self, customer: str, key: str, fingerprint: int
+    ) -> claims_api.ClaimOutcome:
+        """Refuses, since nothing is kept for repeats."""
+        return errors.Refusal(reasons.RefusalReason.CLAIM_UNAVAILABLE)
+
+    async def complete(
+        self, claim: claims_api.Claimed, result: claims_api.StoredResult
+    ) -> bool:
+        """Keeps nothing."""
+        return False
+
+    async def release(self, claim: claims_api.Claimed) -> bool:
+        """Keeps nothing."""
+        return False
+
+
+def make_context(
+    options: gateway_options.GatewayOptions,
+    platform: GatewayPlatform,
+    metrics: metrics_lib.Metrics,
+) -> daemon_context.DaemonContext:
+    """Creates what the parts of a gateway daemon share."""
+    clock = clock_lib.SystemClock()
+    daemon = options.daemon
+    return daemon_context.DaemonContext(
+        daemon,
+        clock,
+        time.time_ns(),
+        platform.interfaces,
+        configuration_holder.ConfigurationHolder(clock),
+        scheduler_lib.make_scheduler_with(
+            daemon.zone,
+            lambda book, _: placement.make_placement(book, daemon.zone),
+        ),
+        explain.DecisionLog(daemon.explain_records),
+        metrics,
+    )
+
+
+class GatewayDaemon:
+    """The parts of one gateway daemon and their order of start and stop."""
+
+    def __init__(
+        self,
+        options: gateway_options.GatewayOptions,
+        platform: GatewayPlatform,
+        context: daemon_context.DaemonContext,
+    ) -> None:
+        """Builds every part; nothing runs yet."""
+        self.context = context
+        self._options = options
+        self._platform = platform
+        clock, metrics = context.clock, context.metrics
+        self._peers = peer_server.PeerServer(
+            options.peers.host, options.peers.port
+        )
+        self._manifest = object_follower.ObjectFollower(
+            platform.configuration_kind, platform.feed, clock, metrics
+        )
+        self._entries = object_follower.ObjectFollower(
+            platform.servers_kind, platform.feed, clock, metrics
+        )
+        self._directory = server_directory.ServerDirectory(
+            self._entries,
+            platform.decode_server,
+            context.holder,
+            context.scheduler,
+            clock,
+            metrics,
+        )
+        configuration_feed.ConfigurationFeed(
+            self._manifest,
+            platform.configuration_name,
+            platform.decode_configuration,
+            context.holder,
+        )
+        self.members = membership.make_membership(context, self._peers.address)
+        peers = feed_peers.make_feed_peers(
+            context, (self._manifest, self._entries), self.members
+        )
+        accounting = usage_parts.make_usage_parts(context, self.members)
+        self._usage = usage_totals.UsageTotals(accounting.ledger)
+        blame = blame_lib.make_crash_blame()
+        self._rpc_roles: Sequence[daemon_context.RpcRole] = (
+            peers,
+            accounting.handover,
+            self.members,
+        )
+        self._roles: Sequence[daemon_context.Role] = (
+            self._manifest,
+            self._entries,
+            self._directory,
+            peers,
+            blame_spread.BlameSpread(blame, self.members.notices, clock),
+            vm_registration.make_registration(context, self._peers.address),
+            *accounting.roles,
+            self.members,
+        )
+        self._budget = retry_budget.FleetBudget(
+            options.retry_share, options.retry_burst
+        )
+        self._gate = dispatch_gate.DispatchGate(context.scheduler, clock)
+        self._app = self._make_app(blame)
+        pages = gateway_pages.GatewayPages(
+            platform.ready_path, lambda: self._app.ready
+        )
+        self._server = self._serve_at(
+            self._app.application, options.front.host, options.front.port
+        )
+        self._pages = [
+            self._serve_at(
+                pages.readiness, options.readiness.host, options.readiness.port
+            ),
+            self._serve_at(
+                pages.metrics, options.address, options.metrics_port
+            ),
+        ]
+
+    async def run(self) -> None:
+        """Runs until `shut_down`, then finishes what is in flight."""
+        await self._peers.start(self._rpc_roles)
+        try:
+            async with anyio.create_task_group() as group:
+                for role in self._roles:
+                    group.start_soon(
+                        role_supervisor.keep_running,
+                        role,
+                        self.context.clock,
+                        self.context.metrics,
+                    )
+                group.start_soon(self._gate.run)
+                group.start_soon(self._watch_members)
+                for pages in self._pages:
+                    group.start_soon(pages.serve)
+                logs.info(
+                    "daemon_started",
+                    vm=self._options.name,
+                    zone=self._options.zone,
+                    start_number=self.context.start_number,
+                )
+                await self._server.serve()
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._peers.stop()
+        await self._backends.close()
+        logs.info("daemon_stopped", vm=self._options.name)
+
+    async def shut_down(self) -> None:
+        """Fails readiness, lets requests finish, hands over, and stops."""
+        clock = self.context.clock
+        started = clock.now()
+        self._app.leaving = True
+        logs.info(
+            "daemon_leaving",
+            vm=self._options.name,
+            in_flight=self._app.in_flight,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._hand_over_duties)
+            await clock.sleep(_NOTICED_S)
+            last_at = started + _IN_FLIGHT_SHARE * self._options.grace_s
+            while self._app.in_flight and clock.now() < last_at:
+                await clock.sleep(_POLL_S)
+        logs.info(
+            "daemon_finishing",
+            vm=self._options.name,
+            cut=self._app.in_flight,
+            after_s=round(clock.now() - started, 3),
+        )
+        await self._hand_over()
+        self._server.shut_down()
+
+    def reload(self, path: pathlib.Path) -> None:
+        """Checks changed settings and says which of them wait for a restart.
+
+        Addresses and identity are fixed for the life of a process.
+        """
+        try:
+            found = gateway_options.read(path)
+        except errors.SettingsError as error:
+            logs.error("settings_refused", file=path, detail=str(error))
+            return
+        changed = [
+            field.name
+            for field in attrs.fields(gateway_options.GatewayOptions)
+            if getattr(found, field.name) != getattr(self._options, field.name)
+        ]
+        logs.info("settings_read", changed=",".join(changed) or "none")
+
+    async def _hand_over_duties(self) -> None:
+        """Gives up leases early, so that the next holder can settle in."""
+        for role in self._roles:
+            if isinstance(role, usage_parts.DUTY_ROLES):
+                with anyio.move_on_after(_NOTICED_S):
+                    await role.hand_over()
+
+    async def _hand_over(self) -> None:
+        with anyio.move_on_after(_HAND_OVER_S):
+            for role in self._roles:
+                await role.hand_over()
+
+    async def _watch_members(self) -> None:
+        """Tells the retry budget how many daemons share it."""
+        while True:
+            self._budget.set_live_daemons(len(self.members.live()))
+            await self.context.clock.sleep(1.0)
+
+    def _make_app(self, blame: blame_lib.CrashBlame) -> gateway_app.GatewayApp:
+        context = self.context
+        clock, metrics = context.clock, context.metrics
+        health = server_health_passive.PassiveHealth(
+            context.scheduler, clock, metrics
+        )
+        self._backends = backend_client.BackendClient(
+            self._platform.backends, clock, health.on_load
+        )
+        authenticator = authentication.Authenticator(
+            context.holder, _KEY_TRUST_S, api_key.split_given
+        )
+        records = request_records.RequestRecords(
+            clock, metrics, context.decisions
+        )
+        services = request_attempts.RequestServices(
+            clock,
+            authenticator,
+            self._gate,
+            self._backends,
+            health,
+            retry_policy.RetryPolicy(random.Random(), self._budget),
+            NoClaims(),
+            blame,
+            self._usage,
+            records,
+            request_attempts.PathRules(
+                terminator=b"",
+                pace_s=0.0,
+                resumes_anywhere=True,
+                counts_starts=True,
+            ),
+        )
+        return gateway_app.GatewayApp(
+            self._platform.callers,
+            clock,
+            context.holder,
+            authenticator,
+            request_path.RequestPath(services),
+            records,
+        )
+
+    def _serve_at(
+        self, app: http_server.Application, host: str, port: int
+    ) -> http_server.HttpServer:
+        return http_server.HttpServer(
+            app, host, port, header_limit_bytes=_HEADER_LIMIT_BYTES
+        )
--- /dev/null
+++ b/figstream/gateway_options.py
@@ -0,0 +1,171 @@
+"""Settings of a gateway daemon, read from an INI file and checked as a whole.
+
+The platform renders the file from its own settings through a template, so
+that this is the only parser and the only validation.
+"""
+
+import pathlib
+from typing import Final
+
+import attrs
+
+from figstream import defaults
+from figstream import logs
+from figstream import options as options_lib
+from figstream import settings_file
+
+_Field = settings_file.Field
+_text = settings_file.text
+_whole_field = settings_file.whole_field
+_seconds_field = settings_file.seconds_field
+_MS_PER_S: Final = 1000.0
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+
+@attrs.frozen
+class GatewayOptions:
+    """Settings of one gateway daemon.
+
+    Attributes:
+      name: unique name of the VM.
+      zone: availability zone of the VM.
+      region: region of the availability zone.
+      address: IP number of the VM.
+      front: where callers connect.
+      readiness: where the balancer asks whether the daemon is ready.
+      peers: where other daemons connect.
+      metrics_port: port on which metrics are served.
+      seeds: addresses of daemons to join while the store is away.
+      store: address of the platform's store.
+      duties: address that takes usage reports and orders.
+      platform_timeout_s: seconds after which a call's answer counts as lost.
+      lease_ms: milliseconds for which a lease holds, and within which duties
+        must not go back and forth between two holders.
+      window_s: length of a usage window.
+      usage_late_s: seconds after a window's end when its report is due.
+      retry_share: repeats for each request, over all daemons.
+      retry_burst: repeats beyond the share, over all daemons.
+      grace_s: seconds from the signal to stop until the daemon is killed.
+      memory_mb: memory that the daemon may take.
+      log_level: least level of the lines logged.
+    """
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    front: Address
+    readiness: Address
+    peers: Address
+    metrics_port: int
+    store: Address
+    duties: Address
+    seeds: tuple[str, ...] = ()
+    platform_timeout_s: float = 1.0
+    lease_ms: int = 3000
+    window_s: float = 5.0
+    usage_late_s: float = 10.0
+    retry_share: float = 0.2
+    retry_burst: float = 50.0
+    grace_s: float = 8.0
+    memory_mb: int = 150
+    log_level: str = defaults.LOG_LEVEL
+
+    @property
+    def daemon(self) -> options_lib.Options:
+        """Returns the settings that all daemons have in common."""
+        return options_lib.Options(
+            name=self.name,
+            zone=self.zone,
+            region=self.region,
+            address=self.address,
+            caller_port=self.front.port,
+            peer_port=self.peers.port,
+            operator_port=0,
+            platform_url=f"http://{self.store.host}:{self.store.port}",
+            platform_timeout_s=self.platform_timeout_s,
+            window_s=self.window_s,
+            lease_s=self.lease_ms / _MS_PER_S,
+            # Receivers of duties do not check who sends them, so a holder
+            # waits until the one before could have come back and acted.
+            lease_settle_s=self.lease_ms / _MS_PER_S,
+            seeds=self.seeds,
+            log_level=self.log_level,
+        )
+
+
+def _address(value: str) -> object | None:
+    host, _, port = value.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and 0 <= int(port) <= 65535
+    return Address(host, int(port)) if host and is_port else None
+
+
+def _level(value: str) -> object | None:
+    return value if value in logs.LEVELS else None
+
+
+def _address_field(section: str, key: str) -> _Field:
+    return _Field(section, key, "an address IP:PORT", _address)
+
+
+_FIELDS: Final = (
+    _Field("vm", "name", "a unique name", _text),
+    _Field("vm", "zone", "name of the availability zone", _text),
+    _Field("vm", "region", "name of the region", _text),
+    _Field("vm", "address", "IP number of this VM", _text),
+    _whole_field("vm", "memory_mb", 32, 1_000_000, 150),
+    _address_field("gateway", "front"),
+    _address_field("gateway", "readiness"),
+    _whole_field("gateway", "metrics_port", 0, 65535, 9464),
+    _seconds_field("gateway", "grace_s", 1, 3600, 8.0),
+    _address_field("peers", "peers"),
+    _Field(
+        "peers",
+        "seeds",
+        "addresses IP:PORT, with commas",
+        settings_file.addresses,
+        (),
+    ),
+    _address_field("platform", "store"),
+    _address_field("platform", "duties"),
+    _seconds_field("platform", "platform_timeout_s", 0.05, 60, 1.0),
+    _whole_field("platform", "lease_ms", 200, 300_000, 3000),
+    _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
+    _seconds_field("platform", "usage_late_s", 0.5, 86_400, 10.0),
+    settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
+    settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
+    _Field(
+        "logs",
+        "log_level",
+        "one of " + ", ".join(logs.LEVELS),
+        _level,
+        defaults.LOG_LEVEL,
+    ),
+)
+
+
+def read(path: pathlib.Path) -> GatewayOptions:
+    """Reads and checks a settings file.
+
+    Raises:
+      errors.SettingsError: carries every fault found.
+    """
+    return parse(settings_file.read_text(path))
+
+
+def parse(text: str) -> GatewayOptions:
+    """Checks the text of a settings file.
+
+    Raises:
+      errors.SettingsError: carries every fault found.
+    """
+    sections = settings_file.parse_sections(text)
+    values = settings_file.parse_fields(sections, _FIELDS)
+    return GatewayOptions(**values)  # type: ignore[arg-type]
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -17,9 +17,11 @@
 from figstream import configuration as configuration_lib
 from figstream import errors
 from figstream import explain
+from figstream import gateway_route
 from figstream import reasons
 from figstream import request_class as request_class_lib
 from figstream import route as route_lib
+from figstream import scheduler_api
 
 CHAT_PATH: Final = "/v1/chat/completions"
 COMPLETION_PATH: Final = "/v1/completions"
@@ -44,6 +46,40 @@
     query: str
     headers: Mapping[str, str]
     body: bytes
+    raw_headers: tuple[tuple[bytes, bytes], ...] = ()
+
+
+@attrs.frozen
+class Prompt:
+    """What a caller tells of its prompt without showing it.
+
+    Attributes:
+      tokens: length of the prompt.
+      max_output_tokens: longest answer, 0 if not told.
+      likely_output_tokens: the caller's guess, 0 if not told.
+      shared_part: hash of the last part that other requests share, 0 if
+        there is none.
+    """
+
+    tokens: int = 0
+    max_output_tokens: int = 0
+    likely_output_tokens: int = 0
+    shared_part: int = 0
+
+
+@attrs.frozen
+class PassedCall:
+    """How the gateway passes a call on.
+
+    Attributes:
+      route: the route it came in on.
+      service: the service chosen among the route's.
+      prompt: what is known of the prompt.
+    """
+
+    route: gateway_route.GatewayRoute
+    service: str
+    prompt: Prompt = Prompt()
 
 
 @attrs.frozen
@@ -64,6 +100,7 @@
       stream: whether the answer is to be streamed.
       max_output_tokens: bound that the caller gave, or 0.
       idempotency_key: key that guards against a second run, or "".
+      passed: how the gateway passes the call on, or None elsewhere.
     """
 
     request_id: str
@@ -79,27 +116,60 @@
     stream: bool = False
     max_output_tokens: int = 0
     idempotency_key: str = ""
+    passed: PassedCall | None = None
 
     @property
     def idempotent(self) -> bool:
         """Returns whether the call may be repeated."""
+        if self.passed:
+            return self.passed.route.idempotent
         return self.route is None or self.route.idempotent
 
+    @property
+    def ends_with_caller(self) -> bool:
+        """Returns whether the call is dropped when its caller leaves."""
+        return self.idempotent or (self.passed is not None and self.stream)
+
+    @property
+    def resumable(self) -> bool:
+        """Returns whether a broken answer can go on where it broke off."""
+        return self.passed.route.resumable if self.passed else self.stream
+
+    @property
+    def service(self) -> str:
+        """Returns the service that the call goes to, or "" for models."""
+        if self.passed:
+            return self.passed.service
+        return self.route.service if self.route else ""
+
+    @property
+    def attempt_limit(self) -> int:
+        """Returns the most servers that the call may be sent to."""
+        if self.passed:
+            return self.passed.route.attempt_limit
+        return scheduler_api.ATTEMPT_LIMIT
+
     @property
     def prompt_tokens(self) -> int:
-        """Returns a rough number of prompt tokens."""
+        """Returns the number of prompt tokens, a rough one if not told."""
+        if self.passed:
+            return self.passed.prompt.tokens
         return len(self.http.body) // _BYTES_PER_TOKEN
 
     @property
     def prefix(self) -> int:
         """Returns a hash of the head of the prompt."""
+        if self.passed:
+            return self.passed.prompt.shared_part
         return xxhash.xxh3_64_intdigest(self.http.body[:_PREFIX_BYTES])
 
     @property
     def fingerprint(self) -> int:
         """Returns a hash of the whole request."""
-        head = f"{self.http.method} {self.http.path}?{self.http.query}\n"
-        return xxhash.xxh3_64_intdigest(head.encode() + self.http.body)
+        http = self.http
+        sender = self.identity.customer if self.passed else ""
+        head = f"{sender}{http.method} {http.path}?{http.query}\n"
+        return xxhash.xxh3_64_intdigest(head.encode() + http.body)
 
 
 @attrs.frozen
--- a/figstream/lease.py
+++ b/figstream/lease.py
@@ -36,10 +36,12 @@
     Attributes:
       duration_s: length of the lease.
       order_s: timeout of an order sent under it.
+      settle_s: wait of a new holder beyond the end of the last one's orders.
     """
 
     duration_s: float
     order_s: float
+    settle_s: float = 0.0
 
     @property
     def margin_s(self) -> float:
@@ -286,7 +288,9 @@
         # lease ran out stopped a margin before.
         given_up = old is not None and not old.holder
         margin_s = self._times.margin_s if given_up else 0.0
-        return self._times.order_s + margin_s
+        if old is None:
+            return self._times.order_s
+        return self._times.order_s + margin_s + self._times.settle_s
 
 
 def make_lease(
@@ -298,5 +302,5 @@
     """Creates a lease that daemons of a zone, or of all if "", seek."""
     duration_s = context.options.lease_s
     order_s = min(context.options.platform_timeout_s, duration_s / 3)
-    times = LeaseTimes(duration_s, order_s)
+    times = LeaseTimes(duration_s, order_s, context.options.lease_settle_s)
     return HeldLease(name, zone, context, members, times)
--- a/figstream/logs.py
+++ b/figstream/logs.py
@@ -6,13 +6,14 @@
 
 import json
 import logging as std_logging
-import sys
 import time
 from typing import Final
 
 from absl import flags
 from absl import logging
 
+from figstream import log_stream
+
 _PLAIN: Final = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+"
 )
@@ -21,15 +22,19 @@
 
 
 def configure(level: str) -> None:
-    """Sends log lines of the given level and above to standard error."""
+    """Sends log lines of the given level and above to standard output."""
     # absl warns of every line until its own flags, unused here, are parsed.
     flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
     logging.set_verbosity(level)
-    logging.set_stderrthreshold(level)
-    handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    handler = log_stream.BoundedHandler()
     handler.setFormatter(_make_formatter())
+    root = std_logging.getLogger()
+    for old in list(root.handlers):
+        root.removeHandler(old)
+    root.addHandler(handler)
+    logger = logging.get_absl_logger()
+    logger.propagate = True
+    logger.setLevel(level.upper())
     # Libraries log addresses and paths in a form of their own.
     for library in _LIBRARIES:
         std_logging.getLogger(library).setLevel(std_logging.WARNING)
--- /dev/null
+++ b/figstream/object_follower.py
@@ -0,0 +1,188 @@
+"""Follows one kind of objects in the platform's store.
+
+The kind is listed once and then watched, so that a change is known a round
+trip after the store has it. While the store does not answer, what was known
+goes on; peers may bring a newer state meanwhile.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import random
+from typing import Final
+
+from figstream import clock as clock_lib
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import platform_api
+
+# Longest wait of one watch: a connection that has gone silent is noticed
+# within this time, at a quarter of a call a second.
+WATCH_S: Final = 4.0
+# Pauses after a failed call: the first below a tenth of the bound of a
+# change (2 s), the last so that an outage costs two calls a second at most.
+_FIRST_PAUSE_S: Final = 0.1
+_LAST_PAUSE_S: Final = 0.5
+_NEVER: Final = float("-inf")
+
+Items = Mapping[str, platform_api.StoredItem]
+Listener = Callable[[Items], None]
+
+
+class ObjectFollower:
+    """The objects of one kind as this daemon knows them."""
+
+    def __init__(
+        self,
+        kind: str,
+        feed: platform_api.ObjectFeed,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Starts without knowing any object."""
+        self._kind = kind
+        self._feed = feed
+        self._clock = clock
+        self._metrics = metrics
+        self._random = random.Random()
+        self._listeners: list[Listener] = []
+        self._items: dict[str, platform_api.StoredItem] = {}
+        self._position = 0
+        self._listed = False
+        self._failures = 0
+        self._lost_at = _NEVER
+        self._regained_at = _NEVER
+        self._outage_s = 0.0
+
+    @property
+    def kind(self) -> str:
+        """Returns the kind."""
+        return self._kind
+
+    @property
+    def items(self) -> Items:
+        """Returns the objects by name."""
+        return self._items
+
+    @property
+    def position(self) -> int:
+        """Returns the store's revision that the objects are as of."""
+        return self._position
+
+    @property
+    def failing(self) -> bool:
+        """Returns whether the store did not answer the last call."""
+        return self._failures > 0 or not self._listed
+
+    def regained_after(self, outage_s: float) -> float:
+        """Returns when the store came back after an outage of this length."""
+        return self._regained_at if self._outage_s >= outage_s else _NEVER
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls the listener after each change."""
+        self._listeners.append(listener)
+
+    def adopt(self, position: int, items: Items) -> bool:
+        """Takes over a newer state that a peer has; returns whether it is."""
+        if position <= self._position:
+            return False
+        self._position = position
+        changed = dict(items) != self._items
+        self._items = dict(items)
+        if changed:
+            self._tell("peer")
+        return changed
+
+    async def run(self) -> None:
+        """Follows the kind until cancelled."""
+        while True:
+            if not await self._step():
+                ceiling = min(
+                    _LAST_PAUSE_S,
+                    _FIRST_PAUSE_S * 2.0 ** min(self._failures, 8),
+                )
+                pause_s = ceiling * self._random.uniform(0.5, 1.0)
+                await self._clock.sleep(pause_s)
+
+    async def hand_over(self) -> None:
+        """Has nothing to give up."""
+
+    async def _step(self) -> bool:
+        """Makes one call; returns whether the next may follow at once."""
+        if not self._listed:
+            found = await self._feed.snapshot(self._kind)
+            return self._take_snapshot(found)
+        changes = await self._feed.changes(self._kind, self._position, WATCH_S)
+        if isinstance(changes, platform_api.Unavailable):
+            self._failed(changes.detail)
+            return False
+        if isinstance(changes, platform_api.HistoryGone):
+            logs.info("feed_history_gone", kind=self._kind)
+            self._listed = False
+            return True
+        self._answered()
+        self._take_changes(changes)
+        return True
+
+    def _take_snapshot(
+        self, found: platform_api.Snapshot | platform_api.Unavailable
+    ) -> bool:
+        if isinstance(found, platform_api.Unavailable):
+            self._failed(found.detail)
+            return False
+        self._answered()
+        self._listed = True
+        if found.position < self._position:
+            return True
+        items = {item.name: item for item in found.items}
+        changed = items != self._items
+        self._position = found.position
+        self._items = items
+        if changed:
+            self._tell("list")
+        return True
+
+    def _take_changes(self, changes: platform_api.FeedChanges) -> None:
+        if changes.position <= self._position:
+            return
+        self._position = changes.position
+        items = dict(self._items)
+        for item in changes.changed:
+            held = items.get(item.name)
+            if held is None or held.version < item.version:
+                items[item.name] = item
+        for name in changes.deleted:
+            items.pop(name, None)
+        if items != self._items:
+            self._items = items
+            self._tell("watch")
+
+    def _tell(self, source: str) -> None:
+        logs.info(
+            "feed_changed",
+            kind=self._kind,
+            position=self._position,
+            objects=len(self._items),
+            source=source,
+        )
+        for listener in self._listeners:
+            listener(self._items)
+
+    def _failed(self, detail: str) -> None:
+        self._failures += 1
+        self._metrics.event("feed_call_failed")
+        if self._failures == 1:
+            self._lost_at = self._clock.now()
+            logs.warning("feed_lost", kind=self._kind, detail=detail)
+
+    def _answered(self) -> None:
+        if not self._failures:
+            return
+        now = self._clock.now()
+        self._outage_s = now - self._lost_at
+        self._regained_at = now
+        self._failures = 0
+        logs.info(
+            "feed_regained",
+            kind=self._kind,
+            outage_s=round(self._outage_s, 3),
+        )
--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -42,6 +42,7 @@
 
 class _CheckedBackend(backend_network.PacedBackend):
     def __init__(self, allowed: Callable[[], bool], timeout_s: float) -> None:
+        super().__init__()
         self._allowed = allowed
         self._timeout_ms = round(timeout_s * _MS_PER_S)
 
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+from typing import Any
 from typing import Protocol
 
 import attrs
@@ -103,6 +104,49 @@
         """Waits for changes after the position; counts as one call."""
 
 
+@attrs.frozen
+class StoredItem:
+    """An object of a kind that others write, with its decoded value."""
+
+    name: str
+    version: int
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All objects of a kind as of a position."""
+
+    items: tuple[StoredItem, ...]
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedChanges:
+    """What changed in a kind up to a position."""
+
+    changed: tuple[StoredItem, ...]
+    deleted: tuple[str, ...]
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store no longer knows what changed since the position."""
+
+
+class ObjectFeed(Protocol):
+    """Objects that operators and backend servers write, to be followed."""
+
+    async def snapshot(self, kind: str) -> Snapshot | Unavailable:
+        """Lists all objects of a kind."""
+
+    async def changes(
+        self, kind: str, position: int, timeout_s: float
+    ) -> FeedChanges | HistoryGone | Unavailable:
+        """Waits for changes after the position; counts as one call."""
+
+
 @attrs.frozen
 class VirtualMachine:
     """A VM of the system, as the platform's lagging list has it."""
@@ -200,6 +244,34 @@
     return True
 
 
+@attrs.frozen
+class ScalingOrder:
+    """How many servers of one kind a service shall have in a zone.
+
+    Attributes:
+      service: the service.
+      zone: availability zone.
+      count: number of servers.
+      reclaimable: whether it is about the cheaper kind.
+      fencing: fencing number of the lease it is sent under.
+    """
+
+    service: str
+    zone: str
+    count: int
+    reclaimable: bool
+    fencing: int = 0
+
+
+class ServiceScaling(Protocol):
+    """The interface that takes the numbers of servers wanted."""
+
+    async def send(
+        self, order: ScalingOrder, allowed: Callable[[], bool] = always
+    ) -> OrderOutcome:
+        """Sends one order; see `ServerOrders.send`."""
+
+
 class ServerOrders(Protocol):
     """The interface that orders backend servers by availability zone."""
 
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -11,11 +11,13 @@
 from figstream import attempt_outcome
 from figstream import authentication
 from figstream import backend_client
+from figstream import backend_dialect
 from figstream import backend_server
 from figstream import blame_api
 from figstream import claims_api
 from figstream import clock as clock_lib
 from figstream import dispatch_gate
+from figstream import engine_protocol
 from figstream import inbound
 from figstream import reasons
 from figstream import request_records
@@ -33,6 +35,24 @@
 }
 
 
+@attrs.frozen
+class PathRules:
+    """What differs between the fronts that callers use.
+
+    Attributes:
+      terminator: what a complete stream ends with, b"" for nothing.
+      pace_s: shortest time between two reads of a stream.
+      resumes_anywhere: whether a broken stream may go on at another server.
+      counts_starts: whether usage is what servers began to run, rather than
+        what they answered.
+    """
+
+    terminator: bytes = engine_protocol.TERMINATOR
+    pace_s: float = stream_relay.PACE_S
+    resumes_anywhere: bool = False
+    counts_starts: bool = False
+
+
 @attrs.frozen
 class RequestServices:
     """What the request path works with."""
@@ -41,12 +61,13 @@
     authenticator: authentication.Authenticator
     gate: dispatch_gate.DispatchGate
     backends: backend_client.BackendClient
-    health: server_health.ServerHealth
+    health: server_health.HealthWatch
     retries: retry_policy.RetryPolicy
     claims: claims_api.ClaimJournal
     blame: blame_api.BlameTable
     usage: usage_api.UsageLedger
     records: request_records.RequestRecords
+    rules: PathRules = PathRules()
 
 
 @attrs.define
@@ -88,7 +109,7 @@
             self._services.gate.finish(
                 progress.pending, dispatched.server, report
             )
-            if outcome is None:
+            if outcome is None and not self._services.rules.counts_starts:
                 self._count_usage(progress, report)
             if _is_wasted(outcome):
                 self._services.records.wasted(
@@ -106,7 +127,8 @@
             if isinstance(outcome, attempt_outcome.Answered):
                 return outcome
             preempted = outcome.reason is reasons.RetryReason.PREEMPTED
-            if preempted or not outcome.events_relayed:
+            elsewhere = self._services.rules.resumes_anywhere
+            if preempted or elsewhere or not outcome.events_relayed:
                 return outcome
             decision = self._services.retries.decide(
                 progress.pending, outcome, self._services.clock.now()
@@ -152,9 +174,10 @@
         progress.run_state = reasons.RunState.MAY_HAVE_RUN
         with services.gate.preemptible(progress.pending):
             outcome = await services.backends.attempt(
-                backend_client.Attempt(
+                backend_dialect.Attempt(
                     progress.call, server, progress.relay, progress.resume
-                )
+                ),
+                lambda: self._started(progress),
             )
         if outcome is None:
             outcome = attempt_outcome.may_have_run(
@@ -163,6 +186,7 @@
         if isinstance(outcome, attempt_outcome.Failed):
             if outcome.run_state is reasons.RunState.NOT_RUN:
                 progress.run_state = before
+                progress.pending.attempts_not_run += 1
             await self._examine(outcome, server)
         return outcome
 
@@ -187,13 +211,26 @@
             progress.call, outcome.reason, server.name, outcome.detail
         )
 
+    def _started(self, progress: Progress) -> None:
+        if not self._services.rules.counts_starts:
+            return
+        call = progress.call
+        self._services.usage.add(
+            usage_api.UsageItem(
+                call.identity.customer,
+                call.request_class.name,
+                prompt_tokens=call.prompt_tokens,
+            )
+        )
+
     def _answered(
         self,
         progress: Progress,
         report: scheduler_api.AttemptReport,
         server: backend_server.BackendServer,
     ) -> None:
-        self._count_usage(progress, report)
+        if not self._services.rules.counts_starts:
+            self._count_usage(progress, report)
         relay = progress.relay
         steps = relay.monitor.output_tokens - 1
         between_s = 0.0
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -36,7 +36,7 @@
         self._attempts = request_attempts.RequestAttempts(services)
 
     async def serve(
-        self, call: inbound.Call, answer: caller_answer.CallerAnswer
+        self, call: inbound.Call, answer: caller_answer.Answer
     ) -> None:
         """Answers or refuses a call."""
         result = await self._guarded(call, answer)
@@ -46,10 +46,10 @@
         elif answer.started:
             await answer.end()
         else:
-            await answer.whole(result.status, result.content_type, result.body)
+            await answer.whole(result)
 
     async def _guarded(
-        self, call: inbound.Call, answer: caller_answer.CallerAnswer
+        self, call: inbound.Call, answer: caller_answer.Answer
     ) -> _Result:
         if call.idempotent or not call.idempotency_key:
             return await self._in_time(call, answer)
@@ -61,15 +61,16 @@
             return claim
         if isinstance(claim, claims_api.Repeated):
             kept = claim.result
+            content_type = (b"content-type", kept.content_type.encode())
             return attempt_outcome.Answered(
-                kept.status, kept.content_type.encode(), kept.body
+                kept.status, (content_type,), kept.body
             )
         return await self._claimed(call, answer, claim)
 
     async def _claimed(
         self,
         call: inbound.Call,
-        answer: caller_answer.CallerAnswer,
+        answer: caller_answer.Answer,
         claim: claims_api.Claimed,
     ) -> _Result:
         result = await self._in_time(call, answer)
@@ -85,10 +86,14 @@
         return result
 
     async def _in_time(
-        self, call: inbound.Call, answer: caller_answer.CallerAnswer
+        self, call: inbound.Call, answer: caller_answer.Answer
     ) -> _Result:
+        rules = self._services.rules
         relay = stream_relay.StreamRelay(
-            answer, lambda: self._services.records.started(call)
+            answer,
+            lambda: self._services.records.started(call),
+            rules.terminator,
+            rules.pace_s,
         )
         progress = request_attempts.Progress(call, _pending(call), relay)
         patience_s = call.deadline - self._services.clock.now()
@@ -99,8 +104,7 @@
     async def _until_answered(
         self, progress: request_attempts.Progress
     ) -> _Result:
-        call = progress.call
-        self._services.retries.admitted(call.request_class.name)
+        self._services.retries.admitted(progress.pending)
         while True:
             dispatched = await self._dispatch(progress)
             if isinstance(dispatched, errors.Refusal):
@@ -114,6 +118,9 @@
                 progress.pending, outcome, self._services.clock.now()
             )
             if isinstance(decision, retry_policy.GiveUp):
+                if outcome.answer and not progress.relay.events_relayed:
+                    # The server's own failure tells more than ours would.
+                    return outcome.answer
                 return _final(decision.refusal, progress)
             self._attempts.retried(progress, outcome, dispatched.server)
             await self._services.clock.sleep(decision.delay_s)
@@ -128,6 +135,10 @@
         if not progress.relay.events_relayed:
             progress.pending.tried.add(server)
             return None
+        if self._services.rules.resumes_anywhere:
+            progress.pending.tried.add(server)
+            progress.resume = True
+            return None
         if outcome.reason is reasons.RetryReason.PREEMPTED:
             # Only this server can go on with the part that the caller has.
             progress.pending.only_server = server
@@ -202,15 +213,16 @@
         call.arrived,
         call.deadline,
         model=call.model,
-        service=call.route.service if call.route else "",
+        service=call.service,
         adapter=call.adapter,
         prompt_tokens=call.prompt_tokens if call.model else 0,
         max_output_tokens=call.max_output_tokens,
         body_bytes=len(call.http.body),
         prefix=call.prefix,
         fingerprint=call.fingerprint,
-        resumable=call.stream,
+        resumable=call.resumable,
         idempotent=call.idempotent,
+        attempt_limit=call.attempt_limit,
     )
 
 
--- a/figstream/retry_policy.py
+++ b/figstream/retry_policy.py
@@ -1,12 +1,10 @@
 """Decides whether a failed attempt is repeated, resumed or given up.
 
-A repeat must be safe, in time and within the retry budget of its class. The
-budget is a token bucket filled by admitted requests, so that in a fault the
-repeats stay a small share of the load. Delays are drawn with full jitter
-below an exponential ceiling and end before the caller's deadline.
+A repeat must be safe, in time and within the retry budget. Delays are drawn
+with full jitter below an exponential ceiling and end before the caller's
+deadline.
 """
 
-import collections
 import dataclasses
 import random
 from typing import Final
@@ -14,11 +12,9 @@
 from figstream import attempt_outcome
 from figstream import errors
 from figstream import reasons
+from figstream import retry_budget
 from figstream import scheduler_api
 
-BUDGET_SHARE: Final = 0.1
-BUDGET_BURST: Final = 10.0
-ATTEMPT_LIMIT: Final = 4
 FIRST_CEILING_S: Final = 0.025
 LAST_CEILING_S: Final = 2.0
 
@@ -59,19 +55,18 @@
 
 
 class RetryPolicy:
-    """The retry rules of one daemon and its budgets."""
+    """The retry rules of one daemon."""
 
-    def __init__(self, jitter: random.Random) -> None:
-        """Starts every class with a full budget."""
+    def __init__(
+        self, jitter: random.Random, budget: retry_budget.RetryBudget
+    ) -> None:
+        """Draws delays from the source and repeats from the budget."""
         self._jitter = jitter
-        self._budgets: dict[str, float] = collections.defaultdict(
-            lambda: BUDGET_BURST
-        )
+        self._budget = budget
 
-    def admitted(self, class_name: str) -> None:
-        """Adds a request's share to the retry budget of its class."""
-        budget = self._budgets[class_name] + BUDGET_SHARE
-        self._budgets[class_name] = min(budget, BUDGET_BURST)
+    def admitted(self, request: scheduler_api.PendingRequest) -> None:
+        """Adds a request's share to the retry budget."""
+        self._budget.admitted(request)
 
     def decide(
         self,
@@ -87,12 +82,12 @@
             return _give_up(outcome, _failure(outcome))
         # A preemption is the daemon's own doing and no sign of a fault.
         preempted = outcome.reason is reasons.RetryReason.PREEMPTED
-        if request.attempt >= ATTEMPT_LIMIT and not preempted:
+        if request.attempt >= request.attempt_limit and not preempted:
             return _give_up(outcome, _failure(outcome))
         delay_s = self._delay_s(request, outcome, now)
         if delay_s is None:
             return _give_up(outcome, reasons.RefusalReason.DEADLINE_PASSED)
-        if not preempted and not self._spend(request.request_class.name):
+        if not preempted and not self._budget.spend(request):
             return _give_up(outcome, reasons.RefusalReason.RETRY_BUDGET_SPENT)
         if outcome.events_relayed:
             return Resume(delay_s, outcome.reason)
@@ -114,16 +109,12 @@
         highest_s = min(least_s + ceiling_s, left_s)
         return least_s + (highest_s - least_s) * self._jitter.random()
 
-    def _spend(self, class_name: str) -> bool:
-        if self._budgets[class_name] < 1.0:
-            return False
-        self._budgets[class_name] -= 1.0
-        return True
 
-
-def make_retry_policy() -> RetryPolicy:
-    """Creates the policy that `figstream serve` runs."""
-    return RetryPolicy(random.Random())
+def make_retry_policy(
+    budget: retry_budget.RetryBudget | None = None,
+) -> RetryPolicy:
+    """Creates a policy, with budgets by class unless told otherwise."""
+    return RetryPolicy(random.Random(), budget or retry_budget.ClassBudget())
 
 
 def _failure(outcome: attempt_outcome.Failed) -> reasons.RefusalReason:
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import Final
 from typing import Protocol
 
 import attrs
@@ -17,6 +18,9 @@
 from figstream import errors
 from figstream import request_class as request_class_lib
 
+# Most servers that one call is sent to where its route sets no limit.
+ATTEMPT_LIMIT: Final = 4
+
 
 @attrs.define(eq=False)
 class PendingRequest:
@@ -42,6 +46,8 @@
       tried: names of servers where an attempt failed.
       only_server: the one server that can go on with its stream, or "".
       attempt: number of attempts made so far.
+      attempts_not_run: how many of them surely did not run.
+      attempt_limit: most attempts that may be made.
     """
 
     request_id: str
@@ -63,6 +69,8 @@
     tried: set[str] = attrs.field(factory=set)
     only_server: str = ""
     attempt: int = 0
+    attempts_not_run: int = 0
+    attempt_limit: int = ATTEMPT_LIMIT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/figstream/serialization.py
+++ b/figstream/serialization.py
@@ -27,7 +27,21 @@
       errors.ConfigurationError: the data is not JSON of this class.
     """
     try:
-        return _converter.structure(orjson.loads(data), kind)
+        return from_value(orjson.loads(data), kind)
+    except orjson.JSONDecodeError as error:
+        raise errors.ConfigurationError(
+            f"not a valid {kind.__name__}: {error}; correct the JSON"
+        ) from error
+
+
+def from_value(value: object, kind: type[_T]) -> _T:
+    """Structures decoded JSON as an attrs class.
+
+    Raises:
+      errors.ConfigurationError: the value is none of this class.
+    """
+    try:
+        return _converter.structure(value, kind)
     except (cattrs.BaseValidationError, ValueError, TypeError) as error:
         found = "; ".join(_reasons(error))
         raise errors.ConfigurationError(
--- /dev/null
+++ b/figstream/server_directory.py
@@ -0,0 +1,169 @@
+"""The backend servers that register themselves in the platform's store.
+
+It joins the servers with the configuration in force and hands both to the
+scheduler. A server whose entry says that it drains gets nothing more. One
+whose entry goes away while the store was out of reach stays in use for a
+moment after the store's return, since its entry may have lapsed meanwhile.
+"""
+
+from collections.abc import Callable
+import itertools
+from typing import Final
+
+import anyio
+import attrs
+
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import configuration as configuration_lib
+from figstream import configuration_holder
+from figstream import errors
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import object_follower
+from figstream import platform_api
+from figstream import scheduler_api
+
+# Entries that lapsed during an outage are written again within two seconds
+# of the store's return; the rest is the way of the write and of its event.
+_RETURN_GRACE_S: Final = 2.3
+# The shortest outage in which an entry can lapse (three missed heartbeats).
+_SHORTEST_LAPSE_S: Final = 1.5
+_REMEMBERED_FAULTS: Final = 256
+
+Decode = Callable[[platform_api.StoredItem], backend_server.BackendServer]
+Listener = Callable[[frozenset[str]], None]
+
+
+class ServerDirectory:
+    """The backend servers as the scheduler gets them; a `Role`."""
+
+    def __init__(
+        self,
+        follower: object_follower.ObjectFollower,
+        decode: Decode,
+        holder: configuration_holder.ConfigurationHolder,
+        scheduler: scheduler_api.Scheduler,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Follows entries and configuration from now on."""
+        self._follower = follower
+        self._decode = decode
+        self._holder = holder
+        self._scheduler = scheduler
+        self._clock = clock
+        self._metrics = metrics
+        self._servers: dict[str, backend_server.BackendServer] = {}
+        self._lapsing: dict[str, backend_server.BackendServer] = {}
+        self._faults: dict[str, int] = {}
+        self._listeners: list[Listener] = []
+        self._wake = anyio.Event()
+        follower.subscribe(self._take)
+        holder.subscribe(self._take_configuration)
+
+    @property
+    def servers(self) -> tuple[backend_server.BackendServer, ...]:
+        """Returns the servers in use and those that drain."""
+        return tuple(
+            itertools.chain(self._servers.values(), self._lapsing.values())
+        )
+
+    def subscribe(self, listener: Listener) -> None:
+        """Tells the listener the names of all servers after each change."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Drops entries that did not come back in time; until cancelled."""
+        while True:
+            if not self._lapsing:
+                self._wake = anyio.Event()
+                await self._wake.wait()
+            due_at = self._grace_ends_at()
+            left_s = due_at - self._clock.now()
+            if left_s > 0:
+                await self._clock.sleep(left_s)
+                continue
+            logs.info("servers_lapsed", servers=",".join(sorted(self._lapsing)))
+            self._lapsing.clear()
+            self._tell()
+
+    async def hand_over(self) -> None:
+        """Has nothing to give up."""
+
+    def _take(self, items: object_follower.Items) -> None:
+        before = self._servers
+        decoded = (self._decoded(item) for item in items.values())
+        self._servers = {item.name: item for item in decoded if item}
+        if self._clock.now() < self._grace_ends_at():
+            for name, server in before.items():
+                if name not in self._servers:
+                    self._lapsing[name] = server
+        for name in list(self._lapsing):
+            if name in self._servers:
+                del self._lapsing[name]
+        if self._lapsing:
+            self._wake.set()
+        self._log_difference(before)
+        self._tell()
+
+    def _take_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        self._scheduler.set_configuration(
+            attrs.evolve(configuration, servers=self.servers)
+        )
+
+    def _grace_ends_at(self) -> float:
+        if self._follower.failing:
+            # What was known goes on while the store does not answer.
+            return self._clock.now() + _RETURN_GRACE_S
+        regained_at = self._follower.regained_after(_SHORTEST_LAPSE_S)
+        return regained_at + _RETURN_GRACE_S
+
+    def _decoded(
+        self, item: platform_api.StoredItem
+    ) -> backend_server.BackendServer | None:
+        try:
+            return self._decode(item)
+        except errors.ConfigurationError as error:
+            if self._faults.get(item.name) != item.version:
+                logs.warning(
+                    "server_entry_skipped",
+                    entry=item.name,
+                    version=item.version,
+                    detail=str(error),
+                )
+                self._metrics.event("server_entry_skipped")
+                if len(self._faults) >= _REMEMBERED_FAULTS:
+                    self._faults.clear()
+                self._faults[item.name] = item.version
+            return None
+
+    def _log_difference(
+        self, before: dict[str, backend_server.BackendServer]
+    ) -> None:
+        for name, server in self._servers.items():
+            if before.get(name) != server:
+                logs.info(
+                    "server_known",
+                    server=name,
+                    service=server.service,
+                    zone=server.zone,
+                    state=server.state.value,
+                    reclaimable=server.reclaimable,
+                    position=self._follower.position,
+                )
+        for name in before.keys() - self._servers.keys():
+            logs.info(
+                "server_gone",
+                server=name,
+                lapsing=name in self._lapsing,
+                position=self._follower.position,
+            )
+
+    def _tell(self) -> None:
+        self._take_configuration(self._holder.current)
+        names = frozenset(item.name for item in self.servers)
+        for listener in self._listeners:
+            listener(names)
--- a/figstream/server_health.py
+++ b/figstream/server_health.py
@@ -6,6 +6,7 @@
 """
 
 from typing import Final
+from typing import Protocol
 
 import anyio
 import attrs
@@ -23,6 +24,20 @@
 _PROBE_INTERVAL_S: Final = 0.5
 
 
+class HealthWatch(Protocol):
+    """What the request path tells of the servers it used."""
+
+    def unreachable(self, server: str) -> None:
+        """Takes note that a server takes no connections."""
+
+    async def examine(
+        self,
+        server: backend_server.BackendServer,
+        client: backend_client.BackendClient,
+    ) -> None:
+        """Finds out whether a server whose connection broke has crashed."""
+
+
 @attrs.define
 class _Known:
     """What is known of one server."""
--- a/figstream/serving_parts.py
+++ b/figstream/serving_parts.py
@@ -4,6 +4,7 @@
 
 from figstream import authentication
 from figstream import backend_client
+from figstream import backend_dialect
 from figstream import blame_api
 from figstream import caller_app
 from figstream import claims_api
@@ -46,7 +47,9 @@
     health = server_health.ServerHealth(
         context.scheduler, context.holder, blame, clock, context.metrics
     )
-    backends = backend_client.BackendClient(health.on_load)
+    backends = backend_client.BackendClient(
+        backend_dialect.EngineDialect(), clock, health.on_load
+    )
     authenticator = authentication.Authenticator(
         context.holder, context.options.key_trust_s
     )
--- a/figstream/settings_file.py
+++ b/figstream/settings_file.py
@@ -91,6 +91,14 @@
     return Field(section, key, allowed, seconds(low, high), default)
 
 
+def number_field(
+    section: str, key: str, low: float, high: float, default: float
+) -> Field:
+    """Describes a key that holds a number without a unit."""
+    allowed = f"a number from {low:g} to {high:g}"
+    return Field(section, key, allowed, seconds(low, high), default)
+
+
 def read_text(path: pathlib.Path) -> str:
     """Reads a settings file.
 
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -6,13 +6,12 @@
 """
 
 from collections.abc import Callable
+import re
 import time
 from typing import Final
 
-import httpx
-
 from figstream import asgi
-from figstream import backend_network
+from figstream import backend_connection
 from figstream import backend_transport
 from figstream import caller_answer
 from figstream import engine_protocol
@@ -20,6 +19,7 @@
 
 PACE_S: Final = 0.019
 WHOLE_LIMIT_BYTES: Final = 32_000_000
+_EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
 FirstListener = Callable[[], None]
@@ -33,14 +33,28 @@
     """The relay of one call's answer, over all its attempts."""
 
     def __init__(
-        self, answer: caller_answer.CallerAnswer, on_first: FirstListener
+        self,
+        answer: caller_answer.Answer,
+        on_first: FirstListener,
+        terminator: bytes = engine_protocol.TERMINATOR,
+        pace_s: float = PACE_S,
     ) -> None:
-        """Relays to one caller; the listener hears of the first event."""
+        """Relays to one caller.
+
+        Args:
+          answer: the answer to the caller.
+          on_first: hears of the first event.
+          terminator: what a complete stream ends with, b"" for nothing.
+          pace_s: shortest time between two reads.
+        """
         self._answer = answer
         self._on_first = on_first
+        self._terminator = terminator
+        self._pace_s = pace_s
         self._held = bytearray()
-        self._status = 0
-        self._content_type = b""
+        self._head = backend_connection.Head(0, ())
+        self._ended = False
+        self._last_event_id = b""
         self.monitor = stream_monitor.StreamMonitor(streamed=True)
         self.first_byte_at = 0.0
         self.last_byte_at = 0.0
@@ -50,8 +64,20 @@
         """Returns the events that the caller has."""
         return self.monitor.events
 
+    @property
+    def last_event_id(self) -> bytes:
+        """Returns the id of the last event that the caller has."""
+        return self._last_event_id
+
+    @property
+    def whole(self) -> bool:
+        """Returns whether the caller has the complete stream."""
+        if self._terminator:
+            return self.monitor.whole
+        return self._ended and not self._held
+
     async def relay_events(
-        self, response: httpx.Response, idle_s: float
+        self, answer: backend_transport.Answer, idle_s: float
     ) -> None:
         """Relays a streamed answer until its connection ends it.
 
@@ -59,18 +85,19 @@
           httpcore.ReadTimeout: nothing arrived for the idle timeout.
           httpcore.NetworkError: the connection broke.
         """
-        self._status = response.status_code
-        self._content_type = response.headers.get("content-type", "").encode()
+        self._head = answer.head
         self._held.clear()
-        paced = response.extensions.get(backend_transport.PACED_STREAM)
-        if isinstance(paced, backend_network.PacedStream):
-            paced.start_pacing(PACE_S, idle_s, self.flush)
+        paced = answer.stream
+        if paced:
+            paced.start_pacing(self._pace_s, idle_s, self.flush)
         try:
-            await self._copy(response)
+            async for chunk in answer.body():
+                self._held += chunk
         finally:
-            if isinstance(paced, backend_network.PacedStream):
+            if paced:
                 paced.stop_pacing()
         await self.flush()
+        self._ended = True
 
     async def flush(self) -> None:
         """Passes on the whole events held."""
@@ -83,8 +110,9 @@
         if not self.first_byte_at:
             self.first_byte_at = time.monotonic()
             self._on_first()
-            await self._answer.start(self._status, self._content_type)
+            await self._answer.start(self._head.status, self._head.headers)
         self.last_byte_at = time.monotonic()
+        self._last_event_id = _last_id(ready) or self._last_event_id
         self.monitor.feed(ready)
         await self._answer.write(ready)
 
@@ -92,13 +120,8 @@
         """Ends the caller's answer."""
         await self._answer.end()
 
-    async def _copy(self, response: httpx.Response) -> None:
-        assert isinstance(response.stream, httpx.AsyncByteStream)
-        async for chunk in response.stream:
-            self._held += chunk
-
 
-async def read_whole(response: httpx.Response) -> bytes:
+async def read_whole(answer: backend_transport.Answer) -> bytes:
     """Reads an answer that is not streamed.
 
     Raises:
@@ -108,8 +131,7 @@
     """
     parts: list[bytes] = []
     size = 0
-    assert isinstance(response.stream, httpx.AsyncByteStream)
-    async for chunk in response.stream:
+    async for chunk in answer.body():
         parts.append(chunk)
         size += len(chunk)
         if size > WHOLE_LIMIT_BYTES:
@@ -117,7 +139,12 @@
     return b"".join(parts)
 
 
-def is_event_stream(response: httpx.Response) -> bool:
+def is_event_stream(head: backend_connection.Head) -> bool:
     """Tells whether an answer is a stream of events."""
-    kind: str = response.headers.get("content-type", "")
-    return kind.startswith(asgi.EVENT_STREAM.decode())
+    return (head.get(b"content-type") or b"").startswith(asgi.EVENT_STREAM)
+
+
+def _last_id(events: bytes) -> bytes:
+    """Returns the id of the last event that has one."""
+    found = _EVENT_ID.findall(events)
+    return found[-1] if found else b""
--- a/figstream/usage_parts.py
+++ b/figstream/usage_parts.py
@@ -16,6 +16,10 @@
 LEASE_NAME: Final = "usage"
 
 
+# Roles whose work another daemon takes over; they hand over early.
+DUTY_ROLES: Final = (usage_sealing.UsageSealing, lease.HeldLease)
+
+
 @attrs.frozen
 class UsageParts:
     """The parts that account for usage.
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -16,6 +16,7 @@
 from figstream import attempt_outcome
 from figstream import reasons
 from figstream import request_class
+from figstream import retry_budget
 from figstream import retry_policy
 from figstream import scheduler_api
 
@@ -87,18 +88,20 @@
     ],
     seed: int,
 ) -> None:
-    policy = retry_policy.RetryPolicy(random.Random(seed))
+    policy = retry_policy.RetryPolicy(
+        random.Random(seed), retry_budget.ClassBudget()
+    )
     admitted = dict.fromkeys(("chat", "batch"), 0)
     repeated = dict.fromkeys(("chat", "batch"), 0)
     for name, idempotent, resumable, deadline, attempts in plan:
-        policy.admitted(name)
-        admitted[name] += 1
         request = _request(
             name, idempotent=idempotent, resumable=resumable, deadline=deadline
         )
+        policy.admitted(request)
+        admitted[name] += 1
         repeated[name] += _play(policy, request, attempts)
-        allowed = retry_policy.BUDGET_BURST
-        allowed += retry_policy.BUDGET_SHARE * admitted[name]
+        allowed = retry_budget.BUDGET_BURST
+        allowed += retry_budget.BUDGET_SHARE * admitted[name]
         assert repeated[name] <= allowed
 
 
@@ -125,7 +128,7 @@
         assert not relayed or request.resumable
         assert decision.reason is outcome.reason
         preempted = outcome.reason is _R.PREEMPTED
-        assert preempted or request.attempt < retry_policy.ATTEMPT_LIMIT
+        assert preempted or request.attempt < scheduler_api.ATTEMPT_LIMIT
         repeats += not preempted
         now += decision.delay_s
     return repeats
@@ -148,7 +151,7 @@
     policy = retry_policy.make_retry_policy()
     decisions = [
         policy.decide(_request(), outcome, 1.0)
-        for _ in range(int(retry_policy.BUDGET_BURST) + 1)
+        for _ in range(int(retry_budget.BUDGET_BURST) + 1)
     ]
     last = decisions.pop()
     assert all(isinstance(item, retry_policy.RetryAfter) for item in decisions)
@@ -158,7 +161,7 @@
     assert isinstance(
         policy.decide(other, outcome, 1.0), retry_policy.RetryAfter
     )
-    other.attempt = retry_policy.ATTEMPT_LIMIT
+    other.attempt = scheduler_api.ATTEMPT_LIMIT
     spent = policy.decide(other, outcome, 1.0)
     assert isinstance(spent, retry_policy.GiveUp)
     assert spent.refusal.reason.value == reason
