Tell the store's return at once, and believe peers that kept it

A daemon that the store had turned away watched on with a full wait after the failure, so that its return was told 3.5 s late, at the next change; the grace for lapsed entries then began at the very event that removed a server.

Ruled out: the peers' copy (it arrived in 0.04 s), a lapse of the entry.

Change: the first call after a failure does not wait; a state from a peer says whether the peer kept the store all the while, and then counts at once.

--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -106,6 +106,7 @@
                         kind=known.kind,
                         position=follower.position,
                         items=serialization.to_json(items),
+                        settled=follower.settled,
                     )
                 )
         return feed_pb2.PullAnswer(newer=newer)
@@ -149,7 +150,7 @@
             logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
             return
         items = {item.name: item for item in found.items}
-        if follower.adopt(state.position, items):
+        if follower.adopt(state.position, items, settled=state.settled):
             self._metrics.event("feed_taken_from_peer")
             logs.info(
                 "feed_taken_from_peer",
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -22,6 +22,11 @@
 # change (2 s), the last so that an outage costs two calls a second at most.
 _FIRST_PAUSE_S: Final = 0.1
 _LAST_PAUSE_S: Final = 0.5
+# Entries that lapsed during an outage are written again within two seconds
+# of the store's return; the rest is the way of the write and of its event.
+RETURN_GRACE_S: Final = 2.3
+# The shortest outage in which an entry can lapse (three missed heartbeats).
+_SHORTEST_LAPSE_S: Final = 1.5
 _NEVER: Final = float("-inf")
 
 Items = Mapping[str, platform_api.StoredItem]
@@ -52,6 +57,7 @@
         self._lost_at = _NEVER
         self._regained_at = _NEVER
         self._outage_s = 0.0
+        self._peer_settled = False
 
     @property
     def kind(self) -> str:
@@ -73,19 +79,40 @@
         """Returns whether the store did not answer the last call."""
         return self._failures > 0 or not self._listed
 
-    def regained_after(self, outage_s: float) -> float:
-        """Returns when the store came back after an outage of this length."""
-        return self._regained_at if self._outage_s >= outage_s else _NEVER
+    @property
+    def settles_at(self) -> float:
+        """Returns when entries that lapsed in the last outage are back."""
+        if self._outage_s < _SHORTEST_LAPSE_S:
+            return _NEVER
+        return self._regained_at + RETURN_GRACE_S
+
+    @property
+    def settled(self) -> bool:
+        """Returns whether an object that is missing is surely gone.
+
+        It is when the store, or the peer that told of the objects, has
+        answered all the while or for long enough since it last did not.
+        """
+        if self.failing:
+            return self._peer_settled
+        return self._clock.now() >= self.settles_at
 
     def subscribe(self, listener: Listener) -> None:
         """Calls the listener after each change."""
         self._listeners.append(listener)
 
-    def adopt(self, position: int, items: Items) -> bool:
-        """Takes over a newer state that a peer has; returns whether it is."""
+    def adopt(self, position: int, items: Items, *, settled: bool) -> bool:
+        """Takes over a newer state that a peer has; returns whether it is.
+
+        Args:
+          position: the store's revision that the objects are as of.
+          items: the objects by name.
+          settled: whether the peer was settled; see `settled`.
+        """
         if position <= self._position:
             return False
         self._position = position
+        self._peer_settled = settled
         changed = dict(items) != self._items
         self._items = dict(items)
         if changed:
@@ -111,7 +138,10 @@
         if not self._listed:
             found = await self._feed.snapshot(self._kind)
             return self._take_snapshot(found)
-        changes = await self._feed.changes(self._kind, self._position, WATCH_S)
+        # After a failure the answer must not wait for a change, since it
+        # tells when the store was back.
+        wait_s = 0.0 if self._failures else WATCH_S
+        changes = await self._feed.changes(self._kind, self._position, wait_s)
         if isinstance(changes, platform_api.Unavailable):
             self._failed(changes.detail)
             return False
@@ -181,6 +211,7 @@
         self._outage_s = now - self._lost_at
         self._regained_at = now
         self._failures = 0
+        self._peer_settled = False
         logs.info(
             "feed_regained",
             kind=self._kind,
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -24,12 +24,9 @@
 from figstream import platform_api
 from figstream import scheduler_api
 
-# Entries that lapsed during an outage are written again within two seconds
-# of the store's return; the rest is the way of the write and of its event.
-_RETURN_GRACE_S: Final = 2.3
-# The shortest outage in which an entry can lapse (three missed heartbeats).
-_SHORTEST_LAPSE_S: Final = 1.5
 _REMEMBERED_FAULTS: Final = 256
+# How often to look whether entries that went missing may still come back.
+_LOOK_S: Final = 0.1
 
 Decode = Callable[[platform_api.StoredItem], backend_server.BackendServer]
 Listener = Callable[[frozenset[str]], None]
@@ -79,10 +76,8 @@
             if not self._lapsing:
                 self._wake = anyio.Event()
                 await self._wake.wait()
-            due_at = self._grace_ends_at()
-            left_s = due_at - self._clock.now()
-            if left_s > 0:
-                await self._clock.sleep(left_s)
+            if not self._follower.settled:
+                await self._clock.sleep(_LOOK_S)
                 continue
             logs.info("servers_lapsed", servers=",".join(sorted(self._lapsing)))
             self._lapsing.clear()
@@ -95,7 +90,7 @@
         before = self._servers
         decoded = (self._decoded(item) for item in items.values())
         self._servers = {item.name: item for item in decoded if item}
-        if self._clock.now() < self._grace_ends_at():
+        if not self._follower.settled:
             for name, server in before.items():
                 if name not in self._servers:
                     self._lapsing[name] = server
@@ -114,13 +109,6 @@
             attrs.evolve(configuration, servers=self.servers)
         )
 
-    def _grace_ends_at(self) -> float:
-        if self._follower.failing:
-            # What was known goes on while the store does not answer.
-            return self._clock.now() + _RETURN_GRACE_S
-        regained_at = self._follower.regained_after(_SHORTEST_LAPSE_S)
-        return regained_at + _RETURN_GRACE_S
-
     def _decoded(
         self, item: platform_api.StoredItem
     ) -> backend_server.BackendServer | None:
