--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -123,6 +123,8 @@
             return errors.Refusal(_R.BODY_TOO_LARGE)
         if isinstance(head, errors.Refusal):
             return head
+        if head.size_bytes > limits.header_bytes:
+            return errors.Refusal(_R.HEADERS_TOO_LARGE)
         # The configuration may have changed while the body came in.
         configuration = self._holder.current
         if configuration.generation == 0:
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -7,32 +7,26 @@
 
 from collections.abc import Sequence
 import pathlib
-import random
 import time
 from typing import Final
 
 import anyio
 import attrs
 
-from figstream import api_key
-from figstream import authentication
-from figstream import backend_client
 from figstream import backend_dialect
 from figstream import blame as blame_lib
 from figstream import blame_spread
-from figstream import claims_api
 from figstream import clock as clock_lib
 from figstream import configuration_feed
 from figstream import configuration_holder
 from figstream import daemon_context
-from figstream import dispatch_gate
 from figstream import errors
 from figstream import explain
 from figstream import feed_peers
-from figstream import gateway_app
 from figstream import gateway_dialect
 from figstream import gateway_options
 from figstream import gateway_pages
+from figstream import gateway_serving
 from figstream import http_server
 from figstream import logs
 from figstream import membership
@@ -41,17 +35,11 @@
 from figstream import peer_server
 from figstream import placement
 from figstream import platform_api
-from figstream import reasons
-from figstream import request_attempts
-from figstream import request_path
-from figstream import request_records
 from figstream import retry_budget
-from figstream import retry_policy
 from figstream import role_supervisor
 from figstream import scaling_orders
 from figstream import scheduler as scheduler_lib
 from figstream import server_directory
-from figstream import server_health_passive
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
@@ -65,8 +53,6 @@
 _HAND_OVER_S: Final = 0.6
 _POLL_S: Final = 0.05
 _HEADER_LIMIT_BYTES: Final = 65_536
-# Keys work for as long as the daemon is cut off from the store.
-_KEY_TRUST_S: Final = 86_400.0
 
 
 @attrs.frozen
@@ -100,26 +86,6 @@
     ready_path: str
 
 
-class NoClaims:
-    """Claims nothing: each attempt of a caller has an id of its own."""
-
-    async def claim(
-        self, customer: str, key: str, fingerprint: int
-    ) -> claims_api.ClaimOutcome:
-        """Refuses, since nothing is kept for repeats."""
-        return errors.Refusal(reasons.RefusalReason.CLAIM_UNAVAILABLE)
-
-    async def complete(
-        self, claim: claims_api.Claimed, result: claims_api.StoredResult
-    ) -> bool:
-        """Keeps nothing."""
-        return False
-
-    async def release(self, claim: claims_api.Claimed) -> bool:
-        """Keeps nothing."""
-        return False
-
-
 def make_context(
     options: gateway_options.GatewayOptions,
     platform: GatewayPlatform,
@@ -212,8 +178,15 @@
         self._budget = retry_budget.FleetBudget(
             options.retry_share, options.retry_burst
         )
-        self._gate = dispatch_gate.DispatchGate(context.scheduler, clock)
-        self._app = self._make_app(blame)
+        self._serving = gateway_serving.make_gateway_serving(
+            context,
+            platform.callers,
+            platform.backends,
+            self._budget,
+            blame,
+            self._usage,
+        )
+        self._app = self._serving.app
         pages = gateway_pages.GatewayPages(
             platform.ready_path, lambda: self._app.ready
         )
@@ -241,7 +214,7 @@
                         self.context.clock,
                         self.context.metrics,
                     )
-                group.start_soon(self._gate.run)
+                group.start_soon(self._serving.gate.run)
                 group.start_soon(self._watch_members)
                 for pages in self._pages:
                     group.start_soon(pages.serve)
@@ -256,7 +229,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._peers.stop()
-        await self._backends.close()
+        await self._serving.backends.close()
         logs.info("daemon_stopped", vm=self._options.name)
 
     async def shut_down(self) -> None:
@@ -319,48 +292,6 @@
             self._budget.set_live_daemons(len(self.members.live()))
             await self.context.clock.sleep(1.0)
 
-    def _make_app(self, blame: blame_lib.CrashBlame) -> gateway_app.GatewayApp:
-        context = self.context
-        clock, metrics = context.clock, context.metrics
-        health = server_health_passive.PassiveHealth(
-            context.scheduler, clock, metrics
-        )
-        self._backends = backend_client.BackendClient(
-            self._platform.backends, clock, health.on_load
-        )
-        authenticator = authentication.Authenticator(
-            context.holder, _KEY_TRUST_S, api_key.split_given
-        )
-        records = request_records.RequestRecords(
-            clock, metrics, context.decisions
-        )
-        services = request_attempts.RequestServices(
-            clock,
-            authenticator,
-            self._gate,
-            self._backends,
-            health,
-            retry_policy.RetryPolicy(random.Random(), self._budget),
-            NoClaims(),
-            blame,
-            self._usage,
-            records,
-            request_attempts.PathRules(
-                terminator=b"",
-                pace_s=0.0,
-                resumes_anywhere=True,
-                counts_starts=True,
-            ),
-        )
-        return gateway_app.GatewayApp(
-            self._platform.callers,
-            clock,
-            context.holder,
-            authenticator,
-            request_path.RequestPath(services),
-            records,
-        )
-
     def _serve_at(
         self, app: http_server.Application, host: str, port: int
     ) -> http_server.HttpServer:
--- a/figstream/gateway_dialect.py
+++ b/figstream/gateway_dialect.py
@@ -30,6 +30,7 @@
       wait_s: seconds that the caller will wait, None if not told.
       prompt: what is known of the prompt.
       passed: headers to pass on.
+      size_bytes: size of all headers.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     wait_s: float | None
     prompt: inbound.Prompt
     passed: Headers
+    size_bytes: int
 
 
 class CallerDialect(Protocol):
--- /dev/null
+++ b/figstream/gateway_serving.py
@@ -0,0 +1,113 @@
+"""Builds the parts of a gateway daemon that carry requests."""
+
+import random
+from typing import Final
+
+import attrs
+
+from figstream import api_key
+from figstream import authentication
+from figstream import backend_client
+from figstream import backend_dialect
+from figstream import blame_api
+from figstream import claims_api
+from figstream import daemon_context
+from figstream import dispatch_gate
+from figstream import errors
+from figstream import gateway_app
+from figstream import gateway_dialect
+from figstream import reasons
+from figstream import request_attempts
+from figstream import request_path
+from figstream import request_records
+from figstream import retry_budget
+from figstream import retry_policy
+from figstream import server_health_passive
+from figstream import usage_api
+
+# Keys work for as long as the daemon is cut off from the store.
+_KEY_TRUST_S: Final = 86_400.0
+_RULES: Final = request_attempts.PathRules(
+    terminator=b"",
+    pace_s=0.0,
+    resumes_anywhere=True,
+    counts_starts=True,
+)
+
+
+class NoClaims:
+    """Claims nothing: each attempt of a caller has an id of its own."""
+
+    async def claim(
+        self, customer: str, key: str, fingerprint: int
+    ) -> claims_api.ClaimOutcome:
+        """Refuses, since nothing is kept for repeats."""
+        return errors.Refusal(reasons.RefusalReason.CLAIM_UNAVAILABLE)
+
+    async def complete(
+        self, claim: claims_api.Claimed, result: claims_api.StoredResult
+    ) -> bool:
+        """Keeps nothing."""
+        return False
+
+    async def release(self, claim: claims_api.Claimed) -> bool:
+        """Keeps nothing."""
+        return False
+
+
+@attrs.frozen
+class GatewayServing:
+    """The parts of a gateway daemon that carry requests.
+
+    Attributes:
+      gate: where requests wait for the scheduler.
+      backends: the connections to backend servers.
+      app: the ASGI application for callers.
+    """
+
+    gate: dispatch_gate.DispatchGate
+    backends: backend_client.BackendClient
+    app: gateway_app.GatewayApp
+
+
+def make_gateway_serving(
+    context: daemon_context.DaemonContext,
+    callers: gateway_dialect.CallerDialect,
+    servers: backend_dialect.BackendDialect,
+    budget: retry_budget.RetryBudget,
+    blame: blame_api.BlameTable,
+    usage: usage_api.UsageLedger,
+) -> GatewayServing:
+    """Creates the parts that carry requests; nothing runs yet."""
+    clock, metrics = context.clock, context.metrics
+    gate = dispatch_gate.DispatchGate(context.scheduler, clock)
+    health = server_health_passive.PassiveHealth(
+        context.scheduler, clock, metrics
+    )
+    backends = backend_client.BackendClient(servers, clock, health.on_load)
+    authenticator = authentication.Authenticator(
+        context.holder, _KEY_TRUST_S, api_key.split_given
+    )
+    records = request_records.RequestRecords(clock, metrics, context.decisions)
+    services = request_attempts.RequestServices(
+        clock,
+        authenticator,
+        gate,
+        backends,
+        health,
+        retry_policy.RetryPolicy(random.Random(), budget),
+        NoClaims(),
+        blame,
+        usage,
+        records,
+        _RULES,
+    )
+    app = gateway_app.GatewayApp(
+        callers,
+        clock,
+        context.holder,
+        authenticator,
+        request_path.RequestPath(services),
+        records,
+    )
+    return GatewayServing(gate, backends, app)
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -124,7 +124,9 @@
                     dispatched.server.name,
                     f"{decision.refusal.reason.value} {outcome.detail}",
                 )
-                if outcome.answer and not progress.relay.events_relayed:
+                ran = outcome.run_state is not reasons.RunState.NOT_RUN
+                relayed = progress.relay.events_relayed
+                if outcome.answer and ran and not relayed:
                     # The server's own failure tells more than ours would.
                     return outcome.answer
                 return _final(decision.refusal, progress)
