--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -17,7 +17,6 @@
 from figstream import blame as blame_lib
 from figstream import blame_spread
 from figstream import clock as clock_lib
-from figstream import configuration_feed
 from figstream import configuration_holder
 from figstream import daemon_context
 from figstream import errors
@@ -27,11 +26,11 @@
 from figstream import gateway_options
 from figstream import gateway_pages
 from figstream import gateway_serving
+from figstream import gateway_sources
 from figstream import http_server
 from figstream import logs
 from figstream import membership
 from figstream import metrics as metrics_lib
-from figstream import object_follower
 from figstream import peer_server
 from figstream import placement
 from figstream import platform_api
@@ -39,7 +38,6 @@
 from figstream import role_supervisor
 from figstream import scaling_orders
 from figstream import scheduler as scheduler_lib
-from figstream import server_directory
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
@@ -65,11 +63,7 @@
       scaling: takes the numbers of servers wanted.
       callers: the wire towards callers.
       backends: the wire towards backend servers.
-      configuration_kind: kind of the operator's object.
-      configuration_name: name of the operator's object.
-      servers_kind: kind of the entries of backend servers.
-      decode_configuration: reads the operator's object.
-      decode_server: reads the entry of a backend server.
+      kinds: where operators and backend servers write, and how.
       ready_path: path of the balancer's question.
     """
 
@@ -78,11 +72,7 @@
     scaling: platform_api.ServiceScaling
     callers: gateway_dialect.CallerDialect
     backends: backend_dialect.BackendDialect
-    configuration_kind: str
-    configuration_name: str
-    servers_kind: str
-    decode_configuration: configuration_feed.Decode
-    decode_server: server_directory.Decode
+    kinds: gateway_sources.SourceKinds
     ready_path: str
 
 
@@ -122,33 +112,15 @@
         self.context = context
         self._options = options
         self._platform = platform
-        clock, metrics = context.clock, context.metrics
         self._peers = peer_server.PeerServer(
             options.peers.host, options.peers.port
         )
-        self._manifest = object_follower.ObjectFollower(
-            platform.configuration_kind, platform.feed, clock, metrics
-        )
-        self._entries = object_follower.ObjectFollower(
-            platform.servers_kind, platform.feed, clock, metrics
-        )
-        self._directory = server_directory.ServerDirectory(
-            self._entries,
-            platform.decode_server,
-            context.holder,
-            context.scheduler,
-            clock,
-            metrics,
-        )
-        configuration_feed.ConfigurationFeed(
-            self._manifest,
-            platform.configuration_name,
-            platform.decode_configuration,
-            context.holder,
+        sources = gateway_sources.make_sources(
+            context, platform.feed, platform.kinds
         )
         self.members = membership.make_membership(context, self._peers.address)
         peers = feed_peers.make_feed_peers(
-            context, (self._manifest, self._entries), self.members
+            context, (sources.manifest, sources.entries), self.members
         )
         accounting = usage_parts.make_usage_parts(context, self.members)
         self._usage = usage_totals.UsageTotals(accounting.ledger)
@@ -158,23 +130,7 @@
             accounting.handover,
             self.members,
         )
-        self._roles: Sequence[daemon_context.Role] = (
-            self._manifest,
-            self._entries,
-            self._directory,
-            peers,
-            blame_spread.BlameSpread(blame, self.members.notices, clock),
-            vm_registration.make_registration(context, self._peers.address),
-            *accounting.roles,
-            # One lease for both duties: half the renewals.
-            scaling_orders.make_scaling_orders(
-                context,
-                platform.scaling,
-                accounting.held_lease,
-                self._directory,
-            ),
-            self.members,
-        )
+        self._roles = self._make_roles(sources, peers, accounting, blame)
         self._budget = retry_budget.FleetBudget(
             options.retry_share, options.retry_burst
         )
@@ -292,6 +248,36 @@
             self._budget.set_live_daemons(len(self.members.live()))
             await self.context.clock.sleep(1.0)
 
+    def _make_roles(
+        self,
+        sources: gateway_sources.Sources,
+        peers: feed_peers.FeedPeers,
+        accounting: usage_parts.UsageParts,
+        blame: blame_lib.CrashBlame,
+    ) -> Sequence[daemon_context.Role]:
+        """Returns the background roles; membership hands over last."""
+        context = self.context
+        platform = self._platform
+        return (
+            sources.manifest,
+            sources.entries,
+            sources.directory,
+            peers,
+            blame_spread.BlameSpread(
+                blame, self.members.notices, context.clock
+            ),
+            vm_registration.make_registration(context, self._peers.address),
+            *accounting.roles,
+            # One lease for both duties: half the renewals.
+            scaling_orders.make_scaling_orders(
+                context,
+                platform.scaling,
+                accounting.held_lease,
+                sources.directory,
+            ),
+            self.members,
+        )
+
     def _serve_at(
         self, app: http_server.Application, host: str, port: int
     ) -> http_server.HttpServer:
--- /dev/null
+++ b/figstream/gateway_sources.py
@@ -0,0 +1,73 @@
+"""What a gateway daemon knows of the operator's and the servers' objects."""
+
+import attrs
+
+from figstream import configuration_feed
+from figstream import daemon_context
+from figstream import object_follower
+from figstream import platform_api
+from figstream import server_directory
+
+
+@attrs.frozen
+class SourceKinds:
+    """Where the objects stand in the platform's store and how to read them.
+
+    Attributes:
+      configuration_kind: kind of the operator's object.
+      configuration_name: name of the operator's object.
+      servers_kind: kind of the entries of backend servers.
+      decode_configuration: reads the operator's object.
+      decode_server: reads the entry of a backend server.
+    """
+
+    configuration_kind: str
+    configuration_name: str
+    servers_kind: str
+    decode_configuration: configuration_feed.Decode
+    decode_server: server_directory.Decode
+
+
+@attrs.frozen
+class Sources:
+    """The followers of both kinds, and the servers in use.
+
+    Attributes:
+      manifest: follows the operator's object.
+      entries: follows the entries of backend servers.
+      directory: the backend servers.
+    """
+
+    manifest: object_follower.ObjectFollower
+    entries: object_follower.ObjectFollower
+    directory: server_directory.ServerDirectory
+
+
+def make_sources(
+    context: daemon_context.DaemonContext,
+    feed: platform_api.ObjectFeed,
+    kinds: SourceKinds,
+) -> Sources:
+    """Creates the sources; they bring configuration and servers into force."""
+    clock, metrics = context.clock, context.metrics
+    manifest = object_follower.ObjectFollower(
+        kinds.configuration_kind, feed, clock, metrics
+    )
+    entries = object_follower.ObjectFollower(
+        kinds.servers_kind, feed, clock, metrics
+    )
+    configuration_feed.ConfigurationFeed(
+        manifest,
+        kinds.configuration_name,
+        kinds.decode_configuration,
+        context.holder,
+    )
+    directory = server_directory.ServerDirectory(
+        entries,
+        kinds.decode_server,
+        context.holder,
+        context.scheduler,
+        clock,
+        metrics,
+    )
+    return Sources(manifest, entries, directory)
--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -22,7 +22,7 @@
 _MS_PER_S: Final = 1000
 
 
-class NotAllowedError(httpcore.WriteError):
+class NotAllowedError(httpcore.LocalProtocolError):
     """Raised instead of writing when the lease no longer holds."""
 
 
