Leave within the grace time; seal windows only once their counts can be there

Cause 2: with the holder of the lease frozen, nobody looked (two candidates, both leaving or frozen), and whoever took over sealed the windows due at once, before any daemon had delivered.

Ruled out: lost deltas (usage_counted_too_late shows them arriving 1 s later).

Change: the listener closes when the balancer has noticed, later requests on kept connections get a true 503, roles hand over at once and duties first; four daemons look for a free lease; a new holder waits two intervals before it seals.

Tests: test_sigterm_finishes_what_was_read_and_refuses_truly runs the program as a process; test_a_new_holder_waits_for_deltas_before_it_seals.

--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -28,7 +28,12 @@
 
 
 class GatewayApp:
-    """Serves callers; `application` is the ASGI entry point."""
+    """Serves callers; `application` is the ASGI entry point.
+
+    Attributes:
+      leaving: whether to tell callers to close their connections.
+      refusing: whether new requests are refused.
+    """
 
     def __init__(
         self,
@@ -49,6 +54,7 @@
         self._random = random.Random()
         self._in_flight = 0
         self.leaving = False
+        self.refusing = False
 
     @property
     def ready(self) -> bool:
@@ -86,6 +92,9 @@
             send, self._dialect, caller_id, lambda: self.leaving
         )
         call = await self._check(head, receive, arrived)
+        if self.refusing:
+            # What arrives on a kept connection now might not end in time.
+            call = errors.Refusal(_R.SHUTTING_DOWN, retry_after_s=0.0)
         if isinstance(call, errors.Refusal):
             self._records.refused_unchecked(call, caller_id, "")
             await answer.refuse(call)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -42,14 +42,13 @@
 from figstream import usage_totals
 from figstream import vm_registration
 
-# The platform cuts requests off at the end of the grace time; a sixth of it
-# is what a request in flight may be denied, less the exit itself.
-_IN_FLIGHT_SHARE: Final = 0.88
+# Part of the grace time for which requests in flight go on. Cutting them in
+# its last sixth is allowed; the rest is for handing over and exiting.
+_IN_FLIGHT_SHARE: Final = 0.86
 # The balancer asks once a second and needs two misses; until then new
 # connections arrive and are served.
 _NOTICED_S: Final = 2.6
 _HAND_OVER_S: Final = 0.6
-_POLL_S: Final = 0.05
 _HEADER_LIMIT_BYTES: Final = 65_536
 
 
@@ -147,7 +146,10 @@
             platform.ready_path, lambda: self._app.ready
         )
         self._server = self._serve_at(
-            self._app.application, options.front.host, options.front.port
+            self._app.application,
+            options.front.host,
+            options.front.port,
+            max(0.0, _IN_FLIGHT_SHARE * options.grace_s - _NOTICED_S),
         )
         self._pages = [
             self._serve_at(
@@ -181,6 +183,12 @@
                     start_number=self.context.start_number,
                 )
                 await self._server.serve()
+                logs.info(
+                    "daemon_finishing",
+                    vm=self._options.name,
+                    cut=self._app.in_flight,
+                )
+                await self._hand_over()
                 group.cancel_scope.cancel()
         finally:
             with anyio.CancelScope(shield=True):
@@ -189,9 +197,11 @@
         logs.info("daemon_stopped", vm=self._options.name)
 
     async def shut_down(self) -> None:
-        """Fails readiness, lets requests finish, hands over, and stops."""
-        clock = self.context.clock
-        started = clock.now()
+        """Fails readiness, serves on until that is noticed, then stops.
+
+        Requests in flight may go on for the rest of the grace time; `run`
+        returns when they have ended.
+        """
         self._app.leaving = True
         logs.info(
             "daemon_leaving",
@@ -199,18 +209,14 @@
             in_flight=self._app.in_flight,
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(self._hand_over_duties)
-            await clock.sleep(_NOTICED_S)
-            last_at = started + _IN_FLIGHT_SHARE * self._options.grace_s
-            while self._app.in_flight and clock.now() < last_at:
-                await clock.sleep(_POLL_S)
+            group.start_soon(self._hand_over_early)
+            await self.context.clock.sleep(_NOTICED_S)
         logs.info(
-            "daemon_finishing",
+            "daemon_closing",
             vm=self._options.name,
-            cut=self._app.in_flight,
-            after_s=round(clock.now() - started, 3),
+            in_flight=self._app.in_flight,
         )
-        await self._hand_over()
+        self._app.refusing = True
         self._server.shut_down()
 
     def reload(self, path: pathlib.Path) -> None:
@@ -230,17 +236,22 @@
         ]
         logs.info("settings_read", changed=",".join(changed) or "none")
 
-    async def _hand_over_duties(self) -> None:
-        """Gives up leases early, so that the next holder can settle in."""
-        for role in self._roles:
-            if isinstance(role, usage_parts.DUTY_ROLES):
-                with anyio.move_on_after(_NOTICED_S):
+    async def _hand_over_early(self) -> None:
+        """Gives up duties first, so that the next holder can settle in."""
+        with anyio.move_on_after(_NOTICED_S):
+            for role in self._roles:
+                if isinstance(role, usage_parts.DUTY_ROLES):
                     await role.hand_over()
+            await self.members.hand_over()
 
     async def _hand_over(self) -> None:
+        """Lets the other roles give up what they hold, all at once."""
+        early = (*usage_parts.DUTY_ROLES, membership.Membership)
         with anyio.move_on_after(_HAND_OVER_S):
-            for role in self._roles:
-                await role.hand_over()
+            async with anyio.create_task_group() as group:
+                for role in self._roles:
+                    if not isinstance(role, early):
+                        group.start_soon(role.hand_over)
 
     async def _watch_members(self) -> None:
         """Tells the retry budget how many daemons share it."""
@@ -279,8 +290,12 @@
         )
 
     def _serve_at(
-        self, app: http_server.Application, host: str, port: int
+        self,
+        app: http_server.Application,
+        host: str,
+        port: int,
+        graceful_s: float = 0.0,
     ) -> http_server.HttpServer:
         return http_server.HttpServer(
-            app, host, port, header_limit_bytes=_HEADER_LIMIT_BYTES
+            app, host, port, graceful_s, _HEADER_LIMIT_BYTES
         )
--- a/figstream/lease.py
+++ b/figstream/lease.py
@@ -23,8 +23,11 @@
 # Clocks of two VMs may run this much apart, as a part of the duration.
 DRIFT: Final = 0.05
 _RENEWALS: Final = 3
-_CANDIDATES: Final = 2
-_RUNNER_UP_PATIENCE: Final = 1.5
+# Daemons that look whether the lease is free; several may be leaving,
+# paused or turned away by the platform at once.
+_CANDIDATES: Final = 4
+# Part of the duration by which each of them waits longer than the one before.
+_PATIENCE_STEP: Final = 0.1
 _RESIGN_ATTEMPTS: Final = 3
 _NEVER: Final = float("-inf")
 
@@ -257,7 +260,7 @@
         seen_s = now - self._observed.at
         if not found.record.holder:
             return rank == 0 or seen_s >= self._times.duration_s
-        patience = 1.0 if rank == 0 else _RUNNER_UP_PATIENCE
+        patience = 1.0 + _PATIENCE_STEP * rank
         return seen_s >= found.record.duration_s * (patience + DRIFT)
 
     async def _take(self, found: lease_store.StoredLease | None) -> None:
--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -60,6 +60,7 @@
         self._window_ms = round(window_s * _MS_PER_S)
         self._interval_s = usage_ledger.delta_interval_s(window_s)
         self._epoch = ""
+        self._loaded_ms = 0
         self._drafts: list[usage_window.WindowDraft] = []
         self._in_sealing: usage_window.WindowDraft | None = None
 
@@ -126,6 +127,7 @@
         tail = self._chain.tail
         assert tail is not None
         self._epoch = secrets.token_hex(_EPOCH_BYTES)
+        self._loaded_ms = self._now_ms()
         self._drafts = [self._draft_after(tail.end_ms)]
         self._drafts.append(self._draft_after(self._drafts[0].end_ms))
         return True
@@ -180,8 +182,11 @@
         return await self._chain.mark_reported(window.number)
 
     def _due(self) -> bool:
+        # Deltas need a while to arrive, after a take-over as much as after
+        # the end of a window.
         grace_ms = 2 * self._interval_s * _MS_PER_S
-        return self._now_ms() >= self._drafts[0].end_ms + grace_ms
+        since_ms = max(self._drafts[0].end_ms, self._loaded_ms)
+        return self._now_ms() >= since_ms + grace_ms
 
     def _open_drafts(self) -> Iterable[usage_window.WindowDraft]:
         sealing = [self._in_sealing] if self._in_sealing else []
--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,237 @@
+"""A gateway daemon as a real process before stand-ins of the platform."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+from typing import Any
+
+import anyio
+import attrs
+import httpx
+import pytest
+
+from figstream import http_server
+from figstream_platform import standin_store
+from figstream_platform import standin_worker
+from tests import gateway_front
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_GRACE_S = 4.0
+
+
+@attrs.define
+class _System:
+    store: standin_store.Store
+    worker: standin_worker.Worker
+    process: subprocess.Popen[bytes]
+    front: str
+    readiness: str
+    client: httpx.AsyncClient
+    log: pathlib.Path
+
+    def headers(self, request_id: str, **more: str) -> dict[str, str]:
+        return {
+            "host": gateway_front.HOST,
+            "x-request-id": request_id,
+            "authorization": f"Bearer {gateway_front.KEY}",
+            **more,
+        }
+
+    async def ask(self, route: str, request_id: str) -> httpx.Response:
+        accept = {"accept": "text/event-stream"} if route == "rewrite" else {}
+        return await self.client.post(
+            f"{self.front}/{route}/x",
+            headers=self.headers(request_id, **accept),
+        )
+
+    async def ready(self, status: int = 200) -> None:
+        with anyio.fail_after(10.0):
+            while await self._readiness() != status:
+                await anyio.sleep(0.02)
+
+    async def ended(self) -> int:
+        with anyio.fail_after(_GRACE_S + 2.0):
+            while self.process.poll() is None:
+                await anyio.sleep(0.05)
+        return self.process.returncode
+
+    async def _readiness(self) -> int:
+        try:
+            answer = await self.client.get(self.readiness + "/-/readyz")
+        except httpx.HTTPError:
+            return 0
+        return answer.status_code
+
+
+def _free_ports(count: int) -> list[int]:
+    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [item.getsockname()[1] for item in held]
+    for item in held:
+        item.close()
+    return ports
+
+
+def _settings(ports: list[int], store_port: int) -> str:
+    front, readiness, peers, metrics = ports
+    return (
+        "[vm]\nname = entry-1\nzone = a\nregion = r\naddress = 127.0.0.1\n"
+        f"[gateway]\nfront = 127.0.0.1:{front}\n"
+        f"readiness = 127.0.0.1:{readiness}\nmetrics_port = {metrics}\n"
+        f"grace_s = {_GRACE_S}\n"
+        f"[peers]\npeers = 127.0.0.1:{peers}\nseeds =\n"
+        f"[platform]\nstore = 127.0.0.1:{store_port}\n"
+        f"duties = 127.0.0.1:{store_port}\nwindow_s = 1\nlease_ms = 1000\n"
+    )
+
+
+def _entry(worker: standin_worker.Worker, service: str) -> dict[str, Any]:
+    return {
+        "service": service,
+        "address": f"127.0.0.1:{worker.port}",
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+    }
+
+
+@contextlib.asynccontextmanager
+async def _system(folder: pathlib.Path) -> AsyncIterator[_System]:
+    store = standin_store.Store()
+    worker = standin_worker.Worker("i-1", pause_s=0.05)
+    ports = _free_ports(4)
+    async with anyio.create_task_group() as group:
+        await group.start(worker.serve)
+        async with http_server.serve_app(store.application) as store_port:
+            store.put("config", "main", gateway_front.manifest_value())
+            # The same worker offers both services under one id each.
+            store.put("servers", "i-1", _entry(worker, "render"))
+            boot = folder / "boot.ini"
+            boot.write_text(_settings(ports, store_port))
+            log = folder / "log"
+            with log.open("wb") as sink:
+                process = subprocess.Popen(
+                    [sys.executable, str(_ROOT / "platform/start.py")],
+                    env={**os.environ, "FIGSTREAM_BOOT": str(boot)},
+                    stdout=sink,
+                    cwd=_ROOT,
+                )
+            async with httpx.AsyncClient(timeout=10.0) as client:
+                try:
+                    yield _System(
+                        store,
+                        worker,
+                        process,
+                        f"http://127.0.0.1:{ports[0]}",
+                        f"http://127.0.0.1:{ports[1]}",
+                        client,
+                        log,
+                    )
+                finally:
+                    process.kill()
+                    process.wait(10)
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_a_daemon_serves_counts_and_explains(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with _system(tmp_path) as system:
+        await system.ready()
+        with anyio.fail_after(5.0):
+            while (await system.ask("order", "r1")).status_code != 200:
+                await anyio.sleep(0.05)
+        # Counts begin once the daemon holds the lease of the reports.
+        with anyio.fail_after(10.0):
+            while not system.store.get("figstream-usage", "progress"):
+                await anyio.sleep(0.05)
+        await anyio.sleep(0.1)
+        for number in range(2, 6):
+            await system.ask("order", f"r{number}")
+        counted = 0
+        with anyio.fail_after(20.0):
+            while counted < 4:
+                await anyio.sleep(0.2)
+                reports = [x for x in system.store.duties if x.path == "/usage"]
+                counts = (x.fields["counts"] for x in reports)
+                counted = sum(item.get("studio", 0) for item in counts)
+        assert counted == 4
+        windows = [x.fields["windowId"] for x in reports]
+        assert len(windows) == len(set(windows))
+        log = system.log.read_text()
+        lines = [x for x in log.splitlines() if "request=r2~" in x]
+        assert [x.split("event=")[1].split()[0] for x in lines] == [
+            "queued",
+            "dispatched",
+            "answered",
+        ]
+        assert "server=i-1" in lines[1]
+
+
+@pytest.mark.anyio
+async def test_sigterm_finishes_what_was_read_and_refuses_truly(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Breaks when the listener stays open to the end of the grace time.
+
+    Found by Khazain's hunt (trouble-2, seed 433045789210): a stream taken
+    5.5 s after SIGTERM was cut, and processes outlived their grace time.
+    """
+    async with _system(tmp_path) as system:
+        await system.ready()
+        with anyio.fail_after(5.0):
+            while (await system.ask("order", "r0")).status_code != 200:
+                await anyio.sleep(0.05)
+        system.worker.pause_s = 1.0
+        answers: dict[str, httpx.Response] = {}
+
+        async def ask(request_id: str) -> None:
+            answers[request_id] = await system.ask("order", request_id)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(ask, "in-flight")
+            await anyio.sleep(0.3)
+            system.process.send_signal(signal.SIGTERM)
+            await system.ready(503)
+            group.start_soon(ask, "after")
+        for answer in answers.values():
+            assert answer.status_code == 200
+        assert answers["after"].headers["connection"] == "close"
+        assert await system.ended() == 0
+        with pytest.raises(httpx.ConnectError):
+            await system.ask("order", "late")
+        assert system.store.get("figstream-daemons", "entry-1") is None
+        assert "event=daemon_stopped" in system.log.read_text()
+
+
+@pytest.mark.anyio
+async def test_a_restart_while_the_store_is_down_is_not_ready(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with _system(tmp_path) as system:
+        system.store.faults.down = True
+        await system.ready(503)
+        answer = await system.ask("order", "r1")
+        assert answer.status_code == 503
+        system.store.faults.down = False
+        await system.ready()
+
+
+def test_bad_settings_are_all_named(tmp_path: pathlib.Path) -> None:
+    boot = tmp_path / "boot.ini"
+    boot.write_text("[vm]\nname = x\nzone =\n[gateway]\nfront = nowhere\n")
+    done = subprocess.run(
+        [sys.executable, str(_ROOT / "platform/start.py")],
+        env={**os.environ, "FIGSTREAM_BOOT": str(boot)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert done.returncode == 2
+    for key in ("zone", "front", "readiness", "store"):
+        assert f"] {key}: " in done.stdout
--- a/tests/test_usage_sealing.py
+++ b/tests/test_usage_sealing.py
@@ -398,3 +398,29 @@
     for holder in holders:
         holder.go_on(40)
     world.heal_and_check()
+
+
+def test_a_new_holder_waits_for_deltas_before_it_seals() -> None:
+    """Fails if `_due` looks at the end of the window only.
+
+    Found on both sites' trouble-2: a holder that took over from a frozen one
+    sealed the windows that were due at once, without the counts of any daemon.
+    """
+    world = _World()
+    first = world.holder()
+    _finish(first.step())
+    world.clock.advance(_WINDOW_S * 0.5)
+    world.count()
+    world.clock.advance(_WINDOW_S * 2)
+    second = world.holder()
+    _finish(second.step())
+    world.deliver(second)
+    world.clock.advance(_WINDOW_S)
+    _finish(second.step())
+    bodies = world.platform.usage.booked.values()
+    reports = [
+        serialization.from_json(body, usage_window.UsageReport)
+        for body in bodies
+    ]
+    assert sum(len(report.figures) for report in reports) == 1
+    assert not any(report.carried for report in reports)
