--- a/figstream/logs.py
+++ b/figstream/logs.py
@@ -15,7 +15,7 @@
 from figstream import log_stream
 
 _PLAIN: Final = frozenset(
-    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+"
+    "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.:/@+~"
 )
 _LIBRARIES: Final = ("httpx", "httpcore", "hypercorn", "grpc")
 LEVELS: Final = ("debug", "info", "warning", "error")
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -158,12 +158,12 @@
             detail,
         )
         self._decisions.add(record)
-        logs.info(
-            decision,
-            request=request_id,
-            customer=customer,
-            request_class=request_class,
-            reason=reason,
-            server=server,
-            detail=detail,
-        )
+        fields = {
+            "customer": customer,
+            "request_class": request_class,
+            "reason": reason,
+            "server": server,
+            "detail": detail,
+        }
+        shown = {name: value for name, value in fields.items() if value}
+        logs.info(decision, request=request_id, **shown)
