Place requests by expected delay; a server that is not reached costs no repeat

In a cut zone each request tried up to two unreachable servers and was then refused.

Ruled out: evictions (6.3 M tokens found kept).

Change: a first part has a third of the servers as home, all shared parts one of these; a request goes where running requests and missing tokens together delay it least. Zones of which two servers fail at once are avoided. A connection that was never made spends neither budget nor attempts.

--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -59,12 +59,18 @@
       likely_output_tokens: the caller's guess, 0 if not told.
       shared_part: hash of the last part that other requests share, 0 if
         there is none.
+      shared_tokens: tokens of all shared parts.
+      first_part: hash of the first part, 0 if there is none.
+      first_part_tokens: tokens of the first part.
     """
 
     tokens: int = 0
     max_output_tokens: int = 0
     likely_output_tokens: int = 0
     shared_part: int = 0
+    shared_tokens: int = 0
+    first_part: int = 0
+    first_part_tokens: int = 0
 
 
 @attrs.frozen
@@ -163,6 +169,11 @@
             return self.passed.prompt.shared_part
         return xxhash.xxh3_64_intdigest(self.http.body[:_PREFIX_BYTES])
 
+    @property
+    def prompt(self) -> Prompt:
+        """Returns what the caller tells of its prompt."""
+        return self.passed.prompt if self.passed else Prompt()
+
     @property
     def fingerprint(self) -> int:
         """Returns a hash of the whole request."""
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -1,16 +1,20 @@
 """Chooses servers by the shared parts of prompts, over all zones.
 
-A server keeps the prompt parts that it has read. Every daemon ranks the
-servers for a shared part by the same rendezvous hash, so that requests that
-share it meet at the same server whichever daemon they come in at. A request
-leaves that server only when others are clearly less loaded. Requests without
-a shared part go to the least loaded server, the own zone first.
+A server keeps the prompt parts that it has read, and reading one again costs
+time at that server. Every daemon ranks the servers by the same rendezvous
+hashes: the first part of a prompt has a few servers as its home, and all
+shared parts together have one among these. Requests that share a prompt thus
+meet at the same server whichever daemon they come in at. A request goes where
+the expected delay is least: the requests that run there, and the parts that
+would have to be read.
 """
 
 from collections.abc import Sequence
+import math
 import random
 from typing import Final
 
+import attrs
 import xxhash
 
 from figstream import backend_server
@@ -19,15 +23,34 @@
 from figstream import server_pool
 from figstream import server_selection
 
-# Requests by which the second server for a part must be less loaded than the
-# first, and any other server than both: reading a shared part again costs
-# about as much as a few requests with theirs in memory.
-_SECOND_SLACK: Final = 3.0
-_ANY_SLACK: Final = 8.0
-# Requests that the way to another zone counts as, for requests whose work is
-# short.
+# Delay that each request running at a server adds to a new one, in
+# milliseconds: about a fifth of them are being read, at some 40 ms each.
+_REQUEST_MS: Final = 8.0
+# Delay and price of reading a token again, in milliseconds: engines read
+# about 80 tokens in one, and a part read twice is charged besides.
+_TOKEN_MS: Final = 0.03
+# Part of the servers that are home to one first part.
+_HOME_SHARE: Final = 1 / 3
+_LEAST_HOMES: Final = 2
+# Requests that the way to another zone counts as.
 _OTHER_ZONE: Final = 1.0
+# Servers of another zone that fail at once before all of it is avoided.
+_DOUBTFUL: Final = 2
 _MAX_RANKINGS: Final = 8_192
+_SEED_MASK: Final = 0xFFFF_FFFF_FFFF_FFFF
+
+
+@attrs.frozen
+class _Homes:
+    """Where the parts of a prompt are kept.
+
+    Attributes:
+      first: names of the servers that keep the first part.
+      all: the server that keeps all shared parts.
+    """
+
+    first: frozenset[str]
+    all: str
 
 
 class PrefixPlacement:
@@ -40,10 +63,7 @@
         self._book = book
         self._zone = zone
         self._random = source
-        self._sharers = 1
-        self._rankings: dict[
-            tuple[frozenset[str], int], Sequence[backend_server.BackendServer]
-        ] = {}
+        self._homes: dict[tuple[frozenset[str], int, int], _Homes] = {}
 
     def choose(
         self,
@@ -63,22 +83,15 @@
         usable = self._usable(request, pool, now)
         if not usable:
             return None
-        least = min(usable, key=lambda item: self._cost(item, now))
-        if not request.prefix:
-            return server_selection.Choice(least, "least_loaded")
-        ranked = [
-            item
-            for item in self._ranked(pool, request.prefix)
-            if item in usable
-        ]
-        first, second = ranked[0], ranked[min(1, len(ranked) - 1)]
-        first_load = self._load(first, now)
-        second_load = self._load(second, now)
-        chosen, load, reason = first, first_load, "prefix"
-        if second_load + _SECOND_SLACK < first_load:
-            chosen, load, reason = second, second_load, "prefix_second"
-        if self._load(least, now) + _ANY_SLACK < load:
-            return server_selection.Choice(least, "least_loaded")
+        homes = self._homes_of(pool, request) if request.prefix else None
+
+        def delay_ms(server: backend_server.BackendServer) -> float:
+            missing = _missing_tokens(request, homes, server.name)
+            return self._load(server, now) * _REQUEST_MS + missing * _TOKEN_MS
+
+        chosen = min(usable, key=delay_ms)
+        at_home = homes is not None and chosen.name == homes.all
+        reason = "prefix" if at_home else "least_delay"
         return server_selection.Choice(chosen, reason)
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
@@ -90,45 +103,79 @@
         request: scheduler_api.PendingRequest,
         pool: server_pool.ServerPool,
         now: float,
-    ) -> list[backend_server.BackendServer]:
+    ) -> Sequence[backend_server.BackendServer]:
         servers = [item for group in pool.groups for item in group.servers]
         fresh = [item for item in servers if item.name not in request.tried]
-        open_ = [
-            item
-            for item in fresh
-            if self._book.state(item.name).paused_until <= now
-            and not self._book.state(item.name).reserved_for
-        ]
+        open_ = [item for item in fresh if self._is_open(item, now)]
+        doubtful = self._doubtful_zones(servers, now)
+        sure = [item for item in open_ if item.zone not in doubtful]
         # With every server paused, trying one tells more than waiting.
-        return open_ or fresh or servers
+        return sure or open_ or fresh or servers
+
+    def _is_open(
+        self, server: backend_server.BackendServer, now: float
+    ) -> bool:
+        state = self._book.state(server.name)
+        return state.paused_until <= now and not state.reserved_for
+
+    def _doubtful_zones(
+        self, servers: Sequence[backend_server.BackendServer], now: float
+    ) -> frozenset[str]:
+        """Returns other zones of which several servers fail, as when cut."""
+        failing = [
+            item.zone
+            for item in servers
+            if self._book.state(item.name).paused_until > now
+            and item.zone != self._zone
+        ]
+        return frozenset(
+            zone for zone in failing if failing.count(zone) >= _DOUBTFUL
+        )
 
-    def _ranked(
-        self, pool: server_pool.ServerPool, prefix: int
-    ) -> Sequence[backend_server.BackendServer]:
-        key = pool.names, prefix
-        found = self._rankings.get(key)
+    def _homes_of(
+        self,
+        pool: server_pool.ServerPool,
+        request: scheduler_api.PendingRequest,
+    ) -> _Homes:
+        key = pool.names, request.first_part, request.prefix
+        found = self._homes.get(key)
         if found is None:
-            if len(self._rankings) >= _MAX_RANKINGS:
-                self._rankings.clear()
-            servers = [item for group in pool.groups for item in group.servers]
-            found = self._rankings[key] = sorted(
-                servers, key=lambda item: _weight(item.name, prefix)
+            if len(self._homes) >= _MAX_RANKINGS:
+                self._homes.clear()
+            found = self._homes[key] = _find_homes(
+                pool.names, request.first_part, request.prefix
             )
         return found
 
     def _load(self, server: backend_server.BackendServer, now: float) -> float:
         trust = self._book.trust(server.name, now)
-        return self._book.estimate(server.name, 1, trust)
-
-    def _cost(self, server: backend_server.BackendServer, now: float) -> float:
         way = 0.0 if server.zone == self._zone else _OTHER_ZONE
-        return self._load(server, now) + way + self._random.random()
+        running = self._book.estimate(server.name, 1, trust)
+        return running + way + self._random.random()
+
+
+def _missing_tokens(
+    request: scheduler_api.PendingRequest, homes: _Homes | None, name: str
+) -> int:
+    """Returns the shared tokens that a server would have to read."""
+    if homes is None or name == homes.all:
+        return 0
+    if name in homes.first:
+        return request.shared_tokens - request.first_part_tokens
+    return request.shared_tokens
+
+
+def _find_homes(names: frozenset[str], first: int, prefix: int) -> _Homes:
+    count = max(_LEAST_HOMES, math.ceil(len(names) * _HOME_SHARE))
+    ranked = sorted(names, key=lambda name: _weight(name, first))
+    homes = ranked[:count]
+    return _Homes(
+        frozenset(homes), min(homes, key=lambda name: _weight(name, prefix))
+    )
 
 
-def _weight(server: str, prefix: int) -> int:
-    return xxhash.xxh3_64_intdigest(
-        server.encode(), seed=prefix & 0xFFFFFFFFFFFFFFFF
-    )
+def _weight(server: str, part: int) -> int:
+    return xxhash.xxh3_64_intdigest(server.encode(), seed=part & _SEED_MASK)
 
 
 def make_placement(
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -187,6 +187,8 @@
             if outcome.run_state is reasons.RunState.NOT_RUN:
                 progress.run_state = before
                 progress.pending.attempts_not_run += 1
+            if outcome.reason is reasons.RetryReason.CONNECT_FAILED:
+                progress.pending.attempts_unsent += 1
             await self._examine(outcome, server)
         return outcome
 
--- a/figstream/retry_budget.py
+++ b/figstream/retry_budget.py
@@ -23,6 +23,10 @@
 class RetryBudget(Protocol):
     """Decides whether another repeat may be sent."""
 
+    @property
+    def charges_unsent(self) -> bool:
+        """Returns whether repeats count whose attempt reached no server."""
+
     def admitted(self, request: scheduler_api.PendingRequest) -> None:
         """Takes note of a request's first attempt."""
 
@@ -33,6 +37,8 @@
 class ClassBudget:
     """Budgets of one daemon by request class."""
 
+    charges_unsent: Final = True
+
     def __init__(self) -> None:
         """Starts every class with a full budget."""
         self._left: dict[str, float] = collections.defaultdict(
@@ -61,6 +67,8 @@
     lately, so that a daemon that loses sight of others does not take theirs.
     """
 
+    charges_unsent: Final = False
+
     def __init__(self, share: float, burst: float) -> None:
         """Creates it.
 
--- a/figstream/retry_policy.py
+++ b/figstream/retry_policy.py
@@ -15,6 +15,8 @@
 from figstream import retry_budget
 from figstream import scheduler_api
 
+# Servers that may turn out unreachable before a request is given up.
+UNSENT_LIMIT: Final = 3
 FIRST_CEILING_S: Final = 0.025
 LAST_CEILING_S: Final = 2.0
 
@@ -82,17 +84,35 @@
             return _give_up(outcome, _failure(outcome))
         # A preemption is the daemon's own doing and no sign of a fault.
         preempted = outcome.reason is reasons.RetryReason.PREEMPTED
-        if request.attempt >= request.attempt_limit and not preempted:
+        free = preempted or self._is_free(outcome)
+        if self._attempts_spent(request, outcome) and not preempted:
             return _give_up(outcome, _failure(outcome))
         delay_s = self._delay_s(request, outcome, now)
         if delay_s is None:
             return _give_up(outcome, reasons.RefusalReason.DEADLINE_PASSED)
-        if not preempted and not self._budget.spend(request):
+        if not free and not self._budget.spend(request):
             return _give_up(outcome, reasons.RefusalReason.RETRY_BUDGET_SPENT)
         if outcome.events_relayed:
             return Resume(delay_s, outcome.reason)
         return RetryAfter(delay_s, outcome.reason)
 
+    def _is_free(self, outcome: attempt_outcome.Failed) -> bool:
+        """Tells whether a repeat is no load on any server."""
+        unsent = outcome.reason is reasons.RetryReason.CONNECT_FAILED
+        return unsent and not self._budget.charges_unsent
+
+    def _attempts_spent(
+        self,
+        request: scheduler_api.PendingRequest,
+        outcome: attempt_outcome.Failed,
+    ) -> bool:
+        if self._budget.charges_unsent:
+            return request.attempt >= request.attempt_limit
+        if request.attempts_unsent > UNSENT_LIMIT:
+            return True
+        sent = request.attempt - request.attempts_unsent
+        return sent >= request.attempt_limit and not self._is_free(outcome)
+
     def _delay_s(
         self,
         request: scheduler_api.PendingRequest,
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -39,6 +39,9 @@
       arrived: when it arrived.
       deadline: when the caller's patience ends.
       prefix: hash of the head of the prompt, for prefix affinity.
+      shared_tokens: tokens of that head, 0 if not told.
+      first_part: hash of the first part of the prompt, 0 if not told.
+      first_part_tokens: tokens of the first part.
       fingerprint: hash of the whole request, for crash blame.
       alone: whether it must run with no other request on its server.
       resumable: whether a broken stream can go on at the engine.
@@ -47,6 +50,7 @@
       only_server: the one server that can go on with its stream, or "".
       attempt: number of attempts made so far.
       attempts_not_run: how many of them surely did not run.
+      attempts_unsent: how many of them reached no server at all.
       attempt_limit: most attempts that may be made.
     """
 
@@ -62,6 +66,9 @@
     max_output_tokens: int = 0
     body_bytes: int = 0
     prefix: int = 0
+    shared_tokens: int = 0
+    first_part: int = 0
+    first_part_tokens: int = 0
     fingerprint: int = 0
     alone: bool = False
     resumable: bool = False
@@ -70,6 +77,7 @@
     only_server: str = ""
     attempt: int = 0
     attempts_not_run: int = 0
+    attempts_unsent: int = 0
     attempt_limit: int = ATTEMPT_LIMIT
 
 
