Refuse requests from the third server that they crash

Ruled out: the product's run alone, which reserves a whole server for each request that ran on one that died.

Change: after a connection broke, a refused connection tells a crash from a lost answer; a lenient blame table counts crashes over the daemons and refuses from the third on, unless a whole answer came between.

Tests: four in test_blame.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -21,6 +21,8 @@
 # Bounds of calls beside the requests: closing a run, asking for the load.
 _CANCEL_TIMEOUT_S: Final = 1.0
 _PROBE_TIMEOUT_S: Final = 1.0
+# A request that failed waits this long at most to learn of a crash.
+_LISTENS_S: Final = 0.1
 _R = reasons.RetryReason
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
@@ -110,8 +112,8 @@
         return None
 
     async def listens(self, server: backend_server.BackendServer) -> bool:
-        """Tells whether a server still takes connections."""
-        return await self._transport.reaches(_place(server), _PROBE_TIMEOUT_S)
+        """Tells whether a server still takes connections, or may do so."""
+        return await self._transport.reaches(_place(server), _LISTENS_S)
 
     async def forget_except(self, servers: frozenset[str]) -> None:
         """Closes idle connections to servers that are gone."""
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -127,12 +127,18 @@
         return Answer(self, place, connection, head)
 
     async def reaches(self, place: Place, connect_s: float) -> bool:
-        """Tells whether a server takes new connections."""
+        """Tells whether a server takes connections, or may do so unseen.
+
+        Only a refused connection shows that nothing listens there; one that
+        is not answered may be lost on the way.
+        """
         try:
             stream = await self._network.connect_tcp(
                 place.host, place.port, connect_s
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+        except httpcore.ConnectTimeout:
+            return True
+        except httpcore.ConnectError:
             return False
         await stream.aclose()
         return True
--- a/figstream/blame.py
+++ b/figstream/blame.py
@@ -7,6 +7,10 @@
 within `CORRELATION_S` point to a rack or a zone, and from the third on only
 requests already suspected are blamed.
 
+Where servers restart within seconds and requests are many, running alone costs
+more than a crash. A lenient table lets requests run as usual and refuses one
+from its third crash on without a whole answer between.
+
 Standings spread among daemons as small entries, in `digest` and `merge`. What
 one daemon does not know yet costs at most two servers there, one for the
 crash and one for the run alone.
@@ -35,10 +39,18 @@
     """What is held against a fingerprint."""
 
     CLEARED = "cleared"
+    NOTED = "noted"
     SUSPECT = "suspect"
     REFUSED = "refused"
 
 
+# What a further crash makes of a standing in a lenient table.
+_ESCALATION: Final = {
+    BlameState.NOTED: BlameState.SUSPECT,
+    BlameState.SUSPECT: BlameState.REFUSED,
+}
+
+
 @attrs.frozen
 class BlameEntry:
     """What daemons tell each other about a fingerprint.
@@ -68,6 +80,8 @@
             age_s -= REFUSAL_S
         if self.state is BlameState.CLEARED or age_s >= SUSPICION_S:
             return BlameState.CLEARED
+        if self.state is BlameState.NOTED:
+            return BlameState.NOTED
         return BlameState.SUSPECT
 
 
@@ -77,8 +91,14 @@
     Satisfies `blame_api.BlameTable`.
     """
 
-    def __init__(self) -> None:
-        """Starts with nothing held against any request."""
+    def __init__(self, *, lenient: bool = False) -> None:
+        """Starts with nothing held against any request.
+
+        Args:
+          lenient: whether requests never run alone, and are refused from
+            their third crash on.
+        """
+        self._lenient = lenient
         self._running: dict[str, collections.Counter[int]] = {}
         self._alone: dict[int, str] = {}
         self._standings: collections.OrderedDict[int, _Standing] = (
@@ -90,6 +110,8 @@
     def verdict(self, fingerprint: int, now: float) -> blame_api.Verdict:
         """Tells what to do with a request."""
         state = self._state(fingerprint, now)
+        if self._lenient and state is not BlameState.REFUSED:
+            return blame_api.Verdict.CLEAR
         if state is BlameState.CLEARED:
             return blame_api.Verdict.CLEAR
         if state is BlameState.REFUSED or fingerprint in self._alone:
@@ -101,7 +123,7 @@
         running = self._running.setdefault(server, collections.Counter())
         running[fingerprint] += 1
         suspect = self._state(fingerprint, now) is not BlameState.CLEARED
-        if suspect and running.total() == 1:
+        if suspect and running.total() == 1 and not self._lenient:
             self._alone[fingerprint] = server
 
     def ended(
@@ -116,6 +138,9 @@
             del running[fingerprint]
         if not running:
             del self._running[server]
+        held = self._state(fingerprint, now)
+        if self._lenient and whole and held in _ESCALATION:
+            self._find(fingerprint, BlameState.CLEARED, now)
         if self._alone.get(fingerprint) != server:
             return
         del self._alone[fingerprint]
@@ -128,6 +153,9 @@
         correlated = self._is_correlated(server, now)
         for fingerprint in running:
             state = self._state(fingerprint, now)
+            if self._lenient:
+                self._escalate(fingerprint, state, correlated, now)
+                continue
             alone = self._alone.get(fingerprint) == server
             if alone:
                 del self._alone[fingerprint]
@@ -165,11 +193,26 @@
             if held is None or self._outweighs(entry, since, held, now):
                 self._set(entry.fingerprint, entry.state, since)
 
+    def _escalate(
+        self,
+        fingerprint: int,
+        state: BlameState,
+        correlated: bool,
+        now: float,
+    ) -> None:
+        if state is BlameState.CLEARED:
+            if not correlated:
+                self._find(fingerprint, BlameState.NOTED, now)
+        elif state in _ESCALATION:
+            self._find(fingerprint, _ESCALATION[state], now)
+
     def _outweighs(
         self, entry: BlameEntry, since: float, held: _Standing, now: float
     ) -> bool:
         if entry.state is held.state:
             return False
+        if entry.state is BlameState.NOTED:
+            return held.at(now) is BlameState.CLEARED and since > held.since
         if held.at(now) is BlameState.REFUSED:
             return False
         return entry.state is BlameState.REFUSED or since > held.since
@@ -199,6 +242,6 @@
         return len(self._crashes) > CORRELATED_SERVERS
 
 
-def make_crash_blame() -> CrashBlame:
-    """Creates the blame table of a daemon."""
-    return CrashBlame()
+def make_crash_blame(*, lenient: bool = False) -> CrashBlame:
+    """Creates the blame table of a daemon; see `CrashBlame`."""
+    return CrashBlame(lenient=lenient)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -123,7 +123,7 @@
         )
         accounting = usage_parts.make_usage_parts(context, self.members)
         self._usage = usage_totals.UsageTotals(accounting.ledger)
-        blame = blame_lib.make_crash_blame()
+        blame = blame_lib.make_crash_blame(lenient=True)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             peers,
             accounting.handover,
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -82,7 +82,7 @@
     clock, metrics = context.clock, context.metrics
     gate = dispatch_gate.DispatchGate(context.scheduler, clock)
     health = server_health_passive.PassiveHealth(
-        context.scheduler, clock, metrics
+        context.scheduler, blame, clock, metrics
     )
     backends = backend_client.BackendClient(servers, clock, health.on_load)
     authenticator = authentication.Authenticator(
--- a/figstream/server_health_passive.py
+++ b/figstream/server_health_passive.py
@@ -1,12 +1,14 @@
 """Finds unusable servers from outcomes alone, without probes.
 
 Where probes are priced, or pass while requests fail, the load book's pauses
-after failures do the work; this class only tells the scheduler the loads that
-answers report.
+after failures do the work. This class tells the scheduler the loads that
+answers report, and blame of servers that crashed: those where nothing listens
+after a connection broke.
 """
 
 from figstream import backend_client
 from figstream import backend_server
+from figstream import blame_api
 from figstream import clock as clock_lib
 from figstream import engine_protocol
 from figstream import logs
@@ -20,11 +22,13 @@
     def __init__(
         self,
         scheduler: scheduler_api.Scheduler,
+        blame: blame_api.BlameTable,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
-        """Reports to the scheduler."""
+        """Reports to the scheduler and the blame table."""
         self._scheduler = scheduler
+        self._blame = blame
         self._clock = clock
         self._metrics = metrics
 
@@ -46,6 +50,12 @@
         server: backend_server.BackendServer,
         client: backend_client.BackendClient,
     ) -> None:
-        """Takes note that a connection broke; the load book pauses it."""
-        logs.warning("server_connection_lost", server=server.name)
+        """Finds out whether a server whose connection broke has crashed."""
+        listens = await client.listens(server)
+        logs.warning(
+            "server_connection_lost", server=server.name, listens=listens
+        )
         self._metrics.event("server_connection_lost")
+        if not listens:
+            self._metrics.event("server_crashed")
+            self._blame.crashed(server.name, self._clock.now())
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -168,7 +168,7 @@
         callers.PlatformCallers(),
         workers_lib.WorkerDialect(),
         retry_budget.FleetBudget(0.2, budget),
-        blame.make_crash_blame(),
+        blame.make_crash_blame(lenient=True),
         usage,
     )
     async with anyio.create_task_group() as group:
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -190,3 +190,53 @@
         spreads[0].tell()
     verdicts = {tables[1].verdict(item, 100.0) for item in suspects}
     assert verdicts == {_V.ALONE}
+
+
+def _crash(table: blame.CrashBlame, server: str, now: float) -> None:
+    """Lets a request run beside an innocent one on a server that dies."""
+    table.started(_GUILTY, server, now)
+    table.started(hash(server), server, now)
+    table.crashed(server, now)
+
+
+def test_a_lenient_table_refuses_from_the_third_crash_on() -> None:
+    """Breaks when an earlier crash refuses, or makes a request run alone."""
+    table = blame.make_crash_blame(lenient=True)
+    for number in range(3):
+        assert table.verdict(_GUILTY, number * 10.0) is _V.CLEAR
+        _crash(table, f"s{number}", number * 10.0)
+    assert table.verdict(_GUILTY, 30.0) is _V.REFUSE
+    assert table.verdict(hash("s0"), 30.0) is _V.CLEAR
+
+
+def test_a_lenient_table_counts_crashes_over_daemons() -> None:
+    tables = [blame.make_crash_blame(lenient=True) for _ in range(3)]
+    for number, table in enumerate(tables):
+        now = number * 10.0
+        _crash(table, f"s{number}", now)
+        entries = table.digest(now)
+        for other in tables:
+            if other is not table:
+                other.merge(entries, now)
+    assert all(x.verdict(_GUILTY, 30.0) is _V.REFUSE for x in tables)
+
+
+def test_a_whole_answer_clears_a_lenient_standing() -> None:
+    table = blame.make_crash_blame(lenient=True)
+    for number in range(2):
+        _crash(table, f"s{number}", number * 10.0)
+    table.started(_GUILTY, "s3", 20.0)
+    table.ended(_GUILTY, "s3", 21.0, whole=True)
+    for number in range(2):
+        _crash(table, f"s{number}", 30.0 + number * 10.0)
+    assert table.verdict(_GUILTY, 50.0) is _V.CLEAR
+
+
+def test_many_crashes_at_once_note_nobody_new_in_a_lenient_table() -> None:
+    table = blame.make_crash_blame(lenient=True)
+    for server in ("s0", "s1", "s2", "s3"):
+        table.started(1, server, 0.0)
+        table.crashed(server, 0.0)
+    table.started(2, "s4", 0.0)
+    table.crashed("s4", 0.0)
+    assert not [x for x in _whole_digest(table, 0.0) if x.fingerprint == 2]
