--- /dev/null
+++ b/tests/test_platform_wire.py
@@ -0,0 +1,156 @@
+"""What the adapter reads from the platform: entries, manifests, headers."""
+
+import json
+import pathlib
+from typing import Any
+
+import pytest
+
+from figstream import backend_server
+from figstream import errors
+from figstream import gateway_dialect
+from figstream import platform_api
+from figstream_platform import callers
+from figstream_platform import manifest
+from figstream_platform import workers
+from tests import gateway_front
+
+_ENTRIES = json.loads(
+    (
+        pathlib.Path(__file__).parent.parent / "test-data/server_entries.json"
+    ).read_text()
+)
+
+
+@pytest.mark.parametrize("case", _ENTRIES, ids=lambda item: item["case"])
+def test_entries_of_other_writers_name_no_server(case: dict[str, Any]) -> None:
+    item = platform_api.StoredItem("i-1", 3, case["value"])
+    if not case["usable"]:
+        with pytest.raises(errors.ConfigurationError):
+            workers.decode_entry(item)
+        return
+    server = workers.decode_entry(item)
+    assert (server.name, server.url) == ("i-1", "http://10.0.0.9:8080")
+    draining = case["value"]["state"] == "draining"
+    assert (server.state is backend_server.ServerState.DRAINING) == draining
+
+
+def test_a_manifest_becomes_routes_of_three_kinds() -> None:
+    found = gateway_front.decoded()
+    routes = {route.name: route for route in found.gateway_routes}
+    assert found.generation == 7
+    assert routes["status"].idempotent
+    assert not routes["order"].idempotent
+    assert routes["rewrite"].idempotent
+    assert routes["rewrite"].resumable
+    assert not routes["caption"].idempotent
+    assert routes["caption"].streamed
+    assert routes["rewrite"].attempt_limit == 2
+    assert routes["rewrite"].timeout_s == 2.0
+
+
+def test_the_longest_prefix_of_the_host_is_the_route() -> None:
+    value = gateway_front.manifest_value()
+    base = value["routes"][0]
+    value["routes"] = [
+        {**base, "name": "short", "pathPrefix": "/a/"},
+        {**base, "name": "long", "pathPrefix": "/a/b/"},
+        {**base, "name": "root", "host": "other.example", "pathPrefix": "/"},
+    ]
+    table = manifest.decode(
+        platform_api.StoredItem("main", 1, value)
+    ).gateway_table
+
+    def name(host: str, path: str) -> str | None:
+        found = table.find(host, path)
+        return found.name if found else None
+
+    assert name("caps.example", "/a/x") == "short"
+    assert name("CAPS.example:80", "/a/b/") == "long"
+    assert name("caps.example", "/a/b") == "short"
+    assert name("caps.example", "/a") is None
+    assert name("caps.example", "/") is None
+    assert name("other.example", "/a/b/c") == "root"
+    assert name("none.example", "/a/") is None
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        None,
+        [],
+        {},
+        {"version": 1},
+        {"version": "x", "routes": [], "services": []},
+        {"version": 1, "routes": [{}], "services": []},
+        {"version": 1, "routes": [], "services": [{"name": 1, "scaling": 2}]},
+    ],
+)
+def test_an_unreadable_manifest_is_an_error_not_a_crash(value: Any) -> None:
+    with pytest.raises(errors.ConfigurationError):
+        manifest.decode(platform_api.StoredItem("main", 1, value))
+
+
+def test_a_customers_tier_goes_before_its_routes() -> None:
+    found = gateway_front.decoded(
+        tenants=[{"name": "studio", "apiKeys": ["k"], "priority": 0}]
+    )
+    assert found.gateway_tiers == {"studio": 0}
+    assert not gateway_front.decoded().gateway_tiers
+
+
+def _read(**headers: str) -> Any:
+    listed = [(b"host", b"h"), (b"x-request-id", b"r")]
+    listed += [
+        (name.replace("_", "-").encode(), value.encode())
+        for name, value in headers.items()
+    ]
+    scope = {
+        "headers": listed,
+        "method": "POST",
+        "raw_path": b"/a%2Fb/",
+        "query_string": b"",
+    }
+    return callers.PlatformCallers().read(scope)
+
+
+def test_a_prompt_is_known_by_its_shared_parts() -> None:
+    head = _read(
+        x_token_count="1460,80",
+        x_prefix_hash="5c1e07a2:800, 91bd3f06:410,e4402b7d:250",
+    )
+    assert isinstance(head, gateway_dialect.CallerHead)
+    prompt = head.prompt
+    assert (prompt.tokens, prompt.max_output_tokens) == (1460, 80)
+    assert prompt.shared_tokens == 1210
+    assert (prompt.first_part, prompt.first_part_tokens) == (0x5C1E07A2, 800)
+    assert prompt.shared_part == 0x91BD3F06
+    assert head.path == "/a%2Fb/"
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"x_token_count": "many", "x_prefix_hash": "zz:1,yy:2"},
+        {"x_token_count": "", "x_prefix_hash": ""},
+        {"x_token_count": "-5,nan", "x_prefix_hash": "1,2,3"},
+        {"x_deadline_ms": "soon"},
+    ],
+)
+def test_hints_that_cannot_be_read_are_left_out(
+    headers: dict[str, str],
+) -> None:
+    head = _read(**headers)
+    assert isinstance(head, gateway_dialect.CallerHead)
+    assert head.prompt.tokens == 0
+    assert head.wait_s is None
+
+
+def test_headers_named_by_connection_are_not_passed_but_the_id_is() -> None:
+    head = _read(connection="x-a, x-request-id", x_a="1", x_b="2")
+    assert isinstance(head, gateway_dialect.CallerHead)
+    names = [name for name, _ in head.passed]
+    assert b"x-a" not in names
+    assert b"connection" not in names
+    assert b"x-b" in names
+    assert b"x-request-id" in names
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,86 @@
+"""The retry budget holds over all daemons, whoever joins, dies or is cut."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from figstream import request_class
+from figstream import retry_budget
+from figstream import scheduler_api
+
+_RATIO, _EXTRA, _WINDOW = 0.2, 58.0, 10.0
+_MOST = 12
+
+
+def _request() -> scheduler_api.PendingRequest:
+    return scheduler_api.PendingRequest(
+        "r", "c", request_class.RequestClass("k"), 0.0, 9.0, service="s"
+    )
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["load", "storm", "storm", "restart", "cut", "wait"]),
+        st.integers(0, _MOST - 1),
+        st.integers(1, 40),
+    ),
+    min_size=5,
+    max_size=60,
+)
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(st.integers(3, _MOST), _STEPS)
+def test_repeats_of_the_fleet_stay_within_the_bound_in_every_window(
+    daemons: int, steps: list[tuple[str, int, int]]
+) -> None:
+    """Breaks when each daemon has the whole burst, or a full one at a start.
+
+    At most two restarts fall into a window, as when machines are lost and
+    come back; a daemon that is cut off sees itself alone.
+    """
+
+    def fresh() -> retry_budget.FleetBudget:
+        made = retry_budget.FleetBudget(_RATIO, _EXTRA)
+        made.set_live_daemons(daemons)
+        return made
+
+    budgets = [fresh() for _ in range(daemons)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    restarts: list[float] = []
+    now = 0.0
+    for kind, which, amount in steps:
+        budget = budgets[which % daemons]
+        if kind == "wait":
+            now += amount / 8.0
+        elif kind == "cut":
+            budget.set_live_daemons(1)
+        elif kind == "restart":
+            recent = [at for at in restarts if now - at < 2 * _WINDOW]
+            if len(recent) < 2:
+                restarts.append(now)
+                budgets[which % daemons] = fresh()
+        elif kind == "load":
+            for _ in range(amount):
+                budget.admitted(_request())
+                requests.append(now)
+        else:
+            for _ in range(amount):
+                if budget.spend(_request()):
+                    repeats.append(now)
+    for start in repeats:
+        inside = sum(start <= at < start + _WINDOW for at in repeats)
+        windows = (start, start - _WINDOW / 2, start - _WINDOW)
+        counted = max(
+            sum(begin <= at < begin + _WINDOW for at in requests)
+            for begin in windows
+        )
+        assert inside <= _RATIO * counted + _EXTRA
+
+
+def test_a_daemon_that_loses_sight_of_the_others_keeps_its_part() -> None:
+    budget = retry_budget.FleetBudget(_RATIO, _EXTRA)
+    budget.set_live_daemons(9)
+    burst = budget.burst
+    budget.set_live_daemons(1)
+    assert budget.burst == burst
