--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -200,7 +200,11 @@
         self._affinity.remember(request.prefix, server.name)
         self._admission.mix.dispatched(queue.target, queue.request_class.tier)
         self._preemption.dispatched()
-        self._decided(scheduler_api.Dispatched(request, server, choice.reason))
+        self._decided(
+            scheduler_api.Dispatched(
+                request, server, choice.reason, choice.inputs
+            )
+        )
 
     def _preempt(self, target: request_target.Target, now: float) -> None:
         """Cancels lower-tier work if a higher tier would come too late."""
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -180,6 +180,9 @@
             stream=route.streamed,
             max_output_tokens=head.prompt.max_output_tokens,
             passed=inbound.PassedCall(
-                route, route.choose(self._random), head.prompt
+                route,
+                route.choose(self._random),
+                head.prompt,
+                self._holder.current.generation,
             ),
         )
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -81,11 +81,13 @@
       route: the route it came in on.
       service: the service chosen among the route's.
       prompt: what is known of the prompt.
+      generation: generation of the configuration that chose the route.
     """
 
     route: gateway_route.GatewayRoute
     service: str
     prompt: Prompt = Prompt()
+    generation: int = 0
 
 
 @attrs.frozen
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -85,14 +85,21 @@
             return None
         homes = self._homes_of(pool, request) if request.prefix else None
 
-        def delay_ms(server: backend_server.BackendServer) -> float:
-            missing = _missing_tokens(request, homes, server.name)
-            return self._load(server, now) * _REQUEST_MS + missing * _TOKEN_MS
-
-        chosen = min(usable, key=delay_ms)
+        delays_ms = [
+            self._load(item, now) * _REQUEST_MS
+            + _missing_tokens(request, homes, item.name) * _TOKEN_MS
+            for item in usable
+        ]
+        least_ms = min(delays_ms)
+        chosen = usable[delays_ms.index(least_ms)]
         at_home = homes is not None and chosen.name == homes.all
         reason = "prefix" if at_home else "least_delay"
-        return server_selection.Choice(chosen, reason)
+        age_s = now - self._book.state(chosen.name).measured_at
+        inputs = (
+            f"delay_ms={least_ms:.0f} load_age_s={min(age_s, 99):.1f} "
+            f"usable={len(usable)}/{len(pool.names)}"
+        )
+        return server_selection.Choice(chosen, reason, inputs)
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
         """Returns how many slots of a pool this daemon may count on."""
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -45,7 +45,11 @@
 
     def queued(self, call: inbound.Call, queue_length: int) -> None:
         """Records that a request waits for dispatch."""
-        self._of_call(call, "queued", "", "", f"ahead={queue_length}")
+        generation = call.passed.generation if call.passed else 0
+        detail = f"ahead={queue_length} left_s={self._left_s(call):.3f}"
+        if generation:
+            detail += f" generation={generation}"
+        self._of_call(call, "queued", "", "", detail)
 
     def dispatched(
         self, call: inbound.Call, decision: scheduler_api.Dispatched
@@ -59,7 +63,8 @@
             "dispatched",
             decision.reason,
             decision.server.name,
-            f"waited_s={waited_s:.3f} attempt={decision.request.attempt}",
+            f"waited_s={waited_s:.3f} attempt={decision.request.attempt} "
+            f"{decision.inputs}".rstrip(),
         )
 
     def retried(
@@ -119,6 +124,9 @@
         self._metrics.event("caller_gone")
         self._of_call(call, "caller_gone", "", "", "")
 
+    def _left_s(self, call: inbound.Call) -> float:
+        return call.deadline - self._clock.now()
+
     def _of_call(
         self,
         call: inbound.Call,
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -83,11 +83,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatched:
-    """The request goes to this backend server now."""
+    """The request goes to this backend server now.
+
+    Attributes:
+      request: the request.
+      server: where it goes.
+      reason: a word that says why.
+      inputs: what decided it, as key=value pairs for the log.
+    """
 
     request: PendingRequest
     server: backend_server.BackendServer
     reason: str
+    inputs: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -44,10 +44,11 @@
 
 @attrs.frozen
 class Choice:
-    """A backend server and a word that says why."""
+    """A backend server, a word that says why, and what decided it."""
 
     server: backend_server.BackendServer
     reason: str
+    inputs: str = ""
 
 
 class ServerSelection(Protocol):
