--- a/figstream/admission.py
+++ b/figstream/admission.py
@@ -15,9 +15,13 @@
 from figstream import wait_estimate
 from figstream import waiting_queues
 
+# Part of the usual service time without which a request is hopeless.
 _HOPELESS_SHARE: Final = 0.7
+# The same for one that is likely to come too late.
 _LIKELY_SHARE: Final = 1.3
+# Seconds to find a free slot; a few polls of the dispatcher.
 _GRACE_S: Final = 0.25
+# Seconds; below it a retry meets the same queue.
 _MIN_RETRY_AFTER_S: Final = 0.1
 
 
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -20,6 +20,7 @@
 
 # Bounds of calls beside the requests: closing a run, asking for the load.
 _CANCEL_TIMEOUT_S: Final = 1.0
+# Seconds; twice the interval between probes.
 _PROBE_TIMEOUT_S: Final = 1.0
 # A request that failed waits this long at most to learn of a crash.
 _LISTENS_S: Final = 0.1
--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -18,6 +18,7 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Bytes taken from the kernel at once; its usual receive buffer.
 _READ_BYTES: Final = 65_536
 # The longest answer head; h11's own default is a quarter of it.
 _HEAD_BYTES: Final = 65_536
--- a/figstream/backend_network.py
+++ b/figstream/backend_network.py
@@ -24,8 +24,11 @@
 
 BeforeRead = Callable[[], Awaitable[None]]
 
+# Gap between reads, in paces, from which data never comes two to a read.
 _SPARSE_PACES: Final = 1.5
+# Seconds; many connections then wake in one turn of the event loop.
 _GRID_S: Final = 0.003
+# Bytes taken from the kernel at once; its usual receive buffer.
 _READ_BYTES: Final = 65_536
 
 
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -21,6 +21,7 @@
 # and, where it must not be lost, clocks that run at different speeds too.
 _REPEATABLE_SHARE: Final = 0.8
 _ONCE_SHARE: Final = 0.5
+# Connections; as many as the slots of a large server.
 _IDLE_PER_SERVER: Final = 64
 # Unacknowledged data after which the kernel gives a connection up: two lost
 # retransmissions, a part of the time that callers wait.
--- a/figstream/blame.py
+++ b/figstream/blame.py
@@ -26,12 +26,19 @@
 
 from figstream import blame_api
 
+# Seconds; longer than any caller goes on repeating a request.
 SUSPICION_S: Final = 600.0
+# Seconds; long enough to repair the engine, then it is tried again.
 REFUSAL_S: Final = 600.0
+# Seconds within which a rack or a zone goes down as one.
 CORRELATION_S: Final = 2.0
+# Servers that one request can crash in that time through retries.
 CORRELATED_SERVERS: Final = 2
+# Standings kept; at 100 bytes each half a megabyte.
 ENTRY_LIMIT: Final = 4096
+# Entries that fit into one notice.
 DIGEST_LIMIT: Final = 12
+# Digits of an age in seconds: milliseconds.
 _AGE_DIGITS: Final = 3
 
 
--- a/figstream/blame_spread.py
+++ b/figstream/blame_spread.py
@@ -16,7 +16,9 @@
 from figstream import notices as notices_lib
 from figstream import serialization
 
+# Seconds; below the time in which a caller repeats a request.
 TELL_INTERVAL_S: Final = 0.1
+# Seconds in which a notice has reached every live daemon.
 _NOTICE_TTL_S: Final = 60.0
 _KIND: Final = "blame"
 
--- a/figstream/capacity_policy.py
+++ b/figstream/capacity_policy.py
@@ -18,16 +18,25 @@
 
 from figstream import demand as demand_lib
 
+# Slots of a server that says nothing else.
 SLOTS: Final = 16
+# Slots for each request at once, so that a burst finds room.
 HEADROOM: Final = 1.25
 # Spare room that must remain when a server is given back.
 SPARE: Final = 1.5
+# Seconds; ten times the start of a server.
 IDLE_S: Final = 300.0
+# Seconds for the last server of a model.
 LAST_IDLE_S: Final = 900.0
+# Servers of a zone; twice the plan.
 MAX_SERVERS: Final = 200
+# Starts in a round; the rest waits for their effect.
 MAX_STARTS: Final = 4
+# Starts of the cheaper kind in a round.
 _MAX_GAINS: Final = 8
+# Seconds of the first wait after a refusal; doubled with each.
 _FIRST_DELAY_S: Final = 5.0
+# Seconds of the longest wait.
 _MAX_DELAY_S: Final = 300.0
 
 
--- a/figstream/claim_group_commit.py
+++ b/figstream/claim_group_commit.py
@@ -20,12 +20,19 @@
 from figstream import clock as clock_lib
 from figstream import platform_api
 
+# Claims in one write.
 BATCH_LIMIT: Final = 256
+# Writes before a claim is given up.
 COMMIT_ATTEMPTS: Final = 8
+# Seconds for which a page read is taken as current.
 CACHE_S: Final = 1.0
+# Claims that may wait in a daemon.
 PENDING_LIMIT: Final = 1_000
+# Answers that may wait in a daemon.
 PENDING_RESULTS_LIMIT: Final = 200
+# Seconds; several round trips to the platform.
 _FIRST_BACKOFF_S: Final = 0.05
+# Seconds of the longest wait between writes.
 _LAST_BACKOFF_S: Final = 2.0
 
 
--- a/figstream/claim_journal.py
+++ b/figstream/claim_journal.py
@@ -25,7 +25,9 @@
 from figstream import platform_api
 from figstream import reasons
 
+# Seconds; a lost write has landed by then.
 RETRY_AFTER_S: Final = 1.0
+# Seconds between looks whether all is written.
 _HAND_OVER_POLL_S: Final = 0.02
 
 
--- a/figstream/claim_record.py
+++ b/figstream/claim_record.py
@@ -17,14 +17,20 @@
 from figstream import claims_api
 from figstream import serialization
 
+# Pages; one for each few claims a second.
 RANGE_COUNT: Final = 2048
+# Seconds; callers repeat for less.
 RETENTION_S: Final = 6 * 3600
 # New claims stop at the first limit and answers lose their bodies at the
 # second, so that the answers of every open claim still fit a megabyte.
 CLAIM_LIMIT_BYTES: Final = 500_000
+# Bytes; as base64 it fits into an object.
 ANSWER_LIMIT_BYTES: Final = 700_000
+# Bytes; longer answers get an object of their own.
 INLINE_RESULT_BYTES: Final = 512
+# Bytes; the platform takes a megabyte.
 RESULT_LIMIT_BYTES: Final = 900_000
+# Characters.
 _CONTENT_TYPE_LIMIT: Final = 100
 
 
--- a/figstream/class_queue.py
+++ b/figstream/class_queue.py
@@ -17,7 +17,9 @@
 from figstream import request_target
 from figstream import scheduler_api
 
+# Stale heap entries for each waiting customer before a rebuild.
 _CLAIMS_PER_LINE: Final = 4
+# Heap entries below which a rebuild is not worth it.
 _MIN_CLAIMS: Final = 64
 
 _Requests = collections.OrderedDict[str, scheduler_api.PendingRequest]
--- a/figstream/configuration_copy.py
+++ b/figstream/configuration_copy.py
@@ -14,6 +14,7 @@
 from figstream import logs
 from figstream import metrics as metrics_lib
 
+# Generations whose age is known.
 _GENERATIONS_REMEMBERED: Final = 64
 
 
--- a/figstream/configuration_peer.py
+++ b/figstream/configuration_peer.py
@@ -15,7 +15,9 @@
 from figstream.rpc import configuration_pb2
 from figstream.rpc import configuration_pb2_grpc
 
+# Seconds; a heartbeat.
 ANNOUNCE_TIMEOUT_S: Final = 1.0
+# Seconds for a whole configuration of a megabyte.
 _PULL_TIMEOUT_S: Final = 5.0
 
 Status = configuration_pb2.GenerationStatus
--- a/figstream/configuration_peers.py
+++ b/figstream/configuration_peers.py
@@ -16,7 +16,9 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 
+# Trees; those of the last few changes.
 _TREES_REMEMBERED: Final = 64
+# Peers asked before the platform is.
 _PEERS_TRIED: Final = 3
 _NEVER: Final = float("-inf")
 
--- a/figstream/configuration_shards.py
+++ b/figstream/configuration_shards.py
@@ -25,8 +25,11 @@
 from figstream import route as route_lib
 from figstream import serialization
 
+# Bytes; a change of one item rewrites so much.
 SHARD_TARGET_BYTES: Final = 16_000
+# Shards of a configuration; sixteen megabytes.
 _MAX_PARTS: Final = 1024
+# Hexadecimal digits; 128 bits.
 _DIGEST_CHARS: Final = 32
 
 
--- a/figstream/configuration_spread.py
+++ b/figstream/configuration_spread.py
@@ -28,8 +28,11 @@
 from figstream.rpc import configuration_pb2
 from figstream.rpc import configuration_pb2_grpc
 
+# Announcements that may wait.
 _INBOX_LIMIT: Final = 256
+# Announcements handled at the same time.
 _HANDLED_AT_ONCE: Final = 16
+# Looks at peers that are compared.
 _CHECKS_REMEMBERED: Final = 2
 _REMOVAL_ROLE: Final = "configuration_removal"
 
--- a/figstream/configuration_store.py
+++ b/figstream/configuration_store.py
@@ -30,9 +30,13 @@
 PREFIX: Final = "configuration/"
 ROOT: Final = PREFIX + "root"
 SHARDS: Final = PREFIX + "shards/"
+# Reads and writes before a change is given up.
 _ATTEMPTS: Final = 6
+# Seconds; several round trips to the platform.
 _FIRST_DELAY_S: Final = 0.05
+# Change ids kept; a repeat comes sooner.
 _ACCEPTED_KEPT: Final = 64
+# Reads at once; a fraction of the platform's rate.
 _PARALLEL_READS: Final = 16
 
 Change = Callable[
--- a/figstream/configuration_tree.py
+++ b/figstream/configuration_tree.py
@@ -10,7 +10,9 @@
 
 from figstream import membership_api
 
+# Daemons; one may be down.
 WATCHERS_PER_ZONE: Final = 2
+# Four levels reach 340 daemons.
 FAN_OUT: Final = 4
 ROLE: Final = "configuration"
 
--- a/figstream/cost_estimate.py
+++ b/figstream/cost_estimate.py
@@ -9,10 +9,15 @@
 
 from figstream import scheduler_api
 
+# Unit of cost.
 PROMPT_TOKEN_COST: Final = 1.0
+# Decoding a token takes a slot about twice as long as reading one.
 OUTPUT_TOKEN_COST: Final = 2.0
+# Tokens taken for a class that was never seen.
 _DEFAULT_OUTPUT_TOKENS: Final = 128.0
+# Weight of the newest answer; ten answers make most of the mean.
 _SMOOTHING: Final = 0.1
+# Means kept: customers times classes times models in use.
 _MAX_ENTRIES: Final = 8192
 
 _Key = tuple[str, str, str]
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -30,7 +30,9 @@
 from figstream import usage_parts
 from figstream import usage_totals
 
+# Heads up to this many limits get an answer that names the limit.
 _HEADER_HEADROOM: Final = 2
+# Seconds; two platform timeouts for each role that writes.
 _HAND_OVER_LIMIT_S: Final = 10.0
 
 
--- a/figstream/deadline_watch.py
+++ b/figstream/deadline_watch.py
@@ -8,6 +8,7 @@
 
 from figstream import scheduler_api
 
+# Entries below which a rebuild is not worth it.
 _MIN_KEPT: Final = 1024
 
 _Entry = tuple[float, int, scheduler_api.PendingRequest]
--- a/figstream/demand.py
+++ b/figstream/demand.py
@@ -18,13 +18,21 @@
 from figstream.rpc import demand_pb2
 
 KIND: Final = "demand"
+# Seconds; two refreshes.
 _TTL_S: Final = 90.0
+# Seconds between notices of an unchanged demand.
 _REFRESH_S: Final = 45.0
+# Seconds between notices; bounds their rate.
 _SHORTEST_S: Final = 10.0
+# Seconds between looks at the demand.
 _LOOK_S: Final = 2.0
+# Part by which demand must change to be told.
 _CHANGE: Final = 0.25
+# Requests below which a change is not told.
 _SMALL: Final = 4
+# Items that fit into one notice.
 _MAX_ITEMS: Final = 24
+# Daemons of a zone whose demand is kept.
 _MAX_DAEMONS: Final = 512
 
 
--- a/figstream/dispatch_gate.py
+++ b/figstream/dispatch_gate.py
@@ -17,6 +17,7 @@
 from figstream import errors
 from figstream import scheduler_api
 
+# Seconds; bounds the polls of a scheduler that asks for one at once.
 _MIN_POLL_INTERVAL_S: Final = 0.005
 
 Verdict = scheduler_api.Dispatched | errors.Refusal
--- a/figstream/dispatch_order.py
+++ b/figstream/dispatch_order.py
@@ -15,9 +15,13 @@
 
 from figstream import class_queue
 
+# Seconds; below the least deadline of interactive classes.
 _STARVATION_LIMIT_S: Final = 8.0
+# Daemons that together keep the limit without stretching it.
 _DAEMONS_PER_LIMIT: Final = 8
+# Turns that a class may save up; more would be a burst.
 _MAX_SAVED_TURNS: Final = 2.0
+# Seconds without waiting after which a class waits anew.
 _IDLE_S: Final = 2.0
 
 
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -27,10 +27,15 @@
 from figstream import server_selection
 from figstream import waiting_queues
 
+# Seconds until a full target is tried again by itself.
 _BLOCKED_S: Final = 0.5
+# The same for classes with a first-token target.
 _URGENT_BLOCKED_S: Final = 0.1
+# Part of the allowed wait from which lower tiers are preempted.
 _URGENT_SHARE: Final = 0.5
+# Part of the dispatches up to which a class counts on engines.
 _MOST_URGENT: Final = 0.5
+# Clock seconds before any other.
 _LONG_AGO: Final = -1e9
 
 
--- a/figstream/explain.py
+++ b/figstream/explain.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+# Records; about two megabytes.
 DEFAULT_CAPACITY: Final = 4096
 # Stands between the caller's id and what makes the request's id unique.
 CALLER_ID_END: Final = "~"
--- a/figstream/fair_share.py
+++ b/figstream/fair_share.py
@@ -10,6 +10,7 @@
 import heapq
 from typing import Final
 
+# Customers without requests whose use is remembered.
 _MAX_IDLE_COUNTERS: Final = 2048
 
 
--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -27,7 +27,9 @@
 
 # A quarter of the bound in which a change must be in force (2 s).
 _ASK_S: Final = 0.5
+# Seconds; a call to a live peer takes milliseconds.
 _CALL_TIMEOUT_S: Final = 0.5
+# One may be in the same outage.
 _PEERS_ASKED: Final = 2
 
 
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -48,7 +48,9 @@
 # The balancer asks once a second and needs two misses; until then new
 # connections arrive and are served.
 _NOTICED_S: Final = 2.6
+# Seconds; what the grace time leaves after the requests.
 _HAND_OVER_S: Final = 0.6
+# Bytes; heads over the operator's limit get an answer up to this.
 _HEADER_LIMIT_BYTES: Final = 65_536
 
 
--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -16,12 +16,17 @@
 import hypercorn.asyncio
 import hypercorn.config
 
+# Connections that may wait while the event loop is busy.
 _BACKLOG: Final = 1024
 # Lets idle connections close by themselves when `serve` is cancelled.
 _CUT_TIMEOUT_S: Final = 0.05
+# Seconds; longer than balancers and callers keep idle connections.
 _KEEP_ALIVE_S: Final = 75.0
+# Without effect; hypercorn closes after a thousand otherwise.
 _REQUESTS_PER_CONNECTION: Final = 1_000_000
+# Seconds; hypercorn's own default.
 GRACEFUL_TIMEOUT_S: Final = 3.0
+# Bytes; hypercorn's own default.
 HEADER_LIMIT_BYTES: Final = 65_536
 
 # Any ASGI application; callers type its scope and channels as they need.
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -31,8 +31,11 @@
 ID_HEADER: Final = "x-request-id"
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
 
+# Bytes; a system prompt of about 500 tokens.
 _PREFIX_BYTES: Final = 2_048
+# Bytes of a token in common languages.
 _BYTES_PER_TOKEN: Final = 4
+# Characters; longer ids would fill log lines.
 _MAX_ID_CHARS: Final = 128
 _R = reasons.RefusalReason
 
--- a/figstream/lease.py
+++ b/figstream/lease.py
@@ -22,6 +22,7 @@
 
 # Clocks of two VMs may run this much apart, as a part of the duration.
 DRIFT: Final = 0.05
+# Renewals in a duration: two may be lost.
 _RENEWALS: Final = 3
 # Daemons that look whether the lease is free; several may be leaving,
 # paused or turned away by the platform at once.
@@ -30,6 +31,7 @@
 _LOOKS_PER_RENEWAL: Final = 2
 # Part of the duration by which each of them waits longer than the one before.
 _PATIENCE_STEP: Final = 0.1
+# Writes before the lease is left to lapse.
 _RESIGN_ATTEMPTS: Final = 3
 _NEVER: Final = float("-inf")
 
--- a/figstream/lease_store.py
+++ b/figstream/lease_store.py
@@ -15,6 +15,7 @@
 from figstream import serialization
 
 PREFIX: Final = "leases/"
+# Reads before the fate of a write is left open.
 _READ_ATTEMPTS: Final = 3
 
 
--- a/figstream/leaving_servers.py
+++ b/figstream/leaving_servers.py
@@ -16,11 +16,17 @@
 from figstream.rpc import leaving_pb2
 
 KIND: Final = "leaving"
+# Seconds; a third of the time that a notice lasts.
 REPEAT_S: Final = 15.0
+# Seconds that a notice lasts.
 _TTL_S: Final = 45.0
+# Bytes of names in one notice.
 _NAMES_BYTES: Final = 800
+# Characters of a name.
 _NAME_LIMIT: Final = 120
+# Names kept.
 _MAX_NAMES: Final = 4096
+# Seconds between looks at names that lapse.
 _LOOK_S: Final = 5.0
 
 
--- a/figstream/load_client.py
+++ b/figstream/load_client.py
@@ -18,6 +18,7 @@
 from figstream import engine_protocol
 from figstream import inbound
 
+# Seconds; longer than any class's deadline.
 _CLIENT_TIMEOUT_S: Final = 120.0
 _LOST_CODE: Final = "connection_lost"
 
--- a/figstream/log_stream.py
+++ b/figstream/log_stream.py
@@ -12,6 +12,7 @@
 
 # Lines a second and lines at once: a few for each request of a busy daemon.
 _LINES_PER_S: Final = 400.0
+# Lines at once: five seconds of them.
 _BURST_LINES: Final = 2_000.0
 
 
--- a/figstream/member_table.py
+++ b/figstream/member_table.py
@@ -19,8 +19,11 @@
 
 from figstream import membership_api
 
+# Parts of the table that are compared on their own.
 BUCKETS: Final = 16
+# Entries; five times the fleet that is planned for.
 MAX_ENTRIES: Final = 2048
+# Seconds in which the news of a death reaches everybody.
 _DEAD_KEPT_S: Final = 120.0
 _MASK_64: Final = 0xFFFFFFFFFFFFFFFF
 
--- a/figstream/member_zones.py
+++ b/figstream/member_zones.py
@@ -11,6 +11,7 @@
 
 import xxhash
 
+# Zones; eight times those that are planned for.
 MAX_ZONES: Final = 64
 
 
--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -25,7 +25,9 @@
 from figstream import notices as notices_lib
 from figstream import rendezvous
 
+# Heartbeats in which a started daemon hears of the others.
 _GRACE_BEATS: Final = 3.0
+# Seconds; several times the delay of news.
 _FAREWELL_S: Final = 0.5
 
 
--- a/figstream/membership_channels.py
+++ b/figstream/membership_channels.py
@@ -10,8 +10,10 @@
 
 from figstream import clock as clock_lib
 
+# Channels; more than the fleet that is planned for.
 MAX_CHANNELS: Final = 1024
 _IDLE_S: Final = 30
+# Seconds after which a channel that nobody asked for is closed.
 _UNUSED_S: Final = 600.0
 _OPTIONS: Final = (
     ("grpc.client_idle_timeout_ms", _IDLE_S * 1000),
--- a/figstream/membership_discovery.py
+++ b/figstream/membership_discovery.py
@@ -20,10 +20,14 @@
 from figstream import platform_api
 from figstream import rendezvous
 
+# Daemons; one may be down.
 READERS_PER_ZONE: Final = 2
+# Seconds; the list lags by as much.
 READ_INTERVAL_S: Final = 5.0
 _ROLE: Final = "vm-list"
+# Candidates contacted at once.
 _CONTACTS: Final = 3
+# Heartbeats that a contact may take.
 _CONTACT_S: Final = 3.0
 
 
--- a/figstream/membership_heartbeat.py
+++ b/figstream/membership_heartbeat.py
@@ -23,11 +23,17 @@
 from figstream import notices as notices_lib
 from figstream.rpc import membership_pb2
 
+# Entries in a heartbeat; about 8 KB.
 MAX_NEWS: Final = 128
+# Notices in a heartbeat; at most 32 KB.
 MAX_NOTICES: Final = 32
+# Notices that wait for one neighbour.
 MAX_NOTICES_WAITING: Final = 256
+# Seconds in which news is gathered into one heartbeat.
 NEWS_DELAY_S: Final = 0.1
+# Heartbeats; news under way makes tables differ for one or two.
 _MISMATCHES_BEFORE_ASKING: Final = 3
+# Seconds; bounds the whole buckets that are sent.
 _ASK_INTERVAL_S: Final = 5.0
 
 _T = TypeVar("_T")
--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -16,12 +16,18 @@
 
 # Multiples of the interval between heartbeats.
 SILENT_BEATS: Final = 3.0
+# Heartbeats that may be lost before a daemon is suspected.
 SUSPICION_BEATS: Final = 3.0
+# Heartbeats for which a suspicion waits for a second witness.
 _HELD_BEATS: Final = 2.5
+# Heartbeats of silence from a whole zone.
 _UNREACHABLE_BEATS: Final = 5.0
+# Heartbeats that this daemon itself missed while paused.
 _PAUSED_BEATS: Final = 2.0
 
+# Seconds; bounds the wait for daemons with long heartbeats.
 _MAX_SUSPICION_INTERVAL_S: Final = 120.0
+# Seconds; a partition between regions lasts an hour.
 _MAX_HELD_S: Final = 6 * 3600.0
 
 
--- a/figstream/membership_streams.py
+++ b/figstream/membership_streams.py
@@ -22,8 +22,11 @@
 from figstream.rpc import membership_pb2
 from figstream.rpc import membership_pb2_grpc
 
+# Streams; ten times the neighbours of a daemon.
 MAX_ACCEPTED: Final = 64
+# Heartbeats of silence after which a stream is opened anew.
 _SILENT_BEATS: Final = 5.0
+# Heartbeats between tries to reach a neighbour.
 _MAX_RETRY_BEATS: Final = 4.0
 
 # What grpc.aio raises on a stream that has ended.
--- a/figstream/notices.py
+++ b/figstream/notices.py
@@ -16,11 +16,17 @@
 from figstream import clock as clock_lib
 from figstream import metrics as metrics_lib
 
+# Bytes; a heartbeat holds 32 of them.
 MAX_PAYLOAD_BYTES: Final = 1024
+# Seconds; notices that must last longer are repeated.
 MAX_TTL_S: Final = 120.0
+# Notices kept for daemons that join.
 MAX_KEPT: Final = 256
+# Ids kept, so that a notice is passed on once.
 MAX_SEEN: Final = 8192
+# Notices a second of one daemon.
 PUBLISHED_PER_S: Final = 10.0
+# Notices at once of one daemon.
 PUBLISHED_BURST: Final = 64.0
 
 Callback = Callable[[bytes], None]
--- a/figstream/operator_client.py
+++ b/figstream/operator_client.py
@@ -19,6 +19,7 @@
 from figstream.rpc import operator_pb2
 from figstream.rpc import operator_pb2_grpc
 
+# Seconds; longer than the longest wait for zones.
 _TIMEOUT_S: Final = 40.0
 
 
--- a/figstream/operator_explain.py
+++ b/figstream/operator_explain.py
@@ -16,9 +16,13 @@
 from figstream.rpc import operator_pb2
 from figstream.rpc import operator_pb2_grpc
 
+# Records; a screen.
 _DEFAULT_LATEST: Final = 20
+# Records in one answer.
 _MAX_LATEST: Final = 1000
+# Seconds; a peer answers in milliseconds.
 _PEER_TIMEOUT_S: Final = 2.0
+# Peers asked at once.
 _PARALLEL_CALLS: Final = 32
 
 
--- a/figstream/operator_server.py
+++ b/figstream/operator_server.py
@@ -15,6 +15,7 @@
 from figstream import options as options_lib
 from figstream.rpc import operator_pb2_grpc
 
+# Seconds for calls under way at the end.
 _STOP_GRACE_S: Final = 2.0
 
 
--- a/figstream/operator_service.py
+++ b/figstream/operator_service.py
@@ -26,7 +26,9 @@
 from figstream.rpc import operator_pb2
 from figstream.rpc import operator_pb2_grpc
 
+# Seconds; a change is in force everywhere by then.
 _DEFAULT_WAIT_S: Final = 5.0
+# Seconds that a caller may ask for.
 _MAX_WAIT_S: Final = 30.0
 
 
--- a/figstream/operator_status.py
+++ b/figstream/operator_status.py
@@ -10,6 +10,7 @@
 from figstream import membership_api
 from figstream.rpc import operator_pb2
 
+# Seconds between looks at the zones.
 _POLL_S: Final = 0.1
 
 UnreachableZones = Callable[[], Iterable[str]]
--- a/figstream/peer_server.py
+++ b/figstream/peer_server.py
@@ -11,7 +11,9 @@
 
 from figstream import daemon_context
 
+# Seconds; calls between daemons take milliseconds.
 _STOP_GRACE_S: Final = 1.0
+# Bytes; a configuration of the size that is planned for.
 _MAX_MESSAGE_BYTES: Final = 16_000_000
 _OPTIONS: Final = (
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -31,11 +31,13 @@
 _TOKEN_MS: Final = 0.02
 # Part of the servers that are home to one first part.
 _HOME_SHARE: Final = 1 / 3
+# One home may be down.
 _LEAST_HOMES: Final = 2
 # Requests that the way to another zone counts as.
 _OTHER_ZONE: Final = 1.0
 # Servers of another zone that fail at once before all of it is avoided.
 _DOUBTFUL: Final = 2
+# Prompts whose homes are kept; about 200 bytes each.
 _MAX_RANKINGS: Final = 8_192
 _SEED_MASK: Final = 0xFFFF_FFFF_FFFF_FFFF
 
--- a/figstream/platform_faults.py
+++ b/figstream/platform_faults.py
@@ -20,6 +20,7 @@
 from figstream import platform_api
 
 _T = TypeVar("_T")
+# Seconds of calls that a rate limit lets through at once.
 _BURST_S: Final = 1.0
 
 
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -23,7 +23,9 @@
 from figstream import serialization
 
 _T = TypeVar("_T")
+# Seconds; longer than the interval of any regular call.
 _KEEP_ALIVE_S: Final = 30.0
+# Connections; more than the roles of a daemon make calls at once.
 _MAX_CONNECTIONS: Final = 64
 # Unacknowledged data after which the kernel gives a connection up; a watch
 # waits much longer for its answer.
--- a/figstream/preemption.py
+++ b/figstream/preemption.py
@@ -12,8 +12,11 @@
 from figstream import running_requests
 from figstream import server_pool
 
+# Preemptions for each dispatch; what they waste stays below it.
 _BUDGET_SHARE: Final = 0.03
+# Preemptions at once.
 _BUDGET_BURST: Final = 4.0
+# Times that one request is preempted.
 _MAX_ATTEMPTS: Final = 2
 
 
--- a/figstream/prefix_affinity.py
+++ b/figstream/prefix_affinity.py
@@ -7,6 +7,7 @@
 import collections
 from typing import Final
 
+# Prefixes kept; about two megabytes.
 _MAX_PREFIXES: Final = 16384
 
 
--- a/figstream/retry_budget.py
+++ b/figstream/retry_budget.py
@@ -14,6 +14,7 @@
 # One repeat for ten requests; small enough that a fault which fails every
 # request adds a tenth to the load.
 BUDGET_SHARE: Final = 0.1
+# Repeats at once, enough to hide the crash of one server.
 BUDGET_BURST: Final = 10.0
 # Part of the fleet's bound that daemons may use together: the rest covers
 # daemons that restart with a full burst and views of the fleet that lag.
--- a/figstream/retry_policy.py
+++ b/figstream/retry_policy.py
@@ -17,7 +17,9 @@
 
 # Servers that may turn out unreachable before a request is given up.
 UNSENT_LIMIT: Final = 3
+# Seconds; a few round trips between zones.
 FIRST_CEILING_S: Final = 0.025
+# Seconds; a server restarts in about that time.
 LAST_CEILING_S: Final = 2.0
 
 _REFUSALS: Final = {
--- a/figstream/role_supervisor.py
+++ b/figstream/role_supervisor.py
@@ -13,6 +13,7 @@
 from figstream import logs
 from figstream import metrics as metrics_lib
 
+# Seconds; bounds the log lines of a role that fails at once.
 RESTART_S: Final = 1.0
 
 
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -35,9 +35,13 @@
 from figstream import waiting_queues
 from figstream import waiting_room
 
+# Seconds; a part of the least first-token target.
 _BUSY_POLL_S: Final = 0.05
+# Seconds; nothing waits.
 _IDLE_POLL_S: Final = 1.0
+# Seconds; a server that restarts is back in about that time.
 _NO_SERVER_RETRY_S: Final = 2.0
+# Tokens; shorter answers say nothing of a pace.
 _MIN_PACE_TOKENS: Final = 4
 
 _Result = scheduler_api.AttemptResult
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -24,6 +24,7 @@
 from figstream import platform_api
 from figstream import scheduler_api
 
+# Entries; each is logged once for each version.
 _REMEMBERED_FAULTS: Final = 256
 # How often to look whether entries that went missing may still come back.
 _LOOK_S: Final = 0.1
--- a/figstream/server_health.py
+++ b/figstream/server_health.py
@@ -21,6 +21,7 @@
 from figstream import metrics as metrics_lib
 from figstream import scheduler_api
 
+# Seconds; a server is used again within it of its return.
 _PROBE_INTERVAL_S: Final = 0.5
 
 
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -15,12 +15,19 @@
 
 from figstream import scheduler_api
 
+# Changes kept; reports lag by fewer.
 _HISTORY: Final = 64
+# Seconds; several times a usual answer.
 _REPORT_LIFETIME_S: Final = 10.0
+# Seconds in which most running requests are replaced by others.
 _TURNOVER_S: Final = 2.0
+# Weight of the newest report in the mean.
 _MEAN_SMOOTHING: Final = 0.2
+# Seconds; a full server has a free slot by then.
 _REFUSED_PAUSE_S: Final = 0.25
+# Seconds of the first pause; doubled with each failure in a row.
 _FAILED_PAUSE_S: Final = 0.5
+# Seconds; a server that is back is found again by then.
 _MAX_PAUSE_S: Final = 30.0
 
 
--- a/figstream/server_ordering.py
+++ b/figstream/server_ordering.py
@@ -29,9 +29,13 @@
 from figstream import platform_api
 from figstream import server_registration
 
+# Seconds; a part of the start of a server.
 ROUND_S: Final = 2.0
+# Seconds by which the list of servers lags at most.
 _LISTED_WITHIN_S: Final = 120.0
+# Seconds; news of a drain has reached all by then.
 _SHORTEST_DRAIN_S: Final = 5.0
+# Seconds; the longest stream.
 _LONGEST_DRAIN_S: Final = 600.0
 
 _Kind = platform_api.OrderKind
--- a/figstream/server_registration.py
+++ b/figstream/server_registration.py
@@ -19,6 +19,7 @@
 from figstream import logs
 from figstream import platform_api
 
+# Writes against other daemons' changes.
 _ATTEMPTS: Final = 3
 
 _State = backend_server.ServerState
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -27,18 +27,31 @@
 from figstream import server_pool
 from figstream import slot_plan
 
+# Load up to which a daemon goes beyond its part.
 BORROW_BELOW: Final = 0.9
+# Load up to which other zones are used.
 SPILL_BELOW: Final = 0.9
+# Trust in a report, 0 to 1, that sending to another zone needs.
 _SPILL_TRUST: Final = 0.4
+# Part of the ceiling that an untrusted report costs.
 _DOUBT: Final = 0.25
+# Load beyond its slots that urgent work may give an engine.
 _URGENT_EXTRA: Final = 0.2
+# Load below which no other group is looked at.
 _GOOD_LOAD: Final = 0.8
+# Load that the way to another zone counts as.
 _OTHER_ZONE_LOAD: Final = 0.1
+# Part of the servers that stay kept free of movable work.
 _KEPT_FOR_HIGHER_TIERS: Final = 0.1
+# Load that a cached prefix is worth.
 _AFFINITY_SLACK: Final = 0.15
+# Part of a pool; if more straggle, none is told apart.
 _MOST_LEFT_OUT: Final = 0.5
+# Servers up to which all are looked at.
 _SCAN_LIMIT: Final = 8
+# Two random choices bound the longest queue.
 _PROBES: Final = 2
+# Probes more where some servers are closed.
 _MORE_PROBES: Final = 4
 
 
--- a/figstream/slot_plan.py
+++ b/figstream/slot_plan.py
@@ -17,8 +17,11 @@
 from figstream import backend_server
 from figstream import server_pool
 
+# Slots; with fewer a daemon's own count says little of the load.
 SLOTS_PER_SERVER: Final = 4
+# Servers; one may be down.
 _MIN_SUBSET: Final = 2
+# Subsets kept.
 _MAX_SUBSETS: Final = 256
 
 
--- a/figstream/straggler_detection.py
+++ b/figstream/straggler_detection.py
@@ -18,16 +18,26 @@
 
 import attrs
 
+# Sum of scores; see docs/design/stragglers.md for the rate of false alarms.
 ALARM_LIMIT: Final = 4.0
+# Score that each observation takes off; half the shift to be found.
 ALLOWANCE: Final = 0.5
+# Slowness, against the pool, that is no straggling.
 TOLERATED_FACTOR: Final = 1.5
+# Observations of the pool that ranks refer to.
 REFERENCE_LENGTH: Final = 256
+# Observations before anything is judged.
 MIN_REFERENCE: Final = 50
+# Seconds; doubled with each relapse.
 FIRST_PROBATION_S: Final = 30.0
+# Seconds of the longest probation.
 LAST_PROBATION_S: Final = 480.0
+# Servers kept; four times those that are planned for.
 SERVER_LIMIT: Final = 4096
+# One of this many servers may straggle at most.
 _STRAGGLER_SHARE: Final = 3
 _BACK_LIMIT: Final = ALARM_LIMIT / 2
+# Bounds the time in which a server that recovered is cleared.
 _HIGHEST_SUM: Final = 1.5 * ALARM_LIMIT
 _NORMAL: Final = statistics.NormalDist()
 
--- a/figstream/stream_monitor.py
+++ b/figstream/stream_monitor.py
@@ -13,6 +13,7 @@
 
 from figstream import engine_protocol
 
+# Bytes; terminator and usage record together.
 _TAIL_BYTES: Final = 2_048
 _USAGE: Final = re.compile(rb'"usage"\s*:\s*(\{[^{}]*\})')
 
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -17,7 +17,9 @@
 from figstream import engine_protocol
 from figstream import stream_monitor
 
+# Seconds; a third of the planned time between tokens.
 PACE_S: Final = 0.019
+# Bytes; several such answers fit into a daemon's memory.
 WHOLE_LIMIT_BYTES: Final = 32_000_000
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
--- a/figstream/usage_chain.py
+++ b/figstream/usage_chain.py
@@ -18,7 +18,9 @@
 
 WINDOW_PREFIX: Final = "usage/window/"
 PROGRESS_NAME: Final = "usage/progress"
+# Windows; the last one is the record of what is counted.
 _KEPT_WINDOWS: Final = 2
+# Bytes; no two writes are alike.
 _WRITE_ID_BYTES: Final = 8
 
 
--- a/figstream/usage_copies.py
+++ b/figstream/usage_copies.py
@@ -13,6 +13,7 @@
 from figstream import usage_delta
 from figstream.rpc import usage_pb2
 
+# Bytes; an eighth of a daemon's memory.
 MAX_COPIES_BYTES: Final = 32_000_000
 
 
--- a/figstream/usage_delivery.py
+++ b/figstream/usage_delivery.py
@@ -25,7 +25,9 @@
 
 # The daemons that seek the lease are the first of this ranking.
 _ROLE: Final = "lease/usage"
+# Daemons asked in one exchange; the holder is among the first.
 _PROBES: Final = 4
+# Rows; a message of about four megabytes.
 _ROWS_PER_CALL: Final = 50_000
 
 LocalAnswer = Callable[[usage_pb2.DeliverRequest], usage_pb2.DeliverAnswer]
--- a/figstream/usage_handover.py
+++ b/figstream/usage_handover.py
@@ -26,7 +26,9 @@
 from figstream.rpc import usage_pb2
 from figstream.rpc import usage_pb2_grpc
 
+# Exchanges before counts are given up at the end.
 _LAST_TRIES: Final = 5
+# Seconds between these.
 _LAST_PAUSE_S: Final = 0.5
 
 
--- a/figstream/usage_ledger.py
+++ b/figstream/usage_ledger.py
@@ -19,7 +19,9 @@
 from figstream import usage_delta
 
 _MS_PER_S: Final = 1000
+# Deltas outstanding in a usual window, and some more.
 _STEADY_DELTAS: Final = 24
+# Deltas after an outage of any length.
 _MAX_DELTAS: Final = 256
 # Two of these pass before a window is sealed; a third of it is left for
 # finding the sealing daemon after a take-over.
--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -25,9 +25,12 @@
 from figstream import usage_ledger
 from figstream import usage_window
 
+# Windows; two hours of one minute each.
 MAX_UNREPORTED_WINDOWS: Final = 120
 _MS_PER_S: Final = 1000
+# Bytes; no two epochs are alike.
 _EPOCH_BYTES: Final = 8
+# Seconds; bounds the polls with very short windows.
 _MIN_STEP_S: Final = 0.05
 
 
--- a/figstream/usage_window.py
+++ b/figstream/usage_window.py
@@ -19,9 +19,13 @@
 from figstream import usage_api
 from figstream import usage_delta
 
+# Bytes; the platform takes a megabyte.
 MAX_WINDOW_BYTES: Final = 900_000
+# Bytes by which the digits of a sum may grow.
 _SUM_GROWTH_BYTES: Final = 50
+# Bytes of a run's record without its name and spans.
 _RUN_BYTES: Final = 120
+# Bytes of a span's record.
 _SPAN_BYTES: Final = 60
 
 _FigureKey = tuple[bool, str, str]
--- a/figstream/vm_registration.py
+++ b/figstream/vm_registration.py
@@ -19,6 +19,7 @@
 PREFIX: Final = "daemons/"
 # Pause between tries while the store does not answer.
 _RETRY_S: Final = 1.0
+# Seconds; the entry lasts.
 _NEVER_AGAIN_S: Final = 3_600.0
 
 
--- a/figstream/wait_estimate.py
+++ b/figstream/wait_estimate.py
@@ -14,10 +14,15 @@
 from figstream import request_target
 from figstream import scheduler_api
 
+# Weight of the newest observation.
 _SMOOTHING: Final = 0.1
+# Weight of a dispatch; the last fifty make most of the mix.
 _MIX_SMOOTHING: Final = 0.02
+# Part of the slots that a class is taken to have at least.
 _MIN_SHARE: Final = 0.02
+# Part of the first-token target that a request may wait at least.
 _MIN_FIRST_TOKEN_SHARE: Final = 0.5
+# Service times of a long request, in usual ones.
 _LONG_SERVICE: Final = 2.0
 
 
--- a/figstream/waiting_room.py
+++ b/figstream/waiting_room.py
@@ -20,9 +20,13 @@
 from figstream import shedding
 from figstream import waiting_queues
 
+# Seconds between looks at queues that nobody enters.
 _TRIM_INTERVAL_S: Final = 0.25
+# Seconds; a server that restarts is back in about that time.
 _NO_SERVER_RETRY_S: Final = 2.0
+# Seconds; below it a retry meets the same queue.
 _MIN_RETRY_AFTER_S: Final = 1.0
+# Seconds; longer estimates say little.
 _MAX_RETRY_AFTER_S: Final = 10.0
 
 _R = reasons.RefusalReason
