--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -333,3 +333,26 @@
         )
         await front.raw((_HEAD + smuggled).encode())
         assert all("evil" not in run.target for run in front.runs)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("route", "fault", "counted"),
+    [
+        ("order", _Fault.FAIL, 1),
+        ("order", _Fault.SHED, 1),
+        ("rewrite", _Fault.FAIL, 1),
+        ("rewrite", _Fault.CUT, 2),
+    ],
+)
+async def test_usage_counts_what_servers_began_to_run(
+    route: str, fault: standin_worker.Fault, counted: int
+) -> None:
+    """Breaks when a stream counts that failed before its first token.
+
+    Found on Capturista's trouble-1: window 358106321 was off by 56 of 446
+    while servers failed requests at once.
+    """
+    async with gateway_front.front(*_workers(fault)) as front:
+        await front.ask(route)
+        assert front.usage.by_customer["studio"].requests == counted
