Close idle connections that are too old; start without repeats to spend

Found in the last read: idle connections were closed only when taken, so those to servers that are gone stayed open until the daemon ended; and a daemon took itself for the only one until it heard of others, a quarter of the fleet's burst for each that starts. Both have a test that fails without the change.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -116,10 +116,6 @@
         """Tells whether a server still takes connections, or may do so."""
         return await self._transport.reaches(_place(server), _LISTENS_S)
 
-    async def forget_except(self, servers: frozenset[str]) -> None:
-        """Closes idle connections to servers that are gone."""
-        await self._transport.forget_except(servers)
-
     async def close(self) -> None:
         """Closes all connections."""
         await self._transport.close()
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import AsyncIterator
+import time
 from typing import Final
 
 import anyio
@@ -23,6 +24,8 @@
 _ONCE_SHARE: Final = 0.5
 # Connections; as many as the slots of a large server.
 _IDLE_PER_SERVER: Final = 64
+# Seconds between looks for idle connections to close.
+_SWEEP_S: Final = 1.0
 # Unacknowledged data after which the kernel gives a connection up: two lost
 # retransmissions, a part of the time that callers wait.
 _SILENCE_MS: Final = 800
@@ -85,6 +88,7 @@
         self._idle: dict[
             Place, collections.deque[backend_connection.Connection]
         ] = {}
+        self._swept_at = time.monotonic()
         self.opened = 0
 
     async def send(
@@ -153,18 +157,29 @@
             idle.append(connection)
         else:
             await connection.close()
+        await self._sweep()
 
-    async def forget_except(self, servers: frozenset[str]) -> None:
-        """Closes idle connections to servers that are gone."""
-        for place in [
-            item for item in self._idle if item.server not in servers
-        ]:
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        for place in list(self._idle):
             for connection in self._idle.pop(place):
                 await connection.close()
 
-    async def close(self) -> None:
-        """Closes all idle connections."""
-        await self.forget_except(frozenset())
+    async def _sweep(self) -> None:
+        """Closes connections that nothing may be sent on any more.
+
+        Those to servers that are gone are among them.
+        """
+        now = time.monotonic()
+        if now - self._swept_at < _SWEEP_S:
+            return
+        self._swept_at = now
+        for place, idle in list(self._idle.items()):
+            # The oldest ones stand in front.
+            while idle and not idle[0].usable_after_idle(_REPEATABLE_SHARE):
+                await idle.popleft().close()
+            if not idle:
+                self._idle.pop(place, None)
 
     async def _take(
         self, place: Place, *, once: bool
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -48,6 +48,10 @@
 # The balancer asks once a second and needs two misses; until then new
 # connections arrive and are served.
 _NOTICED_S: Final = 2.6
+# Seconds in which a daemon that starts hears of others, if there are any.
+_ALONE_S: Final = 3.0
+# Seconds between counts of the live daemons; a heartbeat.
+_COUNT_S: Final = 1.0
 # Seconds; what the grace time leaves after the requests.
 _HAND_OVER_S: Final = 0.6
 # Bytes; heads over the operator's limit get an answer up to this.
@@ -257,9 +261,13 @@
 
     async def _watch_members(self) -> None:
         """Tells the retry budget how many daemons share it."""
+        clock = self.context.clock
+        alone_until = clock.now() + _ALONE_S
         while True:
-            self._budget.set_live_daemons(len(self.members.live()))
-            await self.context.clock.sleep(1.0)
+            live = len(self.members.live())
+            if live > 1 or clock.now() >= alone_until:
+                self._budget.set_live_daemons(live)
+            await clock.sleep(_COUNT_S)
 
     def _make_roles(
         self,
--- a/figstream/retry_budget.py
+++ b/figstream/retry_budget.py
@@ -19,6 +19,9 @@
 # Part of the fleet's bound that daemons may use together: the rest covers
 # daemons that restart with a full burst and views of the fleet that lag.
 _SAFE_PART: Final = 0.5
+# Daemons taken to share the budget until some are known: one that has just
+# started sends no repeats before.
+_UNKNOWN_DAEMONS: Final = 64
 
 
 class RetryBudget(Protocol):
@@ -79,7 +82,8 @@
         """
         self._share = share * (1.0 + _SAFE_PART) / 2.0
         self._burst = burst * _SAFE_PART
-        self._daemons = 1
+        self._daemons = _UNKNOWN_DAEMONS
+        self._known = False
         self._left: dict[str, float] = {}
 
     @property
@@ -89,6 +93,10 @@
 
     def set_live_daemons(self, in_fleet: int) -> None:
         """Takes note of how many daemons share the budget; never forgets."""
+        if not self._known:
+            self._known = True
+            self._daemons = 1
+            self._left.clear()
         self._daemons = max(self._daemons, in_fleet)
 
     def admitted(self, request: scheduler_api.PendingRequest) -> None:
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -163,11 +163,13 @@
         metrics.make_unexported_metrics(),
     )
     usage = usage_totals.UsageTotals()
+    repeats = retry_budget.FleetBudget(0.2, budget)
+    repeats.set_live_daemons(1)
     serving = gateway_serving.make_gateway_serving(
         context,
         callers.PlatformCallers(),
         workers_lib.WorkerDialect(),
-        retry_budget.FleetBudget(0.2, budget),
+        repeats,
         blame.make_crash_blame(lenient=True),
         usage,
     )
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -193,6 +193,21 @@
         assert front.workers[0].connections == 2
 
 
+@pytest.mark.anyio
+async def test_idle_connections_to_servers_that_are_gone_are_closed() -> None:
+    """Breaks without the sweep: they stay open until the daemon ends."""
+    workers = [_Worker("i-1"), _Worker("i-2")]
+    async with gateway_front.front(*workers) as front:
+        for number in range(8):
+            await front.ask("order", f"a{number}")
+        transport = front.serving.backends._transport
+        assert {place.server for place in transport._idle} == {"i-1", "i-2"}
+        gateway_front.set_workers(front.context, workers[:1], version=8)
+        await anyio.sleep(1.1)
+        await front.ask("order", "last")
+        assert {place.server for place in transport._idle} == {"i-1"}
+
+
 @pytest.mark.anyio
 async def test_a_resumable_stream_goes_on_at_another_worker() -> None:
     workers = _workers(_Fault.CUT)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -78,6 +78,19 @@
         assert inside <= _RATIO * counted + _EXTRA
 
 
+def test_a_daemon_that_has_just_started_sends_no_repeats() -> None:
+    """Breaks when it takes itself for the only one until it hears of others.
+
+    With half of the machines killed at once each would have brought a quarter
+    of the fleet's burst.
+    """
+    budget = retry_budget.FleetBudget(_RATIO, _EXTRA)
+    assert not budget.spend(_request())
+    budget.set_live_daemons(9)
+    budget.admitted(_request())
+    assert budget.spend(_request())
+
+
 def test_a_daemon_that_loses_sight_of_the_others_keeps_its_part() -> None:
     budget = retry_budget.FleetBudget(_RATIO, _EXTRA)
     budget.set_live_daemons(9)
