--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -10,12 +10,10 @@
 import attrs
 
 from figstream import defaults
-from figstream import logs
 from figstream import options as options_lib
 from figstream import settings_file
 
 _Field = settings_file.Field
-_text = settings_file.text
 _whole_field = settings_file.whole_field
 _seconds_field = settings_file.seconds_field
 _MS_PER_S: Final = 1000.0
@@ -49,11 +47,9 @@
       lease_ms: milliseconds for which a lease holds, and within which duties
         must not go back and forth between two holders.
       window_s: length of a usage window.
-      usage_late_s: seconds after a window's end when its report is due.
       retry_share: repeats for each request, over all daemons.
       retry_burst: repeats beyond the share, over all daemons.
       grace_s: seconds from the signal to stop until the daemon is killed.
-      memory_mb: memory that the daemon may take.
       log_level: least level of the lines logged.
     """
 
@@ -71,11 +67,9 @@
     platform_timeout_s: float = 1.0
     lease_ms: int = 3000
     window_s: float = 5.0
-    usage_late_s: float = 10.0
     retry_share: float = 0.2
     retry_burst: float = 50.0
     grace_s: float = 8.0
-    memory_mb: int = 150
     log_level: str = defaults.LOG_LEVEL
 
     @property
@@ -104,47 +98,26 @@
     return Address(host, int(port)) if host and is_port else None
 
 
-def _level(value: str) -> object | None:
-    return value if value in logs.LEVELS else None
-
-
 def _address_field(section: str, key: str) -> _Field:
     return _Field(section, key, "an address IP:PORT", _address)
 
 
 _FIELDS: Final = (
-    _Field("vm", "name", "a unique name", _text),
-    _Field("vm", "zone", "name of the availability zone", _text),
-    _Field("vm", "region", "name of the region", _text),
-    _Field("vm", "address", "IP number of this VM", _text),
-    _whole_field("vm", "memory_mb", 32, 1_000_000, 150),
+    *options_lib.VM_FIELDS,
     _address_field("gateway", "front"),
     _address_field("gateway", "readiness"),
     _whole_field("gateway", "metrics_port", 0, 65535, 9464),
     _seconds_field("gateway", "grace_s", 1, 3600, 8.0),
     _address_field("peers", "peers"),
-    _Field(
-        "peers",
-        "seeds",
-        "addresses IP:PORT, with commas",
-        settings_file.addresses,
-        (),
-    ),
+    options_lib.SEEDS_FIELD,
     _address_field("platform", "store"),
     _address_field("platform", "duties"),
     _seconds_field("platform", "platform_timeout_s", 0.05, 60, 1.0),
     _whole_field("platform", "lease_ms", 200, 300_000, 3000),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
-    _seconds_field("platform", "usage_late_s", 0.5, 86_400, 10.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
-    _Field(
-        "logs",
-        "log_level",
-        "one of " + ", ".join(logs.LEVELS),
-        _level,
-        defaults.LOG_LEVEL,
-    ),
+    options_lib.LOG_LEVEL_FIELD,
 )
 
 
--- a/figstream/options.py
+++ b/figstream/options.py
@@ -88,11 +88,30 @@
     return value if value in logs.LEVELS else None
 
 
-_FIELDS: Final = (
+# Fields that every kind of daemon has.
+VM_FIELDS: Final = (
     _Field("vm", "name", "a unique name", _text),
     _Field("vm", "zone", "name of the availability zone", _text),
     _Field("vm", "region", "name of the region", _text),
     _Field("vm", "address", "IP number of this VM", _text),
+)
+SEEDS_FIELD: Final = _Field(
+    "peers",
+    "seeds",
+    "addresses IP:PORT, with commas",
+    settings_file.addresses,
+    (),
+)
+LOG_LEVEL_FIELD: Final = _Field(
+    "logs",
+    "log_level",
+    "one of " + ", ".join(logs.LEVELS),
+    _level,
+    defaults.LOG_LEVEL,
+)
+
+_FIELDS: Final = (
+    *VM_FIELDS,
     _whole_field("callers", "caller_port", 0, 65535, defaults.CALLER_PORT),
     _whole_field(
         "callers",
@@ -119,13 +138,7 @@
     _whole_field("peers", "peer_port", 0, 65535, defaults.PEER_PORT),
     _seconds_field("peers", "heartbeat_s", 0.05, 10, defaults.HEARTBEAT_S),
     _whole_field("peers", "neighbours", 1, 64, defaults.NEIGHBOURS),
-    _Field(
-        "peers",
-        "seeds",
-        "addresses IP:PORT, with commas",
-        settings_file.addresses,
-        (),
-    ),
+    SEEDS_FIELD,
     _whole_field(
         "operators", "operator_port", 0, 65535, defaults.OPERATOR_PORT
     ),
@@ -149,13 +162,7 @@
     ),
     _seconds_field("platform", "lease_s", 0.2, 300, defaults.LEASE_S),
     _seconds_field("platform", "window_s", 0.5, 86_400, defaults.WINDOW_S),
-    _Field(
-        "logs",
-        "log_level",
-        "one of " + ", ".join(logs.LEVELS),
-        _level,
-        defaults.LOG_LEVEL,
-    ),
+    LOG_LEVEL_FIELD,
 )
 
 
