Drop a function and a counter that nothing uses

Found in the last read of the change: gateway_route.services_of and the count of opened connections have no caller. Behaviour stays as it is.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -45,11 +45,6 @@
         self._on_load = on_load
         self._transport = backend_transport.BackendTransport()
 
-    @property
-    def opened(self) -> int:
-        """Returns how many connections were opened so far."""
-        return self._transport.opened
-
     async def attempt(
         self,
         attempt: backend_dialect.Attempt,
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -89,7 +89,6 @@
             Place, collections.deque[backend_connection.Connection]
         ] = {}
         self._swept_at = time.monotonic()
-        self.opened = 0
 
     async def send(
         self,
@@ -120,7 +119,6 @@
             stream = await self._network.connect_tcp(
                 place.host, place.port, connect_s
             )
-            self.opened += 1
             connection = backend_connection.Connection(stream)
         connection.read_timeout_s = read_s
         try:
--- a/figstream/gateway_route.py
+++ b/figstream/gateway_route.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Sequence
 import random
 
 import attrs
@@ -142,10 +141,3 @@
     connection_limit: int = 0
     slots: int = 0
     scaling: ScalingLimits | None = None
-
-
-def services_of(routes: Sequence[GatewayRoute]) -> frozenset[str]:
-    """Returns the names of all services that routes lead to."""
-    return frozenset(
-        item.service for route in routes for item in route.services
-    )
