Follow the store through a few daemons of a large zone

Ruled out: longer pauses after a change, since the bound of a drain is 2 s; one relay a zone, since one that is cut off hides changes.

Change: in a zone of more than five daemons three watch the store, and the others wait at these in turn for 0.7 s each. A relay that does not watch, or does not answer, is left for 5 s and the store is asked at once.

--- /dev/null
+++ b/figstream/feed_relay.py
@@ -0,0 +1,241 @@
+"""Lets most daemons of a zone follow the store through a few that watch it.
+
+Calls to the store cost money and have a rate for all daemons together, so
+what a fleet asks of it must not grow with the fleet. In a zone with many
+daemons a few are relays, chosen by rendezvous hash: they watch the store, and
+the others wait at them, at each in turn. A relay that is frozen or cut off
+from the store thus hides a change no longer than one turn. While no relay
+answers, a daemon watches the store itself.
+"""
+
+from collections.abc import Sequence
+import functools
+from typing import Final
+
+import anyio
+import attrs
+import grpc
+
+from figstream import clock as clock_lib
+from figstream import daemon_context
+from figstream import errors
+from figstream import logs
+from figstream import membership_api
+from figstream import metrics as metrics_lib
+from figstream import object_follower
+from figstream import platform_api
+from figstream import serialization
+from figstream.rpc import feed_pb2
+from figstream.rpc import feed_pb2_grpc
+
+# Relays of a zone: two may be frozen, cut off or restarting at once.
+RELAYS: Final = 3
+# Daemons of a zone up to which each watches the store itself.
+_SMALL_ZONE: Final = 5
+# Longest wait at one relay; two that hide a change cost 1.4 s of the 2 s in
+# which it must be in force.
+_WAIT_S: Final = 0.7
+# Seconds beyond the wait until an answer counts as lost; a call to a live
+# daemon takes milliseconds, to a busy one tens of them.
+_SPARE_S: Final = 0.4
+# Seconds for which a relay that did not help is not asked again.
+_AVOID_S: Final = 5.0
+_ROLE: Final = "feed"
+_MS_PER_S: Final = 1000
+_NEVER: Final = float("-inf")
+
+_Changes = (
+    platform_api.FeedChanges
+    | platform_api.HistoryGone
+    | platform_api.Unavailable
+)
+
+
+@attrs.frozen
+class _Items:
+    """The changed objects as they travel."""
+
+    items: tuple[platform_api.StoredItem, ...]
+
+
+class RelayedFeed:
+    """Follows through relays; satisfies `platform_api.ObjectFeed`."""
+
+    def __init__(
+        self,
+        store: platform_api.ObjectFeed,
+        members: membership_api.Members,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Starts with calls to the store."""
+        self._store = store
+        self._members = members
+        self._clock = clock
+        self._metrics = metrics
+        self._avoided_until: dict[str, float] = {}
+        self._turn = 0
+
+    @property
+    def relays(self) -> Sequence[membership_api.Member]:
+        """Returns the relays of this daemon's zone; none in a small one."""
+        ranked = self._members.ranked(_ROLE, self._members.this().zone)
+        return ranked[:RELAYS] if len(ranked) > _SMALL_ZONE else ()
+
+    @property
+    def watches(self) -> bool:
+        """Returns whether this daemon is a relay."""
+        this = self._members.this().name
+        return any(item.name == this for item in self.relays)
+
+    async def snapshot(
+        self, kind: str, *, stale: bool = False
+    ) -> platform_api.Snapshot | platform_api.Unavailable:
+        """Lists all objects of a kind in the store."""
+        return await self._store.snapshot(kind, stale=stale)
+
+    async def changes(
+        self, kind: str, position: int, timeout_s: float
+    ) -> _Changes:
+        """Waits for changes at a relay, or at the store without one."""
+        relay = self._next_relay() if timeout_s else None
+        if relay is None:
+            return await self._store.changes(kind, position, timeout_s)
+        found = await self._ask(relay, kind, position)
+        if found is not None:
+            return found
+        self._avoided_until[relay.name] = self._clock.now() + _AVOID_S
+        return await self._store.changes(kind, position, 0.0)
+
+    def _next_relay(self) -> membership_api.Member | None:
+        """Returns the relay whose turn it is; None if this daemon is one."""
+        now = self._clock.now()
+        relays = self.relays
+        if any(item.name == self._members.this().name for item in relays):
+            return None
+        usable = [
+            item
+            for item in relays
+            if self._avoided_until.get(item.name, _NEVER) <= now
+        ]
+        if not usable:
+            return None
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+    async def _ask(
+        self, relay: membership_api.Member, kind: str, position: int
+    ) -> platform_api.FeedChanges | platform_api.HistoryGone | None:
+        """Returns what a relay knows, or None if it did not help."""
+        stub = feed_pb2_grpc.FeedRelayStub(self._members.channel(relay))
+        request = feed_pb2.FollowRequest(
+            kind=kind, position=position, wait_ms=int(_WAIT_S * _MS_PER_S)
+        )
+        try:
+            answer: feed_pb2.FollowAnswer = await stub.Follow(
+                request, timeout=_WAIT_S + _SPARE_S
+            )
+            return self._read(answer)
+        except grpc.aio.AioRpcError as error:
+            reason = error.code().name
+        except errors.ConfigurationError as error:
+            reason = str(error)
+        self._metrics.event("feed_relay_failed")
+        logs.info(
+            "feed_relay_failed", relay=relay.name, kind=kind, reason=reason
+        )
+        return None
+
+    def _read(
+        self, answer: feed_pb2.FollowAnswer
+    ) -> platform_api.FeedChanges | platform_api.HistoryGone:
+        if answer.state == feed_pb2.FollowAnswer.HISTORY_GONE:
+            return platform_api.HistoryGone()
+        if answer.state != feed_pb2.FollowAnswer.CHANGES:
+            raise errors.ConfigurationError("it does not watch the store")
+        changed: tuple[platform_api.StoredItem, ...] = ()
+        if answer.changed:
+            changed = serialization.from_json(answer.changed, _Items).items
+        return platform_api.FeedChanges(
+            changed, tuple(answer.deleted), answer.position
+        )
+
+
+class _Servicer(feed_pb2_grpc.FeedRelayServicer):
+    def __init__(self, relay: "FeedRelay") -> None:
+        self._relay = relay
+
+    async def Follow(  # noqa: N802
+        self, request: feed_pb2.FollowRequest, context: object
+    ) -> feed_pb2.FollowAnswer:
+        return await self._relay.answer(request)
+
+
+class FeedRelay:
+    """Tells other daemons what this one follows; a `RpcRole`."""
+
+    def __init__(
+        self,
+        feed: RelayedFeed,
+        followers: tuple[object_follower.ObjectFollower, ...],
+    ) -> None:
+        """Serves the given kinds while this daemon is a relay."""
+        self._feed = feed
+        self._followers = {item.kind: item for item in followers}
+        self._changed = {item.kind: anyio.Event() for item in followers}
+        for item in followers:
+            item.subscribe(functools.partial(self._wake, item.kind))
+
+    def register(self, server: grpc.aio.Server) -> None:
+        """Adds the gRPC service to the peer server."""
+        feed_pb2_grpc.add_FeedRelayServicer_to_server(_Servicer(self), server)
+
+    async def run(self) -> None:
+        """Has nothing to do by itself."""
+        await anyio.sleep_forever()
+
+    async def hand_over(self) -> None:
+        """Has nothing to give up."""
+
+    async def answer(
+        self, request: feed_pb2.FollowRequest
+    ) -> feed_pb2.FollowAnswer:
+        """Waits until there are changes after the caller's position."""
+        follower = self._followers.get(request.kind)
+        if follower is None or not self._watches(follower):
+            return feed_pb2.FollowAnswer()
+        if follower.position <= request.position:
+            with anyio.move_on_after(request.wait_ms / _MS_PER_S):
+                await self._changed[request.kind].wait()
+            if not self._watches(follower):
+                return feed_pb2.FollowAnswer()
+        if follower.position <= request.position:
+            return feed_pb2.FollowAnswer(
+                state=feed_pb2.FollowAnswer.CHANGES, position=request.position
+            )
+        found = follower.changes_since(request.position)
+        if isinstance(found, platform_api.HistoryGone):
+            gone = feed_pb2.FollowAnswer.HISTORY_GONE
+            return feed_pb2.FollowAnswer(state=gone)
+        return feed_pb2.FollowAnswer(
+            state=feed_pb2.FollowAnswer.CHANGES,
+            position=found.position,
+            changed=serialization.to_json(_Items(found.changed)),
+            deleted=found.deleted,
+        )
+
+    def _watches(self, follower: object_follower.ObjectFollower) -> bool:
+        return self._feed.watches and not follower.failing
+
+    def _wake(self, kind: str, _: object) -> None:
+        self._changed[kind].set()
+        self._changed[kind] = anyio.Event()
+
+
+def make_relayed_feed(
+    context: daemon_context.DaemonContext,
+    store: platform_api.ObjectFeed,
+    members: membership_api.Members,
+) -> RelayedFeed:
+    """Creates the feed of a daemon, in front of the platform's store."""
+    return RelayedFeed(store, members, context.clock, context.metrics)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -22,6 +22,7 @@
 from figstream import errors
 from figstream import explain
 from figstream import feed_peers
+from figstream import feed_relay
 from figstream import gateway_dialect
 from figstream import gateway_options
 from figstream import gateway_pages
@@ -120,18 +121,19 @@
         self._peers = peer_server.PeerServer(
             options.peers.host, options.peers.port
         )
-        sources = gateway_sources.make_sources(
-            context, platform.feed, platform.kinds
-        )
         self.members = membership.make_membership(context, self._peers.address)
-        peers = feed_peers.make_feed_peers(
-            context, (sources.manifest, sources.entries), self.members
+        feed = feed_relay.make_relayed_feed(
+            context, platform.feed, self.members
         )
+        sources = gateway_sources.make_sources(context, feed, platform.kinds)
+        followers = (sources.manifest, sources.entries)
+        peers = feed_peers.make_feed_peers(context, followers, self.members)
         accounting = usage_parts.make_usage_parts(context, self.members)
         self._usage = usage_totals.UsageTotals(accounting.ledger)
         blame = blame_lib.make_crash_blame(lenient=True)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             peers,
+            feed_relay.FeedRelay(feed, followers),
             accounting.handover,
             self.members,
         )
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -5,7 +5,9 @@
 goes on; peers may bring a newer state meanwhile.
 """
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import random
 from typing import Final
@@ -30,6 +32,9 @@
 RETURN_GRACE_S: Final = 2.3
 # The shortest outage in which an entry can lapse (three missed heartbeats).
 _SHORTEST_LAPSE_S: Final = 1.5
+# Removals remembered for peers; several times what a roll of all backend
+# servers removes within the wait of a peer.
+_MAX_REMOVALS: Final = 1_024
 _NEVER: Final = float("-inf")
 
 Items = Mapping[str, platform_api.StoredItem]
@@ -61,6 +66,9 @@
         self._regained_at = _NEVER
         self._outage_s = 0.0
         self._peer_settled = False
+        self._removals: collections.deque[tuple[int, str]] = collections.deque()
+        # The position from which on every removal is remembered.
+        self._complete_from = 0
 
     @property
     def kind(self) -> str:
@@ -104,6 +112,22 @@
         """Calls the listener after each change."""
         self._listeners.append(listener)
 
+    def changes_since(
+        self, position: int
+    ) -> platform_api.FeedChanges | platform_api.HistoryGone:
+        """Returns what changed after a position that is known from the store.
+
+        Args:
+          position: the store's revision up to which the asker knows the kind.
+        """
+        if position < self._complete_from:
+            return platform_api.HistoryGone()
+        changed = (x for x in self._items.values() if x.version > position)
+        removed = (name for at, name in self._removals if at > position)
+        return platform_api.FeedChanges(
+            tuple(changed), tuple(removed), self._position
+        )
+
     def adopt(self, position: int, items: Items, *, settled: bool) -> bool:
         """Takes over a newer state that a peer has; returns whether it is.
 
@@ -114,7 +138,7 @@
         """
         if position <= self._position:
             return False
-        self._position = position
+        self._jump(position)
         self._peer_settled = settled
         changed = dict(items) != self._items
         self._items = dict(items)
@@ -169,7 +193,7 @@
             return True
         items = {item.name: item for item in found.items}
         changed = items != self._items
-        self._position = found.position
+        self._jump(found.position)
         self._items = items
         if changed:
             self._tell("list")
@@ -187,11 +211,24 @@
                 items[item.name] = item
         for name in changes.deleted:
             items.pop(name, None)
+        self._remember(changes.deleted)
         if items != self._items:
             self._items = items
             self._tell("watch")
         return True
 
+    def _jump(self, position: int) -> None:
+        """Goes to a position; what was removed on the way is not known."""
+        self._position = self._complete_from = position
+        self._removals.clear()
+
+    def _remember(self, removed: Iterable[str]) -> None:
+        """Keeps the names removed up to the position, for peers that ask."""
+        for name in removed:
+            self._removals.append((self._position, name))
+        while len(self._removals) > _MAX_REMOVALS:
+            self._complete_from = self._removals.popleft()[0]
+
     def _tell(self, source: str) -> None:
         logs.info(
             "feed_changed",
