Copy kept prompts between servers; split generating from reading

Now a server that joined, or that takes what its home has no room for, is told the server to copy from. - Four first parts on random thirds of the servers left a fifth of them without long prompts and gave others three times as many; a request waited for one of 12 slots at its home beside free ones. Parts with 5% of the requests are kept everywhere now, and a turn for a slot counts. - Long generations were late beside long prompts. The servers are split by the work that each daemon sees, over hashes of their names.

--- a/figstream/backend_dialect.py
+++ b/figstream/backend_dialect.py
@@ -39,12 +39,15 @@
       server: the backend server.
       relay: the relay to the caller.
       resume: whether to go on after the events that the caller has.
+      prompt_source: a server from which this one can copy what it has read
+        of the prompt.
     """
 
     call: inbound.Call
     server: backend_server.BackendServer
     relay: stream_relay.StreamRelay
     resume: bool
+    prompt_source: backend_server.BackendServer | None = None
 
 
 class BackendDialect(Protocol):
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -207,7 +207,11 @@
         self._preemption.dispatched()
         self._decided(
             scheduler_api.Dispatched(
-                request, server, choice.reason, choice.inputs
+                request,
+                server,
+                choice.reason,
+                choice.inputs,
+                choice.prompt_source,
             )
         )
 
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -9,6 +9,7 @@
 would have to be read.
 """
 
+import collections
 from collections.abc import Sequence
 import math
 import random
@@ -18,6 +19,7 @@
 import xxhash
 
 from figstream import backend_server
+from figstream import placement_split
 from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_pool
@@ -26,6 +28,9 @@
 # Delay that each request running at a server adds to a new one, in
 # milliseconds: about a fifth of them are being read, at some 40 ms each.
 _REQUEST_MS: Final = 8.0
+# The same for a request beyond the slots of its server, times the slots: it
+# waits for one of them, which runs a request for about 0.4 s.
+_TURN_MS: Final = 400.0
 # Delay and price of reading a token again, in milliseconds: engines read
 # about 80 tokens in one, and a part read twice is charged besides.
 _TOKEN_MS: Final = 0.02
@@ -35,10 +40,26 @@
 _LEAST_HOMES: Final = 2
 # Requests that the way to another zone counts as.
 _OTHER_ZONE: Final = 1.0
+# Delay that a server of the other side counts as, in milliseconds; it is left
+# to the other kind of work up to some 15 requests.
+_OTHER_SIDE_MS: Final = 120.0
 # Servers of another zone that fail at once before all of it is avoided.
 _DOUBTFUL: Final = 2
+# Requests of a sample, and parts of it from which a first part is hot and
+# below which it no longer is. The two are far apart, so that daemons, which
+# see different samples, agree.
+_SAMPLE: Final = 100
+_HOT_SHARE: Final = 0.05
+_COLD_SHARE: Final = 0.02
+# Seconds for which a server that joined copies prompts from the servers that
+# were their homes before; a few times the interval between two requests of
+# one session (7 s).
+_JOINING_S: Final = 20.0
 # Prompts whose homes are kept; about 200 bytes each.
 _MAX_RANKINGS: Final = 8_192
+# Sets of candidates and servers remembered; more than are in use at once.
+_MAX_POOLS: Final = 16
+_MAX_SERVERS: Final = 8_192
 _SEED_MASK: Final = 0xFFFF_FFFF_FFFF_FFFF
 
 
@@ -55,6 +76,43 @@
     all: str
 
 
+class _FirstParts:
+    """Tells which first parts a large part of the requests begin with.
+
+    A few hot ones, each kept by its own third of the servers, would overlap
+    at some servers and leave others without work.
+    """
+
+    def __init__(self) -> None:
+        """Starts with none."""
+        self._counts: collections.Counter[int] = collections.Counter()
+        self._seen = 0
+        self._hot: set[int] = set()
+
+    def observe(self, first: int) -> None:
+        """Takes note of a request."""
+        self._counts[first] += 1
+        self._seen += 1
+        if self._seen >= _SAMPLE:
+            self._settle()
+
+    def is_hot(self, first: int) -> bool:
+        """Returns whether a first part is kept by all servers."""
+        return first in self._hot
+
+    def _settle(self) -> None:
+        """Judges a sample, and starts the next one."""
+        for first, count in self._counts.items():
+            share = count / self._seen
+            if share >= _HOT_SHARE:
+                self._hot.add(first)
+            elif share < _COLD_SHARE:
+                self._hot.discard(first)
+        self._hot &= self._counts.keys()
+        self._counts.clear()
+        self._seen = 0
+
+
 class PrefixPlacement:
     """Satisfies `server_selection.ServerSelection`."""
 
@@ -65,7 +123,11 @@
         self._book = book
         self._zone = zone
         self._random = source
-        self._homes: dict[tuple[frozenset[str], int, int], _Homes] = {}
+        self._split = placement_split.WorkSplit()
+        self._firsts = _FirstParts()
+        self._homes: dict[tuple[frozenset[str], bool, int, int], _Homes] = {}
+        self._first_seen: dict[str, float] = {}
+        self._settled: dict[frozenset[str], tuple[float, frozenset[str]]] = {}
 
     def choose(
         self,
@@ -85,11 +147,15 @@
         usable = self._usable(request, pool, now)
         if not usable:
             return None
-        homes = self._homes_of(pool, request) if request.prefix else None
-
+        self._split.observe(request, now)
+        if request.prefix:
+            self._firsts.observe(request.first_part)
+        side = self._split.side(pool.names, request)
+        homes = self._homes_of(side, request) if request.prefix else None
         delays_ms = [
-            self._load(item, now) * _REQUEST_MS
+            self._wait_ms(item, now)
             + _missing_tokens(request, homes, item.name) * _TOKEN_MS
+            + (0.0 if item.name in side else _OTHER_SIDE_MS)
             for item in usable
         ]
         least_ms = min(delays_ms)
@@ -101,7 +167,12 @@
             f"delay_ms={least_ms:.0f} load_age_s={min(age_s, 99):.1f} "
             f"usable={len(usable)}/{len(pool.names)}"
         )
-        return server_selection.Choice(chosen, reason, inputs)
+        source = None
+        if request.prefix:
+            source = self._source(request, side, pool, chosen, now)
+        if source:
+            inputs += f" source={source.name}"
+        return server_selection.Choice(chosen, reason, inputs, source)
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
         """Returns how many slots of a pool this daemon may count on."""
@@ -141,26 +212,71 @@
             zone for zone in failing if failing.count(zone) >= _DOUBTFUL
         )
 
-    def _homes_of(
+    def _source(
         self,
-        pool: server_pool.ServerPool,
         request: scheduler_api.PendingRequest,
+        side: frozenset[str],
+        pool: server_pool.ServerPool,
+        chosen: backend_server.BackendServer,
+        now: float,
+    ) -> backend_server.BackendServer | None:
+        """Returns the server that was the prompt's home for some time."""
+        settled = self._settled_names(side, now)
+        if not settled:
+            return None
+        home = self._homes_of(settled, request).all
+        # A server that refuses for want of room still gives what it keeps.
+        if home == chosen.name or self._book.state(home).failures:
+            return None
+        servers = (item for group in pool.groups for item in group.servers)
+        return next((item for item in servers if item.name == home), None)
+
+    def _settled_names(
+        self, names: frozenset[str], now: float
+    ) -> frozenset[str]:
+        """Returns the servers that joined some time ago."""
+        until, settled = self._settled.get(names, (-math.inf, names))
+        if now < until:
+            return settled
+        if len(self._settled) >= _MAX_POOLS:
+            self._settled.clear()
+        if len(self._first_seen) >= _MAX_SERVERS:
+            self._first_seen.clear()
+        # Servers that were there before this daemon are no newcomers.
+        first = now if self._first_seen else now - _JOINING_S
+        for name in names:
+            self._first_seen.setdefault(name, first)
+        joined = {name: self._first_seen[name] + _JOINING_S for name in names}
+        settled = frozenset(name for name in names if joined[name] <= now)
+        until = min((x for x in joined.values() if x > now), default=math.inf)
+        self._settled[names] = until, settled
+        return settled
+
+    def _homes_of(
+        self, names: frozenset[str], request: scheduler_api.PendingRequest
     ) -> _Homes:
-        key = pool.names, request.first_part, request.prefix
+        hot = self._firsts.is_hot(request.first_part)
+        key = names, hot, request.first_part, request.prefix
         found = self._homes.get(key)
         if found is None:
             if len(self._homes) >= _MAX_RANKINGS:
                 self._homes.clear()
             found = self._homes[key] = _find_homes(
-                pool.names, request.first_part, request.prefix
+                names, request.first_part, request.prefix, everywhere=hot
             )
         return found
 
-    def _load(self, server: backend_server.BackendServer, now: float) -> float:
+    def _wait_ms(
+        self, server: backend_server.BackendServer, now: float
+    ) -> float:
+        """Returns the delay by the requests that are at a server."""
         trust = self._book.trust(server.name, now)
-        way = 0.0 if server.zone == self._zone else _OTHER_ZONE
         running = self._book.estimate(server.name, 1, trust)
-        return running + way + self._random.random()
+        beyond = max(0.0, running + 1.0 - server.slots)
+        turn_ms = max(0.0, _TURN_MS / server.slots - _REQUEST_MS)
+        way = 0.0 if server.zone == self._zone else _OTHER_ZONE
+        load = running + way + self._random.random()
+        return load * _REQUEST_MS + beyond * turn_ms
 
 
 def _missing_tokens(
@@ -174,8 +290,11 @@
     return request.shared_tokens
 
 
-def _find_homes(names: frozenset[str], first: int, prefix: int) -> _Homes:
-    count = max(_LEAST_HOMES, math.ceil(len(names) * _HOME_SHARE))
+def _find_homes(
+    names: frozenset[str], first: int, prefix: int, *, everywhere: bool
+) -> _Homes:
+    share = 1.0 if everywhere else _HOME_SHARE
+    count = max(_LEAST_HOMES, math.ceil(len(names) * share))
     ranked = sorted(names, key=lambda name: _weight(name, first))
     homes = ranked[:count]
     return _Homes(
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -103,7 +103,7 @@
         started_at = time.monotonic()
         outcome: attempt_outcome.AttemptOutcome | None = None
         try:
-            outcome = await self._with_resumes(progress, dispatched.server)
+            outcome = await self._with_resumes(progress, dispatched)
         finally:
             report = _report(progress, outcome, started_at)
             self._services.gate.finish(
@@ -120,10 +120,10 @@
         return outcome
 
     async def _with_resumes(
-        self, progress: Progress, server: backend_server.BackendServer
+        self, progress: Progress, dispatched: scheduler_api.Dispatched
     ) -> attempt_outcome.AttemptOutcome:
         while True:
-            outcome = await self._blamable(progress, server)
+            outcome = await self._blamable(progress, dispatched)
             if isinstance(outcome, attempt_outcome.Answered):
                 return outcome
             preempted = outcome.reason is reasons.RetryReason.PREEMPTED
@@ -137,23 +137,22 @@
                 return outcome
             progress.pending.attempt += 1
             progress.resume = True
-            self.retried(progress, outcome, server)
+            self.retried(progress, outcome, dispatched.server)
             await self._services.clock.sleep(decision.delay_s)
             valid = self._services.authenticator.still_valid
             if valid(progress.call.identity):
                 return outcome
 
     async def _blamable(
-        self,
-        progress: Progress,
-        server: backend_server.BackendServer,
+        self, progress: Progress, dispatched: scheduler_api.Dispatched
     ) -> attempt_outcome.AttemptOutcome:
         services = self._services
+        server = dispatched.server
         fingerprint = progress.pending.fingerprint
         services.blame.started(fingerprint, server.name, services.clock.now())
         outcome: attempt_outcome.AttemptOutcome | None = None
         try:
-            outcome = await self._attempt(progress, server)
+            outcome = await self._attempt(progress, dispatched)
         finally:
             services.blame.ended(
                 fingerprint,
@@ -164,18 +163,21 @@
         return outcome
 
     async def _attempt(
-        self,
-        progress: Progress,
-        server: backend_server.BackendServer,
+        self, progress: Progress, dispatched: scheduler_api.Dispatched
     ) -> attempt_outcome.AttemptOutcome:
         services = self._services
+        server = dispatched.server
         outcome: attempt_outcome.AttemptOutcome | None = None
         before = progress.run_state
         progress.run_state = reasons.RunState.MAY_HAVE_RUN
         with services.gate.preemptible(progress.pending):
             outcome = await services.backends.attempt(
                 backend_dialect.Attempt(
-                    progress.call, server, progress.relay, progress.resume
+                    progress.call,
+                    server,
+                    progress.relay,
+                    progress.resume,
+                    dispatched.prompt_source,
                 ),
                 lambda: self._started(progress),
             )
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -90,12 +90,15 @@
       server: where it goes.
       reason: a word that says why.
       inputs: what decided it, as key=value pairs for the log.
+      prompt_source: a server from which this one can copy what it has read
+        of the prompt.
     """
 
     request: PendingRequest
     server: backend_server.BackendServer
     reason: str
     inputs: str = ""
+    prompt_source: backend_server.BackendServer | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -57,11 +57,20 @@
 
 @attrs.frozen
 class Choice:
-    """A backend server, a word that says why, and what decided it."""
+    """A backend server and why it was chosen.
+
+    Attributes:
+      server: the server.
+      reason: a word that says why.
+      inputs: what decided it, as key=value pairs for the log.
+      prompt_source: another server that keeps the shared parts of the prompt,
+        if the chosen one may lack them.
+    """
 
     server: backend_server.BackendServer
     reason: str
     inputs: str = ""
+    prompt_source: backend_server.BackendServer | None = None
 
 
 class ServerSelection(Protocol):
