--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -41,8 +41,8 @@
 # Requests that the way to another zone counts as.
 _OTHER_ZONE: Final = 1.0
 # Delay that a server of the other side counts as, in milliseconds; it is left
-# to the other kind of work up to some 15 requests.
-_OTHER_SIDE_MS: Final = 120.0
+# to the other kind of work up to some 30 requests.
+_OTHER_SIDE_MS: Final = 240.0
 # Servers of another zone that fail at once before all of it is avoided.
 _DOUBTFUL: Final = 2
 # Requests of a sample, and parts of it from which a first part is hot and
--- a/figstream/placement_split.py
+++ b/figstream/placement_split.py
@@ -19,8 +19,8 @@
 # in one.
 _READ_MS: Final = 0.012
 # Server time for a token that is generated, in milliseconds: a step of some
-# 6 ms serves about 20 requests where pauses are to stay short.
-_GENERATE_MS: Final = 0.3
+# 6 ms serves about 30 requests.
+_GENERATE_MS: Final = 0.2
 # Tokens generated for each one read from which a class counts as generating.
 # Long texts from short prompts have 0.5, short ones from long prompts 0.02.
 _GENERATES: Final = 0.125
--- a/figstream/scaling_plan.py
+++ b/figstream/scaling_plan.py
@@ -16,10 +16,10 @@
 
 from figstream import gateway_route
 
-# Reclaimable servers for each server that was there at first. Together with
-# the one that stays this bears the loss of all of a zone's and costs about
-# half of what was there.
-_RECLAIMABLE_SHARE: Final = 4 / 3
+# Reclaimable servers for each server that was there at first. With the one
+# that stays this bears the loss of all of a zone's, also where a zone has many
+# servers, and costs about half of what was there.
+_RECLAIMABLE_SHARE: Final = 2
 # Seconds until a kind that could not be had in a zone is asked for again.
 _DRY_S: Final = 2.0
 # Requests at servers, as a part of their slots, above which a zone gets one
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -15,7 +15,7 @@
 from tests import gateway_front
 from tests import lease_parts
 
-_LIMITS = gateway_route.ScalingLimits(1, 6, 4.0, 0.15, {})
+_LIMITS = gateway_route.ScalingLimits(1, 9, 4.0, 0.15, {})
 _Zone = scaling_plan.ZoneServers
 
 
@@ -27,18 +27,18 @@
     plan = scaling_plan.ScalingPlan("llm", {"a": 3, "b": 3, "c": 0})
     wanted = plan.wanted(_LIMITS, {"a": _Zone(3, 0), "b": _Zone(3, 0)}, 0.0)
     assert wanted[_subject("a", False)] == 1
-    assert wanted[_subject("a", True)] == 4
+    assert wanted[_subject("a", True)] == 6
     assert wanted[_subject("c", True)] == 0
 
 
 def test_what_a_dry_zone_lacks_goes_to_the_others_and_comes_back() -> None:
     plan = scaling_plan.ScalingPlan("llm", {"a": 3, "b": 3, "c": 3})
-    servers = {"a": _Zone(1, 0), "b": _Zone(1, 4), "c": _Zone(1, 4)}
+    servers = {"a": _Zone(1, 0), "b": _Zone(1, 6), "c": _Zone(1, 6)}
     plan.none_available("a", 10.0)
     wanted = plan.wanted(_LIMITS, servers, 10.5)
-    assert [wanted[_subject(zone, True)] for zone in "abc"] == [0, 5, 5]
+    assert [wanted[_subject(zone, True)] for zone in "abc"] == [0, 8, 8]
     later = plan.wanted(_LIMITS, servers, 13.0)
-    assert [later[_subject(zone, True)] for zone in "abc"] == [4, 4, 4]
+    assert [later[_subject(zone, True)] for zone in "abc"] == [6, 6, 6]
 
 
 def test_busy_servers_get_more_and_quiet_ones_give_them_back() -> None:
@@ -105,7 +105,7 @@
         services = [
             {
                 "name": "llm",
-                "scaling": {"min": 1, "max": 6, "bootS": 4, "spotPrice": 0.15},
+                "scaling": {"min": 1, "max": 9, "bootS": 4, "spotPrice": 0.15},
             },
             {"name": "render"},
         ]
@@ -146,9 +146,9 @@
     sent = {(o.zone, o.reclaimable): o.count for o in world.scaling.sent}
     assert sent == {
         ("a", False): 1,
-        ("a", True): 4,
+        ("a", True): 6,
         ("b", False): 1,
-        ("b", True): 3,
+        ("b", True): 4,
     }
     assert len(world.scaling.sent) == 4
     assert {order.fencing for order in world.scaling.sent} == {3}
@@ -165,7 +165,7 @@
     second.run("a", 1)
     await second.steps(1.0)
     sent = {(o.zone, o.reclaimable): o.count for o in second.scaling.sent}
-    assert sent == {("a", False): 1, ("a", True): 4}
+    assert sent == {("a", False): 1, ("a", True): 6}
 
 
 @pytest.mark.anyio
