--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -2,7 +2,8 @@
 
 Each entry of `journal/` is one command of that bench: a day, a score of a
 site or a hunt. The page shows the first and the latest figure of each
-standard day with its prices, and every hunt with the rules it broke.
+standard day with its prices, every hunt with the rules it broke, and the
+trials, whose code was not kept as it was or whose days were scaled down.
 """
 
 from collections.abc import Iterable
@@ -36,6 +37,11 @@
         "trouble-3": 0.093,
     },
 }
+# Days of the grown sites; nobody measured a naive relay on them.
+_GROWN: Final = ("capturista-grown", "khazain-grown")
+# Options of the bench with which a day is not played as it counts.
+_SCALED: Final = frozenset({"--small", "--no-cpu", "--until"})
+_TRIAL: Final = "trial"
 # Prices below this are left out of the table.
 _SMALL_PRICE: Final = 0.005
 
@@ -48,11 +54,20 @@
       site: short name of the site.
       entry: id of the journal's entry.
       fields: what the bench wrote of the day.
+      options: options of the bench with which it is not as it counts.
+      why: the reason given if it was a trial, "" if it was none.
     """
 
     site: str
     entry: str
     fields: dict[str, Any]
+    options: frozenset[str]
+    why: str
+
+    @property
+    def counts(self) -> bool:
+        """Returns whether it was played in full and on code that was kept."""
+        return not self.options and not self.why
 
     @property
     def name(self) -> str:
@@ -88,20 +103,33 @@
 
 
 def _days(entry: str, fields: dict[str, Any]) -> Sequence[Day]:
-    site = str(fields.get("site") or "").partition("-")[0]
-    return [Day(site, entry, day) for day in fields.get("days") or ()]
+    options = _SCALED & set(fields.get("argv") or ())
+    why = str(fields.get("why") or "")
+    trial = why if why.startswith(_TRIAL) else ""
+    return [
+        Day(_site(fields), entry, day, options, trial)
+        for day in fields.get("days") or ()
+    ]
+
+
+def _site(fields: dict[str, Any]) -> str:
+    return str(fields.get("site") or "").replace("-figstream", "")
 
 
 def _standard(days: Sequence[Day], site: str) -> Iterable[str]:
-    for name, naive in _NAIVE[site].items():
-        mine = [x for x in days if x.site == site and x.name == name]
+    for name in _NAIVE["capturista"]:
+        naive = _NAIVE.get(site, {}).get(name)
+        shown = "" if naive is None else f"{naive:.3f}"
+        mine = [
+            x for x in days if x.site == site and x.name == name and x.counts
+        ]
         if not mine:
             continue
         first, last = mine[0], mine[-1]
         served = last.fields["served"]
         top = last.fields["top"]
         yield (
-            f"| {site} | {name} | {naive:.3f} | {first.worth:.3f} "
+            f"| {site} | {name} | {shown} | {first.worth:.3f} "
             f"| {last.worth:.3f} | {top:.3f} | {last.fields['score']:.2f} "
             f"| {served:.3f} | {last.prices} | {last.broken or 'none'} "
             f"| {last.entry[-8:]} |"
@@ -115,7 +143,7 @@
         days = _days(entry, fields)
         if not days:
             yield (
-                f"| {str(fields.get('site')).partition('-')[0]} "
+                f"| {_site(fields) or 'not written'} "
                 f"| {fields['head'][:7]} | 0 | not finished: "
                 f"{fields.get('error')} |"
             )
@@ -127,6 +155,18 @@
         )
 
 
+def _trials(days: Sequence[Day]) -> Iterable[str]:
+    for day in days:
+        if day.counts:
+            continue
+        options = " ".join(sorted(day.options))
+        yield (
+            f"| {day.site} | {day.name} {options} | {day.worth:.3f} "
+            f"| {day.fields['served']:.3f} | {day.broken or 'none'} "
+            f"| {day.why or 'first look'} | {day.entry[-8:]} |"
+        )
+
+
 def main() -> None:
     """Writes the page."""
     days = [day for item in _entries() for day in _days(*item)]
@@ -145,6 +185,7 @@
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
         *_standard(days, "capturista"),
         *_standard(days, "khazain"),
+        *(line for site in _GROWN for line in _standard(days, site)),
         "",
         "## Hunts",
         "",
@@ -152,6 +193,14 @@
         "| --- | --- | --- | --- |",
         *_hunts(),
         "",
+        "## Trials",
+        "",
+        "Code that was not kept as it was, or days that were scaled down.",
+        "",
+        "| site | day | worth | payoff | rules | why | entry |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+        *_trials(days),
+        "",
         _NOTES.read_text().rstrip(),
         "",
     ]
