--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,7 @@
 import attrs
 import httpx
 
+from figstream_platform import callers as wire
 from figstream_platform import standin_program
 
 # Route names, by what may be repeated.
@@ -18,6 +19,7 @@
 # Seconds for which a caller waits; longer than any route allows.
 _PATIENCE_S: Final = 7.0
 _PAUSE_S: Final = 0.06
+_MS_PER_S: Final = 1000
 # Part of the requests that their caller gives up after this many seconds.
 _LEAVERS: Final = 0.05
 _LEAVES_AFTER_S: Final = 0.08
@@ -100,9 +102,9 @@
     async def _exchange(self, client: httpx.AsyncClient, sent: Sent) -> None:
         headers = {
             "host": standin_program.HOST,
-            "x-request-id": sent.request_id,
-            "authorization": f"Bearer {sent.key}",
-            "x-deadline-ms": str(int(_PATIENCE_S * 1000)),
+            wire.REQUEST_ID.decode(): sent.request_id,
+            wire.AUTHORIZATION.decode(): f"Bearer {sent.key}",
+            wire.TIME_LEFT.decode(): str(int(_PATIENCE_S * _MS_PER_S)),
         }
         if sent.route == STREAM_ROUTE:
             headers["accept"] = "text/event-stream"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,14 +10,19 @@
 
 import attrs
 
+from figstream_platform import callers as wire
 from figstream_platform import standin_program
 from figstream_platform import standin_store
 from figstream_platform import standin_worker
+from figstream_platform import workers
 from soak import callers
 
 # Statuses that promise that a request has not run and never will.
 _NOT_RUN: Final = frozenset({408, 421, 429, 503})
-_SIGNATURE: Final = "x-server-signature"
+_SIGNATURE: Final = standin_worker.SIGNATURE.decode()
+_REQUEST_ID: Final = wire.REQUEST_ID.decode()
+_CUSTOMER: Final = workers.CUSTOMER.decode()
+_KEY: Final = wire.AUTHORIZATION.decode()
 _EVENT: Final = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
 # Seconds in which a change must be in force.
 IN_FORCE_S: Final = 2.0
@@ -137,7 +142,7 @@
     for sent in seen.sent:
         if not sent.whole or sent.status != 200:
             continue
-        if sent.headers.get("x-request-id") != sent.request_id:
+        if sent.headers.get(_REQUEST_ID) != sent.request_id:
             yield f"{sent.request_id} got the answer of another request"
         signer = sent.headers.get(_SIGNATURE, "").rpartition(" ")[2].encode()
         if sent.route == callers.STREAM_ROUTE:
@@ -164,9 +169,9 @@
             or run.body != asked.request_id.encode()
         ):
             yield f"{name} ran {run.request_id} with other contents"
-        if run.headers.get("x-tenant") != standin_program.CUSTOMER:
+        if run.headers.get(_CUSTOMER) != standin_program.CUSTOMER:
             yield f"{name} ran {run.request_id} for another customer"
-        if "authorization" in run.headers:
+        if _KEY in run.headers:
             yield f"{name} was shown the key of {run.request_id}"
 
 
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -10,6 +10,8 @@
 
 import attrs
 
+from figstream_platform import program
+
 _ROOT: Final = pathlib.Path(__file__).parent.parent
 _LAUNCHER: Final = pathlib.Path(__file__).parent / "launcher.py"
 # Name of the variable that holds the file with the step of the clock.
@@ -122,7 +124,7 @@
                 [sys.executable, str(_LAUNCHER)],
                 env={
                     **os.environ,
-                    "FIGSTREAM_BOOT": str(self._settings),
+                    program.SETTINGS_VARIABLE: str(self._settings),
                     CLOCK_VARIABLE: str(self._clock),
                 },
                 stdout=sink,
