--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -8,6 +8,7 @@
 import sys
 from typing import Final
 
+import anyio
 import attrs
 
 from figstream_platform import program
@@ -132,6 +133,15 @@
                 cwd=_ROOT,
             )
 
+    async def listens(self) -> bool:
+        """Returns whether it takes connections of callers."""
+        try:
+            stream = await anyio.connect_tcp("127.0.0.1", self.ports.front)
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+
     def send(self, number: signal.Signals) -> None:
         """Sends its process a signal if it runs."""
         if self._process and self.running:
--- a/soak/system.py
+++ b/soak/system.py
@@ -258,8 +258,7 @@
         trouble = self._trouble(_S.ALL, number)
         self._daemons[number].end()
         await anyio.sleep(event.for_s)
-        self._daemons[number].start()
-        trouble.until = time.monotonic()
+        await self._start_again(number, trouble)
 
     async def _terminate(self, event: plan_lib.Event) -> None:
         await self._stop(self._daemon_of(event))
@@ -283,7 +282,15 @@
                 self._seen.overstayed.append(daemon.name)
             self._trouble(_S.ALL, number).until = time.monotonic()
             daemon.end()
+        await self._start_again(number, trouble)
+
+    async def _start_again(self, number: int, trouble: checks.Trouble) -> None:
+        """Starts a daemon; the trouble lasts until it listens."""
+        daemon = self._daemons[number]
         daemon.start()
+        with anyio.move_on_after(_START_S):
+            while daemon.running and not await daemon.listens():
+                await anyio.sleep(0.05)
         trouble.until = time.monotonic()
 
     async def _pause(self, event: plan_lib.Event) -> None:
