--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -210,6 +210,21 @@
         assert "event=daemon_stopped" in system.log.read_text()
 
 
+@pytest.mark.anyio
+async def test_a_reload_while_it_starts_does_not_end_a_daemon(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Breaks when SIGHUP keeps its default until the daemon is built.
+
+    Found by the soak (seed 501).
+    """
+    async with _system(tmp_path) as system:
+        await anyio.sleep(0.2)
+        system.process.send_signal(signal.SIGHUP)
+        await system.ready()
+        assert system.process.poll() is None
+
+
 @pytest.mark.anyio
 async def test_a_restart_while_the_store_is_down_is_not_ready(
     tmp_path: pathlib.Path,
