Keep the sides of a split; share the type of objects between daemons

Each request built two sets of names, hashed them anew and compared them by content in three caches keyed by them: the sides are kept now, as the names of a pool always were. Relays and peers had a type each for the same message. A relay was told from others in two places.

--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 import anyio
-import attrs
 from google.protobuf import message as protobuf_message
 import grpc
 
@@ -20,7 +19,6 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import object_follower
-from figstream import platform_api
 from figstream import serialization
 from figstream.rpc import feed_pb2
 from figstream.rpc import feed_pb2_grpc
@@ -33,13 +31,6 @@
 _PEERS_ASKED: Final = 2
 
 
-@attrs.frozen
-class _Items:
-    """The objects of a kind as they travel."""
-
-    items: tuple[platform_api.StoredItem, ...]
-
-
 class _Servicer(feed_pb2_grpc.FeedPeersServicer):
     def __init__(self, peers: "FeedPeers") -> None:
         self._peers = peers
@@ -102,7 +93,9 @@
         for known in request.known:
             follower = self._followers.get(known.kind)
             if follower and follower.position > known.position:
-                items = _Items(tuple(follower.items.values()))
+                items = object_follower.StoredItems(
+                    tuple(follower.items.values())
+                )
                 newer.append(
                     feed_pb2.KindState(
                         kind=known.kind,
@@ -147,7 +140,9 @@
         if follower is None:
             return
         try:
-            found = serialization.from_json(state.items, _Items)
+            found = serialization.from_json(
+                state.items, object_follower.StoredItems
+            )
         except (errors.ConfigurationError, protobuf_message.Error) as error:
             logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
             return
--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -13,7 +13,6 @@
 from typing import Final
 
 import anyio
-import attrs
 import grpc
 
 from figstream import clock as clock_lib
@@ -51,13 +50,6 @@
 )
 
 
-@attrs.frozen
-class _Items:
-    """The changed objects as they travel."""
-
-    items: tuple[platform_api.StoredItem, ...]
-
-
 class RelayedFeed:
     """Follows through relays; satisfies `platform_api.ObjectFeed`."""
 
@@ -109,13 +101,12 @@
 
     def _next_relay(self) -> membership_api.Member | None:
         """Returns the relay whose turn it is; None if this daemon is one."""
-        now = self._clock.now()
-        relays = self.relays
-        if any(item.name == self._members.this().name for item in relays):
+        if self.watches:
             return None
+        now = self._clock.now()
         usable = [
             item
-            for item in relays
+            for item in self.relays
             if self._avoided_until.get(item.name, _NEVER) <= now
         ]
         if not usable:
@@ -155,7 +146,9 @@
             raise errors.ConfigurationError("it does not watch the store")
         changed: tuple[platform_api.StoredItem, ...] = ()
         if answer.changed:
-            changed = serialization.from_json(answer.changed, _Items).items
+            changed = serialization.from_json(
+                answer.changed, object_follower.StoredItems
+            ).items
         return platform_api.FeedChanges(
             changed, tuple(answer.deleted), answer.position
         )
@@ -220,7 +213,9 @@
         return feed_pb2.FollowAnswer(
             state=feed_pb2.FollowAnswer.CHANGES,
             position=found.position,
-            changed=serialization.to_json(_Items(found.changed)),
+            changed=serialization.to_json(
+                object_follower.StoredItems(found.changed)
+            ),
             deleted=found.deleted,
         )
 
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -12,6 +12,8 @@
 import random
 from typing import Final
 
+import attrs
+
 from figstream import clock as clock_lib
 from figstream import logs
 from figstream import metrics as metrics_lib
@@ -41,6 +43,13 @@
 Listener = Callable[[Items], None]
 
 
+@attrs.frozen
+class StoredItems:
+    """Objects of a kind as they travel between daemons."""
+
+    items: tuple[platform_api.StoredItem, ...]
+
+
 class ObjectFollower:
     """The objects of one kind as this daemon knows them."""
 
--- a/figstream/placement_split.py
+++ b/figstream/placement_split.py
@@ -39,8 +39,8 @@
 _LEAST_SIDE: Final = 2
 # Weight of the newest request in the means of its class.
 _SMOOTHING: Final = 0.1
-# Sets of servers whose order is kept.
-_MAX_ORDERS: Final = 16
+# Sets of servers whose sides are kept.
+_MAX_SIDES: Final = 16
 
 
 @attrs.define
@@ -56,6 +56,14 @@
         return self.generated > _GENERATES * self.read
 
 
+@attrs.frozen
+class _Sides:
+    """Names of the servers that generate, and of those that read."""
+
+    generating: frozenset[str]
+    reading: frozenset[str]
+
+
 class WorkSplit:
     """Which servers of a pool generate and which read."""
 
@@ -66,7 +74,7 @@
         self._seen = 0.0
         self._updated_at = 0.0
         self._share = 0.0
-        self._orders: dict[frozenset[str], list[str]] = {}
+        self._sides: dict[tuple[frozenset[str], int], _Sides] = {}
 
     def observe(
         self, request: scheduler_api.PendingRequest, now: float
@@ -101,11 +109,8 @@
         count = self._count(len(names))
         if not count or request.max_output_tokens <= 0:
             return names
-        ranked = self._order(names)
-        generating = ranked[:count]
-        if self.generates(request):
-            return frozenset(generating)
-        return frozenset(ranked[count:])
+        sides = self._sides_of(names, count)
+        return sides.generating if self.generates(request) else sides.reading
 
     def _count(self, servers: int) -> int:
         """Returns how many of the servers generate."""
@@ -123,12 +128,16 @@
         if abs(share - self._share) >= _LEAST_CHANGE:
             self._share = share
 
-    def _order(self, names: frozenset[str]) -> list[str]:
-        found = self._orders.get(names)
+    def _sides_of(self, names: frozenset[str], count: int) -> _Sides:
+        """Returns the sides; the same sets each time, as keys of caches."""
+        found = self._sides.get((names, count))
         if found is None:
-            if len(self._orders) >= _MAX_ORDERS:
-                self._orders.clear()
-            found = self._orders[names] = sorted(
+            if len(self._sides) >= _MAX_SIDES:
+                self._sides.clear()
+            ranked = sorted(
                 names, key=lambda name: xxhash.xxh3_64_intdigest(name.encode())
             )
+            found = self._sides[names, count] = _Sides(
+                frozenset(ranked[:count]), frozenset(ranked[count:])
+            )
         return found
