Close the listener of a worker that crashes; let a silent link end

Cause, in two parts: a stand-in worker whose task is cancelled left its socket listening until it was collected, so that its port could be in use at the restart ("address already in use"), and a crashed worker went on taking connections; and a link that was silent at that moment waited for its healing in a shielded scope, so that the soak could not end. Ruled out: another process on the port, since the trial of a new port met the same error in the test's own bind. Both tests fail without the change.

--- a/soak/links.py
+++ b/soak/links.py
@@ -67,7 +67,8 @@
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
         task_status.started(self.port)
-        await listener.serve(self._connection)
+        async with listener:
+            await listener.serve(self._connection)
 
     async def _connection(self, near: anyio.abc.SocketStream) -> None:
         async with near:
@@ -104,9 +105,8 @@
         except _CLOSED:
             # The other direction ends with this one: HTTP has no use for
             # connections that are closed by half.
-            with anyio.CancelScope(shield=True):
-                await self._let_through(answers)
-                await sink.aclose()
+            await self._let_through(answers)
+            await sink.aclose()
 
     async def _let_through(self, answers: bool) -> None:
         if self._mode is LinkMode.DELAY:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 
 from figstream_platform import standin_store
 from figstream_platform import standin_worker
+from soak import backends
 from soak import callers
 from soak import checks
 from soak import links
@@ -268,6 +269,42 @@
         group.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_a_silent_link_ends_when_the_soak_does() -> None:
+    """Breaks when a link that is never healed outlives a soak that failed."""
+    with anyio.fail_after(5.0):
+        async with anyio.create_task_group() as group:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            group.start_soon(listener.serve, lambda stream: stream.aclose())
+            link = links.Link(port)
+            await group.start(link.serve)
+            link.set_mode(links.LinkMode.SILENT)
+            async with await anyio.connect_tcp("127.0.0.1", link.port):
+                await anyio.sleep(0.2)
+                group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_a_crashed_worker_takes_no_connection_until_it_returns() -> None:
+    """Breaks when its socket goes on listening, and its port stays in use."""
+    async with anyio.create_task_group() as group:
+        surroundings = backends.Backends(group, 1)
+        await surroundings.start()
+        place = surroundings.places[0]
+        crashed = place.worker
+        surroundings.crash(place)
+        await anyio.sleep(0.1)
+        with pytest.raises(OSError, match="connect"):
+            await anyio.connect_tcp("127.0.0.1", crashed.port)
+        await surroundings.restart(place)
+        assert place.worker.port == crashed.port
+        async with await anyio.connect_tcp("127.0.0.1", place.link.port):
+            await anyio.sleep(0.1)
+        assert (crashed.connections, place.worker.connections) == (0, 1)
+        group.cancel_scope.cancel()
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("seed", _SEEDS["played_in_ci"])
 async def test_a_seed_keeps_every_promise(
