Note a trouble of the soak in one place; write daemons' settings once

A trouble is a block now instead of a pair of lines in twelve places, and one beside another that excused everything is gone. What does not recover is a promise of its own instead of a name among daemons that outlived their grace time. The settings of a daemon on this machine and the search for free ports stood in the stand-in, the soak and a test.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -37,7 +37,8 @@
         "trouble-3": 0.093,
     },
 }
-# Days of the grown sites; nobody measured a naive relay on them.
+_STANDARD_DAYS: Final = tuple(_NAIVE["capturista"])
+# The grown sites; nobody measured a naive relay on them.
 _GROWN: Final = ("capturista-grown", "khazain-grown")
 # Options of the bench with which a day is not played as it counts.
 _SCALED: Final = frozenset({"--small", "--no-cpu", "--until"})
@@ -117,7 +118,7 @@
 
 
 def _standard(days: Sequence[Day], site: str) -> Iterable[str]:
-    for name in _NAIVE["capturista"]:
+    for name in _STANDARD_DAYS:
         naive = _NAIVE.get(site, {}).get(name)
         shown = "" if naive is None else f"{naive:.3f}"
         mine = [
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -81,6 +81,7 @@
       revoked: when the store took the removal of a key, by key.
       events: events of a whole stream.
       overstayed: daemons that outlived their grace time.
+      unrecovered: what did not work again after the faults, "" if all did.
     """
 
     sent: list[callers.Sent] = attrs.field(factory=list)
@@ -92,6 +93,7 @@
     revoked: dict[str, float] = attrs.field(factory=dict)
     events: int = 3
     overstayed: list[str] = attrs.field(factory=list)
+    unrecovered: str = ""
 
     def touched(
         self, daemon: int, since: float, until: float, *scopes: Scope
@@ -226,6 +228,11 @@
         yield f"{name} outlived its grace time"
 
 
+def _recovery(seen: Seen) -> Iterable[str]:
+    if seen.unrecovered:
+        yield seen.unrecovered
+
+
 def _one_report(seen: Seen) -> Iterable[str]:
     counts: dict[int, dict[str, int]] = {}
     for duty in seen.duties:
@@ -271,6 +278,7 @@
     _configuration,
     _kept_connections,
     _grace,
+    _recovery,
     _one_report,
     _one_holder,
 )
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -12,32 +12,14 @@
 import attrs
 
 from figstream_platform import program
+from figstream_platform import standin_program
 
 _ROOT: Final = pathlib.Path(__file__).parent.parent
 _LAUNCHER: Final = pathlib.Path(__file__).parent / "launcher.py"
 # Name of the variable that holds the file with the step of the clock.
 CLOCK_VARIABLE: Final = "FIGSTREAM_SOAK_CLOCK"
 GRACE_S: Final = 4.0
-_SETTINGS: Final = """\
-[vm]
-name = {name}
-zone = {zone}
-region = r
-address = 127.0.0.1
-[gateway]
-front = 127.0.0.1:{front}
-readiness = 127.0.0.1:{readiness}
-metrics_port = {metrics}
-grace_s = {grace_s}
-[peers]
-peers = 127.0.0.1:{peers}
-seeds = {seeds}
-[platform]
-store = 127.0.0.1:{store}
-duties = 127.0.0.1:{store}
-window_s = 1
-lease_ms = 1000
-"""
+_TIMES: Final = standin_program.Times(GRACE_S, window_s=1.0, lease_ms=1000)
 
 
 def free_ports(count: int) -> list[int]:
@@ -49,19 +31,9 @@
     return ports
 
 
-@attrs.frozen
-class Ports:
-    """The ports of a daemon."""
-
-    front: int
-    readiness: int
-    peers: int
-    metrics: int
-
-
-def make_ports() -> Ports:
+def make_ports() -> standin_program.Ports:
     """Returns ports that are free now."""
-    return Ports(*free_ports(4))
+    return standin_program.Ports(*free_ports(4))
 
 
 @attrs.define
@@ -77,7 +49,7 @@
 
     name: str
     zone: str
-    ports: Ports
+    ports: standin_program.Ports
     folder: pathlib.Path
     _process: subprocess.Popen[bytes] | None = None
 
@@ -98,14 +70,8 @@
 
     def write_settings(self, store: int, seeds: list[int]) -> None:
         """Writes its settings; the seeds are ports of peers."""
-        fields = attrs.asdict(self.ports)
-        text = _SETTINGS.format(
-            name=self.name,
-            zone=self.zone,
-            store=store,
-            grace_s=GRACE_S,
-            seeds=",".join(f"127.0.0.1:{port}" for port in seeds),
-            **fields,
+        text = standin_program.make_settings(
+            self.name, self.zone, self.ports, store, _TIMES, seeds
         )
         self._settings.write_text(text)
         self.step_clock(0.0)
--- a/soak/system.py
+++ b/soak/system.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import pathlib
 import signal
 import time
@@ -95,7 +97,8 @@
     async def run(self, events: list[plan_lib.Event]) -> Result:
         """Plays the events under load, then checks what was seen."""
         try:
-            await self._start()
+            with self._trouble(_S.ALL):
+                await self._start()
             async with anyio.create_task_group() as load:
                 load.start_soon(self._callers.run, _CALLERS)
                 load.start_soon(self._use_what_goes)
@@ -122,7 +125,6 @@
         return Result(self._seed, events, broken, len(seen.sent), served)
 
     async def _start(self) -> None:
-        starting = self._trouble(_S.ALL)
         await self._backends.start()
         server = http_server.HttpServer(
             self._backends.store.application, "127.0.0.1", 0, 0.0
@@ -151,7 +153,6 @@
         )
         if not await self._all_serve(_START_S):
             raise RuntimeError(f"no start within {_START_S} s, see the logs")
-        starting.until = time.monotonic()
 
     async def _recover(self) -> None:
         since = time.monotonic()
@@ -161,8 +162,8 @@
                 for x in self._daemons
             )
             waited_s = time.monotonic() - since
-            self._seen.overstayed.append(
-                f"a fault: not all serve {waited_s:.1f} s later ({states})"
+            self._seen.unrecovered = (
+                f"not all serve {waited_s:.1f} s after the faults ({states})"
             )
 
     async def _all_serve(self, within_s: float) -> bool:
@@ -226,12 +227,15 @@
             _K.REVOKE: self._revoke,
         }
 
+    @contextlib.contextmanager
     def _trouble(
         self, scope: checks.Scope, daemon: int | None = None
-    ) -> checks.Trouble:
+    ) -> Iterator[checks.Trouble]:
+        """Notes a trouble from now until the block ends."""
         made = checks.Trouble(scope, daemon, time.monotonic())
         self._seen.troubles.append(made)
-        return made
+        yield made
+        made.until = time.monotonic()
 
     def _daemon_of(self, event: plan_lib.Event) -> int:
         return event.target % len(self._daemons)
@@ -255,10 +259,10 @@
 
     async def _kill(self, event: plan_lib.Event) -> None:
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
-        self._daemons[number].end()
-        await anyio.sleep(event.for_s)
-        await self._start_again(number, trouble)
+        with self._trouble(_S.ALL, number):
+            self._daemons[number].end()
+            await anyio.sleep(event.for_s)
+            await self._start_again(number)
 
     async def _terminate(self, event: plan_lib.Event) -> None:
         await self._stop(self._daemon_of(event))
@@ -269,54 +273,54 @@
             await anyio.sleep(event.for_s)
 
     async def _stop(self, number: int) -> None:
+        with self._trouble(_S.STOP, number) as trouble:
+            await self._end_in_time(number, trouble.since)
+            await self._start_again(number)
+
+    async def _end_in_time(self, number: int, since: float) -> None:
+        """Sends SIGTERM, and SIGKILL after the grace time."""
         daemon = self._daemons[number]
-        trouble = self._trouble(_S.STOP, number)
         process_id = daemon.process_id
         daemon.send(signal.SIGTERM)
         with anyio.move_on_after(daemons_lib.GRACE_S + _GRACE_SLACK_S):
             while daemon.running and daemon.process_id == process_id:
                 await anyio.sleep(0.02)
         if daemon.running and daemon.process_id == process_id:
-            since = trouble.since
             if not self._seen.touched(number, since, time.monotonic(), _S.ALL):
                 self._seen.overstayed.append(daemon.name)
-            self._trouble(_S.ALL, number).until = time.monotonic()
-            daemon.end()
-        await self._start_again(number, trouble)
+            with self._trouble(_S.ALL, number):
+                daemon.end()
 
-    async def _start_again(self, number: int, trouble: checks.Trouble) -> None:
-        """Starts a daemon; the trouble lasts until it listens."""
+    async def _start_again(self, number: int) -> None:
+        """Starts a daemon and waits until it listens."""
         daemon = self._daemons[number]
         daemon.start()
         with anyio.move_on_after(_START_S):
             while daemon.running and not await daemon.listens():
                 await anyio.sleep(0.05)
-        trouble.until = time.monotonic()
 
     async def _pause(self, event: plan_lib.Event) -> None:
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
 
         def set_fault(on: bool) -> None:
             sent = signal.SIGSTOP if on else signal.SIGCONT
             self._daemons[number].send(sent)
 
-        await self._while_active((_K.PAUSE, number), event, set_fault)
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL, number):
+            await self._while_active((_K.PAUSE, number), event, set_fault)
 
     async def _reload(self, event: plan_lib.Event) -> None:
         self._daemons[self._daemon_of(event)].send(signal.SIGHUP)
 
     async def _clock(self, event: plan_lib.Event) -> None:
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
         step_s = _STEP_S if event.draw % 2 else -_STEP_S
 
         def set_fault(on: bool) -> None:
             self._daemons[number].step_clock(step_s if on else 0.0)
 
-        await self._while_active((_K.CLOCK, number), event, set_fault)
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL, number):
+            await self._while_active((_K.CLOCK, number), event, set_fault)
 
     async def _on_link(self, event: plan_lib.Event, link: links.Link) -> None:
         mode = _LINK_MODES[event.draw % len(_LINK_MODES)]
@@ -328,22 +332,18 @@
 
     async def _store_link(self, event: plan_lib.Event) -> None:
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
-        await self._on_link(event, self._store_links[number])
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL, number):
+            await self._on_link(event, self._store_links[number])
 
     async def _caller_link(self, event: plan_lib.Event) -> None:
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
-        await self._on_link(event, self._caller_links[number])
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL, number):
+            await self._on_link(event, self._caller_links[number])
 
     async def _worker_link(self, event: plan_lib.Event) -> None:
-        trouble = self._trouble(_S.ANSWERS)
-        # What the link held back reaches the worker late.
-        held = self._trouble(_S.ALL)
-        await self._on_link(event, self._place_of(event).link)
-        trouble.until = held.until = time.monotonic()
+        # Not answers alone: what the link held back reaches the worker late.
+        with self._trouble(_S.ALL):
+            await self._on_link(event, self._place_of(event).link)
 
     async def _store_down(self, event: plan_lib.Event) -> None:
         faults = self._backends.store.faults
@@ -361,9 +361,8 @@
             (refused.add if on else refused.discard)(name)
 
         number = self._daemon_of(event)
-        trouble = self._trouble(_S.ALL, number)
-        await self._while_active((event.kind, number), event, set_fault)
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL, number):
+            await self._while_active((event.kind, number), event, set_fault)
 
     async def _store_slow(self, event: plan_lib.Event) -> None:
         faults = self._backends.store.faults
@@ -374,18 +373,16 @@
         await self._on_store(event, set_fault)
 
     async def _store_loses(self, event: plan_lib.Event) -> None:
-        trouble = self._trouble(_S.ALL)
-        self._backends.store.faults.lost_answers += _LOST_ANSWERS
-        await anyio.sleep(event.for_s)
-        self._backends.store.faults.lost_answers = 0
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL):
+            self._backends.store.faults.lost_answers += _LOST_ANSWERS
+            await anyio.sleep(event.for_s)
+            self._backends.store.faults.lost_answers = 0
 
     async def _on_store(
         self, event: plan_lib.Event, set_fault: Callable[[bool], None]
     ) -> None:
-        trouble = self._trouble(_S.ALL)
-        await self._while_active(event.kind, event, set_fault)
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ALL):
+            await self._while_active(event.kind, event, set_fault)
 
     async def _store_forgets(self, event: plan_lib.Event) -> None:
         self._backends.store.forget_history()
@@ -395,20 +392,18 @@
         if place.drains or self._active.get(place.worker.name):
             return
         self._active[place.worker.name] = 1
-        trouble = self._trouble(_S.ANSWERS)
-        self._backends.crash(place)
-        await anyio.sleep(event.for_s)
-        await self._backends.restart(place)
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ANSWERS):
+            self._backends.crash(place)
+            await anyio.sleep(event.for_s)
+            await self._backends.restart(place)
 
     async def _worker_faults(self, event: plan_lib.Event) -> None:
-        trouble = self._trouble(_S.ANSWERS)
-        fault = backends_lib.FAULTS[event.draw % len(backends_lib.FAULTS)]
-        worker = self._place_of(event).worker
-        worker.faults.extend([fault] * _WRONG_ANSWERS)
-        await anyio.sleep(_WRONG_FOR_S)
-        worker.faults.clear()
-        trouble.until = time.monotonic()
+        with self._trouble(_S.ANSWERS):
+            fault = backends_lib.FAULTS[event.draw % len(backends_lib.FAULTS)]
+            worker = self._place_of(event).worker
+            worker.faults.extend([fault] * _WRONG_ANSWERS)
+            await anyio.sleep(_WRONG_FOR_S)
+            worker.faults.clear()
 
     async def _drain(self, event: plan_lib.Event) -> None:
         place = self._place_of(event)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 from typing import Any
@@ -16,12 +15,15 @@
 import pytest
 
 from figstream import http_server
+from figstream_platform import standin_program
 from figstream_platform import standin_store
 from figstream_platform import standin_worker
+from soak import daemons
 from tests import gateway_front
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _GRACE_S = 4.0
+_TIMES = standin_program.Times(_GRACE_S, window_s=1.0, lease_ms=1000)
 
 
 @attrs.define
@@ -68,27 +70,6 @@
         return answer.status_code
 
 
-def _free_ports(count: int) -> list[int]:
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in held]
-    for item in held:
-        item.close()
-    return ports
-
-
-def _settings(ports: list[int], store_port: int) -> str:
-    front, readiness, peers, metrics = ports
-    return (
-        "[vm]\nname = entry-1\nzone = a\nregion = r\naddress = 127.0.0.1\n"
-        f"[gateway]\nfront = 127.0.0.1:{front}\n"
-        f"readiness = 127.0.0.1:{readiness}\nmetrics_port = {metrics}\n"
-        f"grace_s = {_GRACE_S}\n"
-        f"[peers]\npeers = 127.0.0.1:{peers}\nseeds =\n"
-        f"[platform]\nstore = 127.0.0.1:{store_port}\n"
-        f"duties = 127.0.0.1:{store_port}\nwindow_s = 1\nlease_ms = 1000\n"
-    )
-
-
 def _entry(worker: standin_worker.Worker, service: str) -> dict[str, Any]:
     return {
         "service": service,
@@ -103,7 +84,7 @@
 async def _system(folder: pathlib.Path) -> AsyncIterator[_System]:
     store = standin_store.Store()
     worker = standin_worker.Worker("i-1", pause_s=0.05)
-    ports = _free_ports(4)
+    ports = daemons.make_ports()
     async with anyio.create_task_group() as group:
         await group.start(worker.serve)
         async with http_server.serve_app(store.application) as store_port:
@@ -111,7 +92,11 @@
             # The same worker offers both services under one id each.
             store.put("servers", "i-1", _entry(worker, "render"))
             boot = folder / "boot.ini"
-            boot.write_text(_settings(ports, store_port))
+            boot.write_text(
+                standin_program.make_settings(
+                    "entry-1", "a", ports, store_port, _TIMES
+                )
+            )
             log = folder / "log"
             with log.open("wb") as sink:
                 process = subprocess.Popen(
@@ -126,8 +111,8 @@
                         store,
                         worker,
                         process,
-                        f"http://127.0.0.1:{ports[0]}",
-                        f"http://127.0.0.1:{ports[1]}",
+                        f"http://127.0.0.1:{ports.front}",
+                        f"http://127.0.0.1:{ports.readiness}",
                         client,
                         log,
                     )
