--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -52,6 +52,9 @@
         """Stores the servers that the platform is reclaiming."""
         self._leaving = servers
 
+    def pause_server(self, server: str, until: float) -> None:
+        """Ignores the pauses that servers ask for."""
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -20,6 +20,7 @@
 from figstream import clock as clock_lib
 from figstream import engine_protocol
 from figstream import reasons
+from figstream import server_announcements
 from figstream import stream_relay
 
 _CANCEL_TIMEOUT_S: Final = 1.0
@@ -31,6 +32,9 @@
 _R = reasons.RetryReason
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
+AnnouncementListener = Callable[
+    [backend_server.BackendServer, server_announcements.Announcement], None
+]
 _Answer = backend_transport.Answer
 
 
@@ -42,6 +46,7 @@
         dialect: backend_dialect.BackendDialect,
         clock: clock_lib.Clock,
         on_load: LoadListener,
+        on_announcement: AnnouncementListener | None = None,
     ) -> None:
         """Initializes the client without connections.
 
@@ -49,10 +54,12 @@
           dialect: wire format of the backend servers.
           clock: source of the current time.
           on_load: called with each load report found in an answer.
+          on_announcement: called with each announcement of a server.
         """
         self._dialect = dialect
         self._clock = clock
         self._on_load = on_load
+        self._on_announcement = on_announcement
         self._transport = backend_transport.BackendTransport()
 
     async def attempt(
@@ -159,6 +166,9 @@
         head = answer.head
         if load := self._dialect.load(head):
             self._on_load(attempt.server.name, load)
+        announcement = self._dialect.announcement(head)
+        if announcement and self._on_announcement:
+            self._on_announcement(attempt.server, announcement)
         fault = self._dialect.fault(attempt, head)
         if on_start and _has_begun(attempt, fault):
             on_start()
--- a/figstream/backend_dialect.py
+++ b/figstream/backend_dialect.py
@@ -17,6 +17,7 @@
 from figstream import engine_protocol
 from figstream import inbound
 from figstream import reasons
+from figstream import server_announcements
 from figstream import stream_relay
 
 # Headers passed on to servers. All others are dropped, so that above all the
@@ -87,6 +88,11 @@
     ) -> attempt_outcome.Failed | None:
         """Returns the failure that an answer's head indicates, None if none."""
 
+    def announcement(
+        self, head: backend_connection.Head
+    ) -> server_announcements.Announcement | None:
+        """Returns what an answer says about its server, None if nothing."""
+
     def cancel_request(
         self, call: inbound.Call
     ) -> backend_connection.Request | None:
@@ -183,6 +189,12 @@
             return may_have_run(attempt, _R.ANSWER_CROSSED)
         return None
 
+    def announcement(
+        self, head: backend_connection.Head
+    ) -> server_announcements.Announcement | None:
+        """Returns None: leaving servers are announced in notices."""
+        return None
+
     def cancel_request(
         self, call: inbound.Call
     ) -> backend_connection.Request | None:
--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -41,6 +41,8 @@
       reclaimable: whether the platform may reclaim the server at short
         notice.
       cost: price per hour, in any unit that all servers share.
+      started_ms: start of the server's present run, Unix milliseconds, 0 if
+        unknown. A server may be restarted under the same name.
       ordered: whether figstream ordered the server from the platform and
         returns it.
       checks_fencing: whether the server rejects orders with an outdated
@@ -61,3 +63,4 @@
     cost: float = 1.0
     checks_fencing: bool = True
     ordered: bool = False
+    started_ms: int = 0
--- a/figstream/configuration_feed.py
+++ b/figstream/configuration_feed.py
@@ -1,7 +1,8 @@
 """Loads the configuration from an object that an operator writes.
 
 The gateway uses this feed. The daemons that route model traffic use
-`configuration_propagation` instead.
+`configuration_propagation` instead. The object of the active configuration is
+retained, since the store may lose it in a restore from an older copy.
 """
 
 from collections.abc import Callable
@@ -39,13 +40,21 @@
         self._decode = decode
         self._holder = holder
         self._version = 0
+        self._active_item: platform_api.StoredItem | None = None
         follower.subscribe(self._apply_items)
 
-    def _apply_items(self, items: object_follower.Items) -> None:
-        item = items.get(self._name)
-        if item is None or item.version == self._version:
-            return
-        self._version = item.version
+    @property
+    def generation(self) -> int:
+        """Returns the generation of the active configuration."""
+        return self._holder.current.generation
+
+    @property
+    def active_item(self) -> platform_api.StoredItem | None:
+        """Returns the object of the active configuration, None without one."""
+        return self._active_item
+
+    def apply(self, item: platform_api.StoredItem) -> None:
+        """Activates the configuration of an object unless it is older."""
         try:
             configuration = self._decode(item)
         except errors.ConfigurationError as error:
@@ -56,6 +65,7 @@
             )
             return
         if self._holder.replace(configuration):
+            self._active_item = item
             logs.info(
                 "configuration_in_force",
                 generation=configuration.generation,
@@ -63,3 +73,10 @@
                 customers=len(configuration.customers),
             )
         self._holder.confirm(configuration.generation)
+
+    def _apply_items(self, items: object_follower.Items) -> None:
+        item = items.get(self._name)
+        if item is None or item.version == self._version:
+            return
+        self._version = item.version
+        self.apply(item)
--- a/figstream/dispatcher.py
+++ b/figstream/dispatcher.py
@@ -183,7 +183,7 @@
     def _dispatch_isolated(self, now: float) -> None:
         for request, target in self.isolated.waiting():
             pool = self._index.pool(target, request.request_class)
-            server = self.isolated.choose(request, pool)
+            server = self.isolated.choose(request, pool, now)
             if server:
                 self.isolated.remove(request, keep_reserved=True)
                 queue = self._queues.queue(target, request.request_class)
--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -2,7 +2,9 @@
 
 While this daemon's calls to the platform's store fail, or while a peer has a
 newer active configuration, the daemon pulls the objects from two randomly
-chosen peers. The same role answers the pull requests of other daemons.
+chosen peers. The same role answers the pull requests of other daemons. After a
+restore of the store from an older copy, a daemon that starts learns the newest
+configuration from peers although the store holds an older one.
 """
 
 import random
@@ -13,13 +15,14 @@
 import grpc
 
 from figstream import clock as clock_lib
-from figstream import configuration_holder
+from figstream import configuration_feed
 from figstream import daemon_context
 from figstream import errors
 from figstream import logs
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import object_follower
+from figstream import platform_api
 from figstream import serialization
 from figstream.rpc import feed_pb2
 from figstream.rpc import feed_pb2_grpc
@@ -49,14 +52,14 @@
         self,
         followers: tuple[object_follower.ObjectFollower, ...],
         members: membership_api.Members,
-        holder: configuration_holder.ConfigurationHolder,
+        configuration: configuration_feed.ConfigurationFeed,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
     ) -> None:
         """Initializes the role for the object kinds of the given followers."""
         self._followers = {item.kind: item for item in followers}
         self._members = members
-        self._holder = holder
+        self._configuration = configuration
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
@@ -107,7 +110,16 @@
                         settled=follower.settled,
                     )
                 )
-        return feed_pb2.PullAnswer(newer=newer)
+        return feed_pb2.PullAnswer(
+            newer=newer, configuration=self._newer_configuration(request)
+        )
+
+    def _newer_configuration(self, request: feed_pb2.PullRequest) -> bytes:
+        """Returns the active configuration if the caller's is older."""
+        item = self._configuration.active_item
+        if item is None or self._configuration.generation <= request.generation:
+            return b""
+        return serialization.to_json(object_follower.StoredItems((item,)))
 
     def _may_be_behind(self) -> bool:
         if any(item.failing for item in self._followers.values()):
@@ -115,7 +127,7 @@
         return any(self._is_ahead(item) for item in self._members.live())
 
     def _is_ahead(self, member: membership_api.Member) -> bool:
-        return member.generation > self._holder.current.generation
+        return member.generation > self._configuration.generation
 
     async def _pull(self, member: membership_api.Member) -> None:
         stub = feed_pb2_grpc.FeedPeersStub(self._members.channel(member))
@@ -123,7 +135,8 @@
             known=[
                 feed_pb2.KindPosition(kind=item.kind, position=item.position)
                 for item in self._followers.values()
-            ]
+            ],
+            generation=self._configuration.generation,
         )
         try:
             answer: feed_pb2.PullAnswer = await stub.Pull(
@@ -137,19 +150,22 @@
             return
         for state in answer.newer:
             self._adopt(member.name, state)
+        if answer.configuration:
+            self._apply_configuration(member.name, answer.configuration)
+
+    def _apply_configuration(self, peer: str, encoded: bytes) -> None:
+        for item in self._decode(peer, encoded) or ():
+            logs.info("configuration_taken_from_peer", peer=peer)
+            self._configuration.apply(item)
 
     def _adopt(self, peer: str, state: feed_pb2.KindState) -> None:
         follower = self._followers.get(state.kind)
         if follower is None:
             return
-        try:
-            decoded = serialization.from_json(
-                state.items, object_follower.StoredItems
-            )
-        except (errors.ConfigurationError, protobuf_message.Error) as error:
-            logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
+        decoded = self._decode(peer, state.items)
+        if decoded is None:
             return
-        items = {item.name: item for item in decoded.items}
+        items = {item.name: item for item in decoded}
         if follower.adopt(state.position, items, settled=state.settled):
             self._metrics.event("feed_taken_from_peer")
             logs.info(
@@ -159,13 +175,25 @@
                 position=state.position,
             )
 
+    def _decode(
+        self, peer: str, encoded: bytes
+    ) -> tuple[platform_api.StoredItem, ...] | None:
+        try:
+            return serialization.from_json(
+                encoded, object_follower.StoredItems
+            ).items
+        except (errors.ConfigurationError, protobuf_message.Error) as error:
+            logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
+            return None
+
 
 def make_feed_peers(
     context: daemon_context.DaemonContext,
     followers: tuple[object_follower.ObjectFollower, ...],
+    configuration: configuration_feed.ConfigurationFeed,
     members: membership_api.Members,
 ) -> FeedPeers:
     """Creates the `FeedPeers` role of a daemon."""
     return FeedPeers(
-        followers, members, context.holder, context.clock, context.metrics
+        followers, members, configuration, context.clock, context.metrics
     )
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -43,20 +43,20 @@
 from figstream import usage_totals
 from figstream import vm_registration
 
-# Fraction of the grace time for which requests in flight may continue.
-# Cutting them in its last sixth is allowed; the rest is needed to hand over
-# duties and to exit.
-_IN_FLIGHT_FRACTION: Final = 0.86
 # Time until the load balancer stops sending new connections: it checks
 # readiness once a second and needs two failures. Until then new connections
 # are served.
 _BALANCER_LAG_S: Final = 2.6
+# The stages of a shutdown, as fractions of the grace time. The rest remains
+# for the exit of the process. Requests in flight may be cut in the last sixth.
+_BALANCER_LAG_FRACTION: Final = 0.325
+_IN_FLIGHT_FRACTION: Final = 0.84
+_HAND_OVER_FRACTION: Final = 0.06
+_PEER_CALLS_FRACTION: Final = 0.05
 # Time within which a starting daemon discovers the others, if there are any.
 _DISCOVERY_TIMEOUT_S: Final = 3.0
 # Interval between counts of the live daemons; that of heartbeats.
 _MEMBER_COUNT_INTERVAL_S: Final = 1.0
-# What remains of the grace time after requests in flight.
-_HAND_OVER_TIMEOUT_S: Final = 0.6
 # Headers up to this size are read, so that those above the operator's limit
 # get a proper refusal.
 _HEADER_LIMIT_BYTES: Final = 65_536
@@ -122,7 +122,12 @@
         self._options = options
         self._platform = platform
         self._peers = peer_server.PeerServer(
-            options.peers.host, options.peers.port
+            options.peers.host,
+            options.peers.port,
+            _PEER_CALLS_FRACTION * options.grace_s,
+        )
+        self._balancer_lag_s = min(
+            _BALANCER_LAG_S, _BALANCER_LAG_FRACTION * options.grace_s
         )
         self.members = membership.make_membership(context, self._peers.address)
         feed = feed_relay.make_relayed_feed(
@@ -130,7 +135,9 @@
         )
         sources = gateway_sources.make_sources(context, feed, platform.kinds)
         followers = (sources.configuration_follower, sources.entries)
-        peers = feed_peers.make_feed_peers(context, followers, self.members)
+        peers = feed_peers.make_feed_peers(
+            context, followers, sources.configuration_feed, self.members
+        )
         accounting = usage_parts.make_usage_parts(context, self.members)
         self._usage = usage_totals.UsageTotals(accounting.ledger)
         blame = blame_lib.make_crash_blame(lenient=True)
@@ -153,6 +160,11 @@
             self._usage,
         )
         self._app = self._serving.app
+        sources.directory.subscribe(
+            lambda _: self._serving.announcements.update_servers(
+                sources.directory.servers
+            )
+        )
         pages = gateway_pages.GatewayPages(
             platform.ready_path, lambda: self._app.ready
         )
@@ -160,7 +172,7 @@
             self._app.application,
             options.front.host,
             options.front.port,
-            max(0.0, _IN_FLIGHT_FRACTION * options.grace_s - _BALANCER_LAG_S),
+            _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s,
         )
         self._page_servers = [
             self._serve_at(
@@ -223,7 +235,7 @@
         )
         async with anyio.create_task_group() as group:
             group.start_soon(self._hand_over_early)
-            await self.context.clock.sleep(_BALANCER_LAG_S)
+            await self.context.clock.sleep(self._balancer_lag_s)
         logs.info(
             "daemon_closing",
             vm=self._options.name,
@@ -256,7 +268,7 @@
 
         The next holder then has time to take over the duties.
         """
-        with anyio.move_on_after(_BALANCER_LAG_S):
+        with anyio.move_on_after(self._balancer_lag_s):
             for role in self._roles:
                 if isinstance(role, usage_parts.EARLY_HANDOVER_ROLES):
                     await role.hand_over()
@@ -265,7 +277,8 @@
     async def _hand_over(self) -> None:
         """Hands over the remaining roles concurrently."""
         early = (*usage_parts.EARLY_HANDOVER_ROLES, membership.Membership)
-        with anyio.move_on_after(_HAND_OVER_TIMEOUT_S):
+        timeout_s = _HAND_OVER_FRACTION * self._options.grace_s
+        with anyio.move_on_after(timeout_s):
             async with anyio.create_task_group() as group:
                 for role in self._roles:
                     if not isinstance(role, early):
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -26,6 +26,7 @@
 from figstream import request_records
 from figstream import retry_budget
 from figstream import retry_policy
+from figstream import server_announcements
 from figstream import server_health_passive
 from figstream import usage_api
 
@@ -72,11 +73,13 @@
       gate: where requests wait for the scheduler.
       backends: the client for backend servers.
       app: the ASGI application for callers.
+      announcements: applies what backend servers say about themselves.
     """
 
     gate: dispatch_gate.DispatchGate
     backends: backend_client.BackendClient
     app: gateway_app.GatewayApp
+    announcements: server_announcements.ServerAnnouncements
 
 
 def make_gateway_serving(
@@ -93,7 +96,12 @@
     health = server_health_passive.PassiveHealth(
         context.scheduler, blame, clock, metrics
     )
-    backends = backend_client.BackendClient(servers, clock, health.on_load)
+    announcements = server_announcements.make_server_announcements(
+        context.scheduler, clock, metrics
+    )
+    backends = backend_client.BackendClient(
+        servers, clock, health.on_load, announcements.receive
+    )
     authenticator = authentication.Authenticator(
         context.holder, _KEY_TRUST_S, api_key.split_external_key
     )
@@ -119,4 +127,4 @@
         request_path.RequestPath(services),
         records,
     )
-    return GatewayServing(gate, backends, app)
+    return GatewayServing(gate, backends, app, announcements)
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -40,11 +40,13 @@
       configuration_follower: follows the operator's configuration object.
       entries: follows the entries of backend servers.
       directory: the backend servers decoded from the entries.
+      configuration_feed: activates the operator's configuration.
     """
 
     configuration_follower: object_follower.ObjectFollower
     entries: object_follower.ObjectFollower
     directory: server_directory.ServerDirectory
+    configuration_feed: configuration_feed.ConfigurationFeed
 
 
 def make_sources(
@@ -60,7 +62,7 @@
     entries = object_follower.ObjectFollower(
         kinds.servers_kind, feed, clock, metrics
     )
-    configuration_feed.ConfigurationFeed(
+    feed_of_configuration = configuration_feed.ConfigurationFeed(
         configuration_follower,
         kinds.configuration_name,
         kinds.decode_configuration,
@@ -74,4 +76,6 @@
         clock,
         metrics,
     )
-    return Sources(configuration_follower, entries, directory)
+    return Sources(
+        configuration_follower, entries, directory, feed_of_configuration
+    )
--- a/figstream/isolated_requests.py
+++ b/figstream/isolated_requests.py
@@ -71,14 +71,16 @@
         self,
         request: scheduler_api.PendingRequest,
         pool: server_pool.ServerPool,
+        now: float,
     ) -> backend_server.BackendServer | None:
         """Returns the reserved server once it is idle, otherwise None.
 
         Reserves a server if the request has no usable reservation.
         """
+        paused = self._book.paused(now)
         reserved = self._reserved.get(request.request_id, "")
-        if reserved not in pool.names:
-            reserved = self._reserve(request, pool)
+        if reserved not in pool.names - paused:
+            reserved = self._reserve(request, pool, paused)
         if not reserved or self._book.state(reserved).own_requests:
             return None
         return next(
@@ -92,13 +94,18 @@
         self,
         request: scheduler_api.PendingRequest,
         pool: server_pool.ServerPool,
+        paused: frozenset[str],
     ) -> str:
+        previous = self._reserved.pop(request.request_id, "")
+        if previous:
+            self._book.state(previous).reserved_for = ""
         free = [
             item.name
             for group in pool.groups
             for item in group.servers
             if not self._book.state(item.name).reserved_for
             and item.name not in request.tried
+            and item.name not in paused
         ]
         if not free:
             return ""
--- a/figstream/lease.py
+++ b/figstream/lease.py
@@ -9,6 +9,12 @@
 duration on its own clock. It then waits for the timeout of an order, so that
 no order of the previous holder can still arrive. The clock is CLOCK_BOOTTIME,
 which continues while a VM is suspended.
+
+A restore of the store from an older copy ends every lease. A daemon that sees
+the new era stops using its lease at once. A holder that does not see it, since
+it is partitioned from the store, stops when its lease expires, which the next
+holder awaits. Fencing numbers rise across a restore because they are derived
+from versions, which bear the era.
 """
 
 import random
@@ -22,6 +28,7 @@
 from figstream import logs
 from figstream import membership_api
 from figstream import platform_api
+from figstream import store_era
 
 # Tolerated clock drift between two VMs, as a fraction of the duration.
 MAX_CLOCK_DRIFT_RATIO: Final = 0.05
@@ -71,12 +78,14 @@
       stored: last known stored record.
       expires_at: time at which the lease expires unless it is renewed.
       usable_from: time at which the wait after the takeover ends.
+      era: era of the store in which the lease was acquired.
       sent_at: send time of each write whose outcome is unknown, by write id.
     """
 
     stored: lease_store.StoredLease
     expires_at: float
     usable_from: float
+    era: int
     sent_at: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -119,6 +128,7 @@
         self._store = lease_store.LeaseStore(
             context.platform.objects, name, f"{self._vm}-{self._start_number}"
         )
+        self._era = context.platform.era
         self._random = random.Random(context.start_number)
         self._lock = anyio.Lock()
         self._holding: _Holding | None = None
@@ -146,6 +156,8 @@
         now = self._clock.now()
         if holding is None or self._resigned or now < holding.usable_from:
             return None
+        if holding.era != self._era.current:
+            return None
         if now >= holding.expires_at - self._times.margin_s:
             return None
         return holding.stored.record.fencing
@@ -165,8 +177,10 @@
         if self._resigned:
             return
         async with self._lock:
+            self._drop_if_restored()
             if self._holding:
                 await self._write(self._holding, self.state)
+                self._drop_if_restored()
             else:
                 await self._acquire_if_free()
 
@@ -189,6 +203,7 @@
         self._resigned = True
         async with self._lock:
             for _ in range(_RESIGN_ATTEMPTS):
+                self._drop_if_restored()
                 if self._holding is None:
                     return
                 if await self._write(self._holding, self.state, holder=""):
@@ -223,6 +238,20 @@
                 self._context.metrics.event("lease_write_undecided")
         return False
 
+    def _drop_if_restored(self) -> None:
+        """Drops a lease that was acquired before the store was restored."""
+        if self._holding is None or self._holding.era == self._era.current:
+            return
+        logs.warning(
+            "lease_lost",
+            lease=self._name,
+            reason="store_restored",
+            fencing=self._holding.stored.record.fencing,
+            era=self._era.current,
+        )
+        self._context.metrics.event("lease_lost_in_restore")
+        self._holding = None
+
     def _extend(
         self,
         holding: _Holding,
@@ -286,7 +315,8 @@
         if self._observed is None or self._observed.version != current.version:
             self._observed = _ObservedVersion(current.version, now)
         unchanged_s = now - self._observed.at
-        if not current.record.holder:
+        restored = current.record.era != self._era.current
+        if restored or not current.record.holder:
             return rank == 0 or unchanged_s >= self._times.duration_s
         wait_ratio = 1.0 + _WAIT_RATIO_STEP * rank
         return unchanged_s >= current.record.duration_s * (
@@ -295,13 +325,15 @@
 
     async def _acquire(self, current: lease_store.StoredLease | None) -> None:
         previous = current.record if current else None
+        era = self._era.current
         record = lease_store.LeaseRecord(
             self._vm,
             self._start_number,
-            previous.fencing + 1 if previous else 1,
+            _next_fencing(current, era),
             self._times.duration_s,
             self._store.next_write_id(),
             previous.state if previous else "",
+            era,
         )
         version = current.version if current else platform_api.ABSENT_VERSION
         sent_at = self._clock.now()
@@ -309,13 +341,36 @@
         self._observed = None
         if not isinstance(outcome, lease_store.Stored):
             return
+        if era != self._era.current:
+            return
         self._holding = _Holding(
             lease_store.StoredLease(record, outcome.version),
             sent_at + self._times.duration_s,
-            self._clock.now() + self._takeover_wait_s(previous),
+            self._usable_from(previous, era),
+            era,
         )
         self._context.metrics.event("lease_taken")
-        logs.info("lease_taken", lease=self._name, fencing=record.fencing)
+        logs.info(
+            "lease_taken",
+            lease=self._name,
+            fencing=record.fencing,
+            era=era,
+            usable_in_s=round(self._holding.usable_from - self._clock.now(), 3),
+        )
+
+    def _usable_from(
+        self, previous: lease_store.LeaseRecord | None, era: int
+    ) -> float:
+        """Returns when no order of an earlier holder can still arrive."""
+        usable_from = self._clock.now() + self._takeover_wait_s(previous)
+        if not era or (previous is not None and previous.era == era):
+            return usable_from
+        # A holder that does not see the restore may use its lease until it
+        # expires, counted from before the restore.
+        drift_ratio = 1.0 + MAX_CLOCK_DRIFT_RATIO
+        expiry_s = self._times.duration_s * drift_ratio
+        latest_order_s = expiry_s + self._times.order_timeout_s
+        return max(usable_from, self._era.seen_at + latest_order_s)
 
     def _takeover_wait_s(
         self, previous: lease_store.LeaseRecord | None
@@ -332,6 +387,19 @@
         return self._times.order_timeout_s + longest_s
 
 
+def _next_fencing(current: lease_store.StoredLease | None, era: int) -> int:
+    """Returns a fencing number above all that were given out before.
+
+    Versions rise with each write and across eras, so that a number derived
+    from one is unique also if a restore or a late write of an earlier era
+    brings back an older record.
+    """
+    if current is None:
+        return store_era.version_of(era, 0) + 1
+    following = current.record.fencing + 1
+    return max(following, current.version + 1) if era else following
+
+
 def make_lease(
     name: str,
     zone: str,
--- a/figstream/lease_store.py
+++ b/figstream/lease_store.py
@@ -31,6 +31,7 @@
         before it was sent.
       write_id: unique id of the write.
       state: state recorded with the lease, encoded by the code that uses it.
+      era: era of the store in which the holder acquired the lease.
     """
 
     holder: str
@@ -39,6 +40,7 @@
     duration_s: float
     write_id: str
     state: str = ""
+    era: int = 0
 
 
 @attrs.frozen
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -94,6 +94,10 @@
         "with less use; try again later."
     ),
     _R.NO_BACKEND_SERVER: "No backend server can take this; try again later.",
+    _R.BACKEND_SERVERS_PAUSED: (
+        "Every backend server has asked for a pause; try again after the time "
+        "in Retry-After."
+    ),
     _R.CLAIM_UNAVAILABLE: (
         "The call can't be protected from running twice at present; send it "
         "again with the same idempotency key."
@@ -145,6 +149,7 @@
     _R.CONCURRENCY_EXCEEDED: 429,
     _R.SHED_FOR_OTHERS: 503,
     _R.NO_BACKEND_SERVER: 503,
+    _R.BACKEND_SERVERS_PAUSED: 503,
     _R.CLAIM_UNAVAILABLE: 503,
     _R.CLAIM_UNRESOLVED: 409,
     _R.CLAIM_MISMATCH: 422,
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -3,6 +3,8 @@
 The follower lists the kind once and then watches for changes, so that a change
 arrives one round trip after the store has applied it. While the store does not
 answer, the last known objects stay valid, and peers may supply a newer state.
+After the store was restored from an older copy, an object may be missing until
+its writer has written it again, as after an outage.
 """
 
 import collections
@@ -18,6 +20,7 @@
 from figstream import logs
 from figstream import metrics as metrics_lib
 from figstream import platform_api
+from figstream import store_era
 
 # Below the store's limit of 30 s for one watch call. A silent connection is
 # detected earlier by TCP keepalive probes of the kernel.
@@ -151,6 +154,7 @@
         """
         if position <= self._position:
             return False
+        self._note_era(position)
         self._reset_position(position)
         self._peer_settled = settled
         changed = dict(items) != self._items
@@ -206,6 +210,7 @@
             return True
         items = {item.name: item for item in result.items}
         changed = items != self._items
+        self._note_era(result.position)
         self._reset_position(result.position)
         self._items = items
         if changed:
@@ -216,6 +221,7 @@
         """Applies changes; returns whether the position advanced."""
         if changes.position <= self._position:
             return False
+        self._note_era(changes.position)
         self._position = changes.position
         items = dict(self._items)
         for item in changes.changed:
@@ -230,6 +236,13 @@
             self._notify_listeners("watch")
         return True
 
+    def _note_era(self, position: int) -> None:
+        """Starts the grace time if the store was restored before a position."""
+        restored = store_era.era_of(position) > store_era.era_of(self._position)
+        if self._position and restored:
+            self._outage_s = max(self._outage_s, _MIN_EXPIRY_OUTAGE_S)
+            self._recovered_at = self._clock.now()
+
     def _reset_position(self, position: int) -> None:
         """Sets the position after a gap; removals in the gap are unknown."""
         self._position = self._removals_complete_from = position
--- a/figstream/peer_server.py
+++ b/figstream/peer_server.py
@@ -24,8 +24,17 @@
 class PeerServer:
     """gRPC server for the roles that other daemons call."""
 
-    def __init__(self, host: str, port: int) -> None:
-        """Binds the port; port 0 selects a free port."""
+    def __init__(
+        self, host: str, port: int, stop_grace_s: float = _STOP_GRACE_S
+    ) -> None:
+        """Binds the port.
+
+        Args:
+          host: IP address.
+          port: port, 0 for a free one.
+          stop_grace_s: seconds that calls in progress get at the end.
+        """
+        self._stop_grace_s = stop_grace_s
         self._server = grpc.aio.server(options=_OPTIONS)
         self._port = self._server.add_insecure_port(f"{host}:{port}")
         self._address = f"{host}:{self._port}"
@@ -43,4 +52,4 @@
 
     async def stop(self) -> None:
         """Stops the server after a grace period for calls in progress."""
-        await self._server.stop(_STOP_GRACE_S)
+        await self._server.stop(self._stop_grace_s)
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -197,7 +197,13 @@
         pool: server_pool.ServerPool,
         now: float,
     ) -> Sequence[backend_server.BackendServer]:
-        servers = [item for group in pool.groups for item in group.servers]
+        paused = self._book.paused(now)
+        servers = [
+            item
+            for group in pool.groups
+            for item in group.servers
+            if item.name not in paused
+        ]
         untried = [item for item in servers if item.name not in request.tried]
         available = [item for item in untried if self._is_available(item, now)]
         unreliable_zones = self._unreliable_zones(servers, now)
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -14,6 +14,9 @@
 
 import attrs
 
+from figstream import clock as clock_lib
+from figstream import store_era
+
 MAX_OBJECT_BYTES = 1_000_000
 ABSENT_VERSION = 0
 
@@ -350,12 +353,17 @@
         """Reserves a load of a model; returns seconds to wait, 0 for none."""
 
 
+def _make_store_era() -> store_era.StoreEra:
+    return store_era.StoreEra(clock_lib.SystemClock())
+
+
 @attrs.frozen
 class Platform:
-    """All interfaces to the platform."""
+    """All interfaces to the platform, and the era of its object store."""
 
     objects: ObjectStore
     vms: VmList
     orders: ServerOrders
     usage: UsageReports
     weights: WeightStore
+    era: store_era.StoreEra = attrs.field(factory=_make_store_era)
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+from typing import Any
 from typing import Final
 from typing import TypeVar
 import urllib.parse
@@ -23,6 +24,8 @@
 from figstream import serialization
 
 _T = TypeVar("_T")
+# Event that httpcore reports just before it writes the head of a request.
+_BEFORE_WRITE_EVENT: Final = "http11.send_request_headers.started"
 # Longer than the interval of any regular call, which thus reuses a connection.
 _KEEP_ALIVE_S: Final = 30.0
 # More than the calls that the roles of a daemon make at the same time.
@@ -36,6 +39,7 @@
     httpx.ConnectTimeout,
     httpx.PoolTimeout,
     httpx.UnsupportedProtocol,
+    httpx.LocalProtocolError,
 )
 
 
@@ -72,8 +76,13 @@
         content: bytes = b"",
         headers: Mapping[str, str] | None = None,
         extra_timeout_s: float = 0.0,
+        allowed: Callable[[], bool] | None = None,
     ) -> httpx.Response | platform_api.Unavailable | platform_api.Unknown:
-        """Makes one call; returns answers of any status code."""
+        """Makes one call; returns answers of any status code.
+
+        If `allowed` is given, it is checked just before the write, and the
+        call is not sent if it returns False.
+        """
         try:
             return await self._client.request(
                 method,
@@ -82,6 +91,7 @@
                 content=content,
                 headers=headers,
                 timeout=self.timeout_s + extra_timeout_s,
+                extensions=_checked_write(allowed) if allowed else None,
             )
         except _NOT_SENT_ERRORS as error:
             return platform_api.Unavailable(_describe(error))
@@ -306,6 +316,16 @@
         return found.wait_s
 
 
+def _checked_write(allowed: Callable[[], bool]) -> dict[str, Any]:
+    """Returns request extensions that check `allowed` before the write."""
+
+    async def trace(event: str, _: object) -> None:
+        if event == _BEFORE_WRITE_EVENT and not allowed():
+            raise order_transport.NotAllowedError("no longer allowed")
+
+    return {"trace": trace}
+
+
 def _quote(name: str) -> str:
     return urllib.parse.quote(name, safe="")
 
--- a/figstream/platform_memory.py
+++ b/figstream/platform_memory.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import itertools
+import dataclasses
 
 import anyio
 import attrs
@@ -14,6 +14,7 @@
 from figstream import platform_api
 from figstream import platform_faults
 from figstream import platform_gated
+from figstream import store_era
 
 
 @attrs.define
@@ -37,6 +38,14 @@
     break_watches: bool = False
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the objects of a store, as of its last version."""
+
+    objects: dict[str, platform_api.Found]
+    last_version: int
+
+
 class MemoryObjectStore:
     """Versioned objects in memory; satisfies `platform_api.ObjectStore`."""
 
@@ -45,11 +54,23 @@
         self.faults = faults or ObjectFaults()
         self.reads = 0
         self.writes = 0
+        self.era = 1
         self._objects: dict[str, platform_api.Found] = {}
         self._history: list[str] = []
-        self._versions = itertools.count(1)
+        self._last_version = 0
         self._changed = anyio.Event()
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of all objects, from which to restore later."""
+        return StoreCopy(dict(self._objects), self._last_version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Restores a copy, which begins a new era of the store."""
+        self._objects = dict(copy.objects)
+        self._last_version = copy.last_version
+        self._history.clear()
+        self.era += 1
+
     async def read(
         self, name: str, *, stale: bool = False
     ) -> platform_api.ReadOutcome:
@@ -67,7 +88,7 @@
             return refused
         if len(body) > platform_api.MAX_OBJECT_BYTES:
             return platform_api.Unavailable("the object exceeds a megabyte")
-        version = next(self._versions)
+        version = self._next_version()
         self._objects[name] = platform_api.Found(name, version, body)
         return self._finish_write(name, version)
 
@@ -78,7 +99,7 @@
         if refused := await self._check_write(name, expected_version):
             return refused
         self._objects.pop(name, None)
-        return self._finish_write(name, next(self._versions))
+        return self._finish_write(name, self._next_version())
 
     async def list_names(
         self, prefix: str
@@ -107,6 +128,10 @@
             gap=self.faults.break_watches or position > len(self._history),
         )
 
+    def _next_version(self) -> int:
+        self._last_version += 1
+        return self._last_version
+
     def _names_since(self, prefix: str, position: int) -> tuple[str, ...]:
         recent = self._history[position:]
         return tuple(name for name in recent if name.startswith(prefix))
@@ -145,6 +170,101 @@
         return None
 
 
+class RestorableObjects:
+    """One daemon's view of a store that may be restored from a copy.
+
+    Satisfies `platform_api.ObjectStore`. Versions bear the era of the store,
+    and a condition from an earlier era is not sent, as in the adapter to the
+    platform.
+    """
+
+    def __init__(
+        self, store: MemoryObjectStore, era: store_era.StoreEra
+    ) -> None:
+        """Initializes the view; `era` is that of the daemon."""
+        self._store = store
+        self._era = era
+
+    async def read(
+        self, name: str, *, stale: bool = False
+    ) -> platform_api.ReadOutcome:
+        """Reads one object."""
+        found = await self._store.read(name, stale=stale)
+        if isinstance(found, platform_api.Unavailable):
+            return found
+        self._era.observe(self._store.era)
+        if isinstance(found, platform_api.Absent):
+            return found
+        return dataclasses.replace(found, version=self._encode(found.version))
+
+    async def write(
+        self, name: str, body: bytes, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Writes an object that has the expected version, 0 for a new one."""
+        if expected_version and not self._is_current(expected_version):
+            return platform_api.Conflict(platform_api.ABSENT_VERSION)
+        sent_in = self._era.current
+        outcome = await self._store.write(
+            name, body, store_era.revision_of(expected_version)
+        )
+        return self._outcome(outcome, sent_in)
+
+    async def delete(
+        self, name: str, expected_version: int
+    ) -> platform_api.WriteOutcome:
+        """Deletes an object that has the expected version."""
+        if not self._is_current(expected_version):
+            return platform_api.Conflict(platform_api.ABSENT_VERSION)
+        sent_in = self._era.current
+        outcome = await self._store.delete(
+            name, store_era.revision_of(expected_version)
+        )
+        return self._outcome(outcome, sent_in)
+
+    async def list_names(
+        self, prefix: str
+    ) -> Sequence[str] | platform_api.Unavailable:
+        """Lists the names that start with the prefix."""
+        found = await self._store.list_names(prefix)
+        if not isinstance(found, platform_api.Unavailable):
+            self._era.observe(self._store.era)
+        return found
+
+    async def watch(
+        self, prefix: str, position: int, timeout_s: float
+    ) -> platform_api.Changes | platform_api.Unavailable:
+        """Waits for changes after the position; counts as one call."""
+        if not self._is_current(position):
+            return platform_api.Changes((), position, gap=True)
+        found = await self._store.watch(
+            prefix, store_era.revision_of(position), timeout_s
+        )
+        if isinstance(found, platform_api.Unavailable):
+            return found
+        return dataclasses.replace(found, position=self._encode(found.position))
+
+    def _outcome(
+        self, outcome: platform_api.WriteOutcome, sent_in: int
+    ) -> platform_api.WriteOutcome:
+        if not isinstance(
+            outcome, platform_api.Written | platform_api.Conflict
+        ):
+            return outcome
+        self._era.observe(self._store.era)
+        if sent_in not in {0, self._era.current}:
+            return platform_api.Unknown("the store was restored")
+        version = self._encode(outcome.version)
+        if isinstance(outcome, platform_api.Written):
+            return platform_api.Written(version)
+        return platform_api.Conflict(version)
+
+    def _is_current(self, version: int) -> bool:
+        return store_era.era_of(version) == self._era.current
+
+    def _encode(self, version: int) -> int:
+        return store_era.version_of(self._era.current, version)
+
+
 class MemoryVmList:
     """The list of VMs in memory; satisfies `platform_api.VmList`."""
 
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -42,6 +42,7 @@
     CONCURRENCY_EXCEEDED = "concurrency_exceeded"
     SHED_FOR_OTHERS = "shed_for_others"
     NO_BACKEND_SERVER = "no_backend_server"
+    BACKEND_SERVERS_PAUSED = "backend_servers_paused"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_UNRESOLVED = "claim_unresolved"
     CLAIM_MISMATCH = "claim_mismatch"
--- a/figstream/scaling_orders.py
+++ b/figstream/scaling_orders.py
@@ -5,7 +5,8 @@
 holder need not know the earlier orders. The next holder must know how many
 servers the operator provided initially, which can no longer be observed once
 servers have been stopped. Therefore the first holder writes these numbers into
-the object store, once.
+the object store, once. After a restore of the store from an older copy, a
+holder that knows the numbers writes them again if they are missing.
 """
 
 from collections.abc import Mapping
@@ -51,11 +52,15 @@
       plan: scaling plan, None until the provided servers are known.
       observed: numbers of registered servers by zone, as last observed.
       changed_at: time at which `observed` last changed.
+      provided: numbers of servers that the operator provided, by zone.
+      stored_in_era: era of the store that surely has `provided`.
     """
 
     plan: scaling_plan.ScalingPlan | None = None
     observed: dict[str, int] = attrs.field(factory=dict)
     changed_at: float = _NEVER
+    provided: dict[str, int] = attrs.field(factory=dict)
+    stored_in_era: int = 0
 
 
 class ScalingOrders:
@@ -104,6 +109,7 @@
             service_state.plan = await self._make_plan(name, service_state)
         if service_state.plan is None:
             return
+        await self._restore_provided(name, service_state)
         now = self._clock.now()
         active = self._active(name)
         names = frozenset(item.name for item in active)
@@ -127,7 +133,7 @@
             except errors.ConfigurationError as error:
                 logs.error("scaling_unreadable", detail=str(error))
                 return None
-            return scaling_plan.ScalingPlan(name, found.zones)
+            return self._plan_from(name, service_state, found.zones)
         if isinstance(stored, platform_api.Unavailable):
             return None
         observed = {
@@ -150,7 +156,29 @@
         if not isinstance(written, platform_api.Written):
             return None
         logs.info("scaling_provided", service=name, zones=observed)
-        return scaling_plan.ScalingPlan(name, observed)
+        return self._plan_from(name, service_state, observed)
+
+    def _plan_from(
+        self, name: str, service_state: _ServiceState, zones: dict[str, int]
+    ) -> scaling_plan.ScalingPlan:
+        service_state.provided = zones
+        service_state.stored_in_era = self._context.platform.era.current
+        return scaling_plan.ScalingPlan(name, zones)
+
+    async def _restore_provided(
+        self, name: str, service_state: _ServiceState
+    ) -> None:
+        """Writes the provided numbers again if a restore has removed them."""
+        era = self._context.platform.era.current
+        if service_state.stored_in_era == era:
+            return
+        outcome = await self._context.platform.objects.write(
+            PROVIDED_PREFIX + name,
+            serialization.to_json(ProvidedServers(service_state.provided)),
+            platform_api.ABSENT_VERSION,
+        )
+        if isinstance(outcome, platform_api.Written | platform_api.Conflict):
+            service_state.stored_in_era = era
 
     def _active(self, service: str) -> list[backend_server.BackendServer]:
         return [
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -18,6 +18,7 @@
 from figstream import cost_estimate
 from figstream import dispatcher
 from figstream import errors
+from figstream import paused_pool
 from figstream import prefix_affinity
 from figstream import rate_limit
 from figstream import reasons
@@ -69,6 +70,7 @@
         self._decisions: list[scheduler_api.Decision] = []
         self._queues = waiting_queues.WaitingQueues(self._weight)
         self._limits = rate_limit.CustomerLimits()
+        self._paused_pools = paused_pool.PausedPools(book, random.Random())
         self._outputs = cost_estimate.OutputEstimates()
         self._admission = admission.Admission(
             self._queues, index, selection, self._outputs
@@ -109,17 +111,26 @@
         if self._index.set_leaving(servers):
             self._dispatcher.unblock_all()
 
+    def pause_server(self, server: str, until: float) -> None:
+        """Sends no requests to a server, at its own request, until a time."""
+        self._book.pause(server, until, self._now)
+        self._dispatcher.unblock_all()
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
         """Queues a request, or returns its refusal."""
         self._now = now
         target = request_target.target_of(request)
-        if not self._index.pool(target, request.request_class).groups:
+        pool = self._index.pool(target, request.request_class)
+        if not pool.groups:
             reason = reasons.RefusalReason.NO_BACKEND_SERVER
             return refusals.make_refusal(
                 request, reason, _NO_SERVER_RETRY_AFTER_S
             )
+        refusal = self._paused_pools.refusal(request, pool, now)
+        if refusal:
+            return refusal
         output_tokens = self._outputs.expected(request)
         refusal = self._admit(request, output_tokens, now)
         if refusal:
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -198,6 +198,9 @@
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Excludes the servers that the platform is reclaiming."""
 
+    def pause_server(self, server: str, until: float) -> None:
+        """Sends no requests to a server, at its own request, until a time."""
+
     def offer(
         self, request: PendingRequest, now: float
     ) -> errors.Refusal | None:
--- /dev/null
+++ b/figstream/server_announcements.py
@@ -0,0 +1,119 @@
+"""Applies what backend servers announce about themselves in their answers.
+
+The client for backend servers passes each announcement on as soon as it has
+read the head of the answer. A server that is leaving receives no further
+requests, whatever its entry in the platform's store says. A server that asks
+for a pause receives none until the pause ends. An announcement holds for one
+run of a server: after a restart under the same name, the server starts anew.
+"""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import scheduler_api
+
+# The entry of a server that wants no requests for longer is soon removed.
+MAX_PAUSE_S: Final = 300.0
+# Bounds the memory for announcements; more servers than run at once.
+_MAX_SERVERS: Final = 4_096
+
+
+@attrs.frozen
+class Announcement:
+    """What the head of an answer says about the server that sent it.
+
+    Attributes:
+      leaving: whether the server is about to exit.
+      pause_s: seconds for which the server wants no requests, 0 for none.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
+class ServerAnnouncements:
+    """Keeps the announcements of servers and informs the scheduler."""
+
+    def __init__(
+        self,
+        scheduler: scheduler_api.Scheduler,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        """Initializes without announcements."""
+        self._scheduler = scheduler
+        self._clock = clock
+        self._metrics = metrics
+        # The start times of the servers tell their runs apart.
+        self._known_runs: dict[str, int] = {}
+        self._leaving_runs: dict[str, int] = {}
+        self._paused_runs: dict[str, int] = {}
+
+    def receive(
+        self, server: backend_server.BackendServer, announcement: Announcement
+    ) -> None:
+        """Applies an announcement of a server."""
+        name, run = server.name, server.started_ms
+        if run < self._known_runs.get(name, 0):
+            return
+        if announcement.leaving and self._leaving_runs.get(name) != run:
+            _put_bounded(self._leaving_runs, name, run)
+            logs.info("server_announced_leaving", server=name, run=run)
+            self._metrics.event("server_announced_leaving")
+            self._scheduler.set_leaving(frozenset(self._leaving_runs))
+        if announcement.pause_s > 0:
+            pause_s = min(announcement.pause_s, MAX_PAUSE_S)
+            _put_bounded(self._paused_runs, name, run)
+            logs.info(
+                "server_asked_for_pause",
+                server=name,
+                asked_s=announcement.pause_s,
+                pause_s=pause_s,
+            )
+            self._metrics.event("server_asked_for_pause")
+            self._scheduler.pause_server(name, self._clock.now() + pause_s)
+
+    def update_servers(
+        self, servers: Iterable[backend_server.BackendServer]
+    ) -> None:
+        """Discards the announcements of servers that were restarted."""
+        self._known_runs = {item.name: item.started_ms for item in servers}
+        for name in self._restarted(self._paused_runs):
+            del self._paused_runs[name]
+            self._scheduler.pause_server(name, self._clock.now())
+        restarted = self._restarted(self._leaving_runs)
+        for name in restarted:
+            del self._leaving_runs[name]
+            logs.info("server_restarted", server=name)
+        if restarted:
+            self._scheduler.set_leaving(frozenset(self._leaving_runs))
+
+    def _restarted(self, runs: dict[str, int]) -> list[str]:
+        return [
+            name
+            for name, run in runs.items()
+            if self._known_runs.get(name, run) != run
+        ]
+
+
+def _put_bounded(runs: dict[str, int], name: str, run: int) -> None:
+    """Adds an entry and evicts the oldest ones beyond the limit."""
+    runs.pop(name, None)
+    runs[name] = run
+    while len(runs) > _MAX_SERVERS:
+        del runs[next(iter(runs))]
+
+
+def make_server_announcements(
+    scheduler: scheduler_api.Scheduler,
+    clock: clock_lib.Clock,
+    metrics: metrics_lib.Metrics,
+) -> ServerAnnouncements:
+    """Creates the receiver of announcements of one daemon."""
+    return ServerAnnouncements(scheduler, clock, metrics)
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -5,11 +5,16 @@
 new requests. A server whose entry disappears during an outage of the store
 stays in use for a short time after the store's return, since the entry may
 have expired only because the server could not renew it.
+
+After a restore from an older copy, the store shows entries as they were. A
+server that has been draining stays so for the rest of its run, and the entry of
+a server that was gone counts only once the server has written it again.
 """
 
 from collections.abc import Callable
 import itertools
 from typing import Final
+from typing import TypeVar
 
 import anyio
 import attrs
@@ -24,14 +29,20 @@
 from figstream import object_follower
 from figstream import platform_api
 from figstream import scheduler_api
+from figstream import store_era
 
 # A malformed entry is logged once per version; this bounds the entries recorded
 # for that.
 _MAX_LOGGED_FAULTS: Final = 256
+# Bounds the records of servers that were draining or gone; many times the
+# number that leave within the age of a copy of the store.
+_MAX_DEPARTED: Final = 4_096
 # Interval of checks whether the store has been back long enough to drop servers
 # with missing entries.
 _CHECK_INTERVAL_S: Final = 0.1
 
+_T = TypeVar("_T")
+
 Decode = Callable[[platform_api.StoredItem], backend_server.BackendServer]
 Listener = Callable[[frozenset[str]], None]
 
@@ -58,6 +69,13 @@
         self._servers: dict[str, backend_server.BackendServer] = {}
         self._missing: dict[str, backend_server.BackendServer] = {}
         self._logged_faults: dict[str, int] = {}
+        # Start times of the runs that were draining, by server.
+        self._drained_runs: dict[str, int] = {}
+        # Servers whose entry was removed, oldest first.
+        self._departed: dict[str, None] = {}
+        # Versions that entries of departed servers had after a restore.
+        self._outdated_versions: dict[str, int] = {}
+        self._era = 0
         self._listeners: list[Listener] = []
         self._wake = anyio.Event()
         follower.subscribe(self._apply_items)
@@ -92,8 +110,18 @@
 
     def _apply_items(self, items: object_follower.Items) -> None:
         before = self._servers
-        decoded = (self._decode_or_skip(item) for item in items.values())
-        self._servers = {item.name: item for item in decoded if item}
+        self._note_restore(items)
+        decoded = (
+            self._decode_or_skip(item)
+            for item in items.values()
+            if self._outdated_versions.get(item.name) != item.version
+        )
+        self._servers = {
+            item.name: self._with_drained_state(item)
+            for item in decoded
+            if item
+        }
+        self._record_departed(before)
         if not self._follower.settled:
             for name, server in before.items():
                 if name not in self._servers:
@@ -106,6 +134,46 @@
         self._log_difference(before)
         self._notify()
 
+    def _note_restore(self, items: object_follower.Items) -> None:
+        """Records the entries that a restore brought back."""
+        era = store_era.era_of(self._follower.position)
+        if era == self._era:
+            return
+        if self._era:
+            self._outdated_versions = {
+                name: items[name].version
+                for name in self._departed
+                if name in items
+            }
+            logs.info(
+                "server_entries_restored",
+                era=era,
+                outdated=",".join(sorted(self._outdated_versions)) or "none",
+            )
+        self._era = era
+
+    def _with_drained_state(
+        self, server: backend_server.BackendServer
+    ) -> backend_server.BackendServer:
+        """Returns the server as draining if its present run ever was."""
+        draining = backend_server.ServerState.DRAINING
+        if not server.started_ms:
+            return server
+        if server.state is draining:
+            _put_bounded(self._drained_runs, server.name, server.started_ms)
+            return server
+        if self._drained_runs.get(server.name) != server.started_ms:
+            return server
+        return attrs.evolve(server, state=draining)
+
+    def _record_departed(
+        self, before: dict[str, backend_server.BackendServer]
+    ) -> None:
+        for name in before.keys() - self._servers.keys():
+            _put_bounded(self._departed, name, None)
+        for name in self._departed.keys() & self._servers.keys():
+            del self._departed[name]
+
     def _send_configuration(
         self, configuration: configuration_lib.Configuration
     ) -> None:
@@ -159,3 +227,11 @@
         names = frozenset(item.name for item in self.servers)
         for listener in self._listeners:
             listener(names)
+
+
+def _put_bounded(records: dict[str, _T], name: str, value: _T) -> None:
+    """Adds a record and evicts the oldest ones beyond the limit."""
+    records.pop(name, None)
+    records[name] = value
+    while len(records) > _MAX_DEPARTED:
+        del records[next(iter(records))]
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -93,6 +93,7 @@
         self._states: collections.defaultdict[str, ServerState] = (
             collections.defaultdict(ServerState)
         )
+        self._pauses: dict[str, float] = {}
 
     def state(self, server: str) -> ServerState:
         """Returns the load and failures of a server."""
@@ -104,6 +105,32 @@
             if name not in servers and not self._states[name].own_requests:
                 del self._states[name]
 
+    def pause(self, server: str, until: float, now: float) -> None:
+        """Records until when a server has asked for no requests.
+
+        Unlike the pauses after failures, this one is never shortened by a
+        lack of other servers, and it survives the removal of the server.
+        """
+        self._pauses[server] = until
+        self._pauses = {
+            name: end for name, end in self._pauses.items() if end > now
+        }
+
+    def paused(self, now: float) -> frozenset[str]:
+        """Returns the servers that have asked for no requests at present."""
+        if not self._pauses:
+            return frozenset()
+        return frozenset(
+            name for name, until in self._pauses.items() if until > now
+        )
+
+    def pause_end(self, servers: frozenset[str], now: float) -> float:
+        """Returns the first time at which one of the servers wants requests."""
+        if not self._pauses:
+            return now
+        ends = (self._pauses.get(name, now) for name in servers)
+        return max(now, min(ends, default=now))
+
     def dispatched(self, server: str, now: float) -> None:
         """Records that this daemon sent a request to a server."""
         self._states[server].change_own_requests(1, now)
--- a/figstream/usage_chain.py
+++ b/figstream/usage_chain.py
@@ -5,6 +5,12 @@
 removed window. It is written before a window is removed, and read after a
 window was read or created. A process that was paused for any time and then
 recreates a removed window therefore finds its object invalid before using it.
+
+After a restore of the store from an older copy, windows that were sealed and
+perhaps reported may be missing. A window that ended before the restore is then
+in doubt, and reporting it again could differ from the first report. The chain
+therefore continues with the first window that began after the restore was
+seen, and windows in doubt are not reported.
 """
 
 import secrets
@@ -12,8 +18,10 @@
 
 import attrs
 
+from figstream import logs
 from figstream import platform_api
 from figstream import serialization
+from figstream import store_era
 from figstream import usage_window
 
 WINDOW_PREFIX: Final = "usage/window/"
@@ -22,6 +30,7 @@
 _RETAINED_WINDOWS: Final = 2
 # Long enough that no two writes have the same id.
 _WRITE_ID_BYTES: Final = 8
+_MS_PER_S: Final = 1000
 
 
 @attrs.frozen
@@ -33,20 +42,32 @@
       reported: the last window that is reported, 0 for none.
       removed: the last window whose object may be gone, 0 for none.
       write_id: unique id of this write.
+      era: era of the store in which the chain began or continued.
+      resumed_ms: start of the first window after the last restore, Unix
+        milliseconds.
     """
 
     start_ms: int
     reported: int
     removed: int
     write_id: str
+    era: int = 0
+    resumed_ms: int = 0
 
 
 class UsageChain:
     """One process's view of the chain; every write is conditional."""
 
-    def __init__(self, objects: platform_api.ObjectStore) -> None:
+    def __init__(
+        self,
+        objects: platform_api.ObjectStore,
+        era: store_era.StoreEra,
+        window_ms: int,
+    ) -> None:
         """Initializes without a view; `load` reads the chain."""
         self._objects = objects
+        self._era = era
+        self._window_ms = window_ms
         self._progress: UsageProgress | None = None
         self._progress_version = platform_api.ABSENT_VERSION
         self._tail: usage_window.StoredWindow | None = None
@@ -87,9 +108,15 @@
             return False
         if last < progress.removed or (last == progress.removed and last):
             return False
-        self._tail = tail or usage_window.StoredWindow(
+        if progress.era != self._era.current:
+            resumed = await self._resume_after_restore(progress, last)
+            if resumed is None:
+                return False
+            progress = resumed
+        tail = tail or usage_window.StoredWindow(
             0, progress.start_ms, progress.start_ms
         )
+        self._tail = _moved_to(tail, progress.resumed_ms)
         stale = [number for number in numbers if number <= progress.removed]
         for number in stale:
             await self._delete_window(number)
@@ -153,14 +180,48 @@
         return True
 
     async def _create_progress(self, start_ms: int) -> UsageProgress | None:
-        progress = UsageProgress(start_ms, 0, 0, _write_id())
+        era = self._era.current
+        progress = UsageProgress(start_ms, 0, 0, _write_id(), era)
         absent = platform_api.ABSENT_VERSION
         await self._write_progress(progress, absent)
         return await self._read_progress()
 
+    async def _resume_after_restore(
+        self, progress: UsageProgress, last: int
+    ) -> UsageProgress | None:
+        """Leaves out the windows in doubt; returns None if that failed.
+
+        Args:
+          progress: progress as of before the restore.
+          last: number of the last window in the store.
+        """
+        # The next window, since the clock of this VM may be behind that of the
+        # VM that reported before the restore.
+        seen_ms = int(self._era.seen_wall * _MS_PER_S)
+        resumed_ms = (seen_ms // self._window_ms + 1) * self._window_ms
+        resumed = attrs.evolve(
+            progress,
+            reported=max(progress.reported, last),
+            write_id=_write_id(),
+            era=self._era.current,
+            resumed_ms=max(progress.resumed_ms, resumed_ms),
+        )
+        if not await self._write_progress(resumed, self._progress_version):
+            return None
+        logs.warning(
+            "usage_windows_in_doubt",
+            era=resumed.era,
+            reported=progress.reported,
+            last=last,
+            resumed_ms=resumed.resumed_ms,
+        )
+        return resumed
+
     async def _write_progress(
         self, progress: UsageProgress, version: int
     ) -> bool:
+        if progress.era != self._era.current:
+            return False
         body = serialization.to_json(progress)
         outcome = await self._objects.write(PROGRESS_NAME, body, version)
         if isinstance(outcome, platform_api.Unknown):
@@ -195,6 +256,20 @@
             await self._objects.delete(name, found.version)
 
 
+def _moved_to(
+    tail: usage_window.StoredWindow, resumed_ms: int
+) -> usage_window.StoredWindow:
+    """Returns the tail for a chain that continues at a later time."""
+    if tail.end_ms >= resumed_ms:
+        return tail
+    return attrs.evolve(
+        tail,
+        start_ms=resumed_ms,
+        end_ms=resumed_ms,
+        floor_ms=max(tail.floor_ms, resumed_ms),
+    )
+
+
 def _object_name(number: int) -> str:
     return f"{WINDOW_PREFIX}{number:012d}"
 
--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -64,10 +64,12 @@
         """Initializes without a view of the chain."""
         self._lease = lease
         self._reports = platform.usage
-        self._chain = usage_chain.UsageChain(platform.objects)
         self._clock = clock
         self._metrics = metrics
         self._window_ms = round(window_s * _MS_PER_S)
+        self._chain = usage_chain.UsageChain(
+            platform.objects, platform.era, self._window_ms
+        )
         self._interval_s = usage_ledger.delta_interval_s(window_s)
         self._epoch = ""
         self._loaded_at_ms = 0
--- a/figstream/vm_registration.py
+++ b/figstream/vm_registration.py
@@ -2,7 +2,9 @@
 
 Used on platforms that provide no list of VMs. An entry is written once at
 startup, replaced after a restart, and removed at a graceful shutdown. An entry
-that remains after a crash only costs a failed connection every few seconds.
+that remains after a crash only costs a failed connection every few seconds. A
+restore of the store from an older copy may lose the entry, which is then
+written again.
 """
 
 from typing import Final
@@ -15,12 +17,11 @@
 from figstream import logs
 from figstream import platform_api
 from figstream import serialization
+from figstream import store_era
 
 PREFIX: Final = "daemons/"
 # Interval between attempts while the store does not answer.
 _RETRY_S: Final = 1.0
-# The entry does not expire, so the role only has to sleep.
-_SLEEP_S: Final = 3_600.0
 
 
 @attrs.frozen
@@ -39,9 +40,11 @@
         name: str,
         entry: VmEntry,
         objects: platform_api.ObjectStore,
+        era: store_era.StoreEra,
         clock: clock_lib.Clock,
     ) -> None:
         """Initializes the registration; no entry is written yet."""
+        self._era = era
         self._object_name = PREFIX + name
         self._entry = entry
         self._objects = objects
@@ -49,11 +52,12 @@
         self._version = platform_api.ABSENT_VERSION
 
     async def run(self) -> None:
-        """Writes the entry, then sleeps until cancelled."""
-        while not await self.write():
-            await self._clock.sleep(_RETRY_S)
+        """Writes the entry, and again after each restore, until cancelled."""
         while True:
-            await self._clock.sleep(_SLEEP_S)
+            while not await self.write():
+                await self._clock.sleep(_RETRY_S)
+            await self._era.wait_for_restore()
+            self._version = platform_api.ABSENT_VERSION
 
     async def hand_over(self) -> None:
         """Removes the entry."""
@@ -119,5 +123,6 @@
         options.name,
         VmEntry(address, options.zone),
         context.platform.objects,
+        context.platform.era,
         context.clock,
     )
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -140,6 +140,7 @@
         kind=backend_server.ServerKind.SERVICE,
         service=service,
         slots=8,
+        started_ms=worker.started_ms,
     )
 
 
@@ -196,15 +197,13 @@
 ) -> None:
     """Activates a manifest with the workers as servers of all services."""
     configuration = decode_manifest(**changes)
+    servers = tuple(
+        server_of(worker, service)
+        for worker in workers
+        for service in ("llm", "render")
+    )
     context.holder.replace(configuration)
     context.holder.confirm(configuration.generation)
     context.scheduler.set_configuration(
-        attrs.evolve(
-            configuration,
-            servers=tuple(
-                server_of(worker, service)
-                for worker in workers
-                for service in ("llm", "render")
-            ),
-        )
+        attrs.evolve(configuration, servers=servers)
     )
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -48,6 +48,19 @@
 
 
 def decode(item: platform_api.StoredItem) -> backend_server.BackendServer:
+    if isinstance(item.value, dict) and "zone" in item.value:
+        state = {
+            "ready": backend_server.ServerState.ACTIVE,
+            "draining": backend_server.ServerState.DRAINING,
+        }
+        return backend_server.BackendServer(
+            item.name,
+            "http://10.0.0.1:1",
+            item.value["zone"],
+            service="s",
+            state=state[item.value["state"]],
+            started_ms=item.value["run"],
+        )
     if not isinstance(item.value, str):
         raise errors.ConfigurationError("no text")
     return backend_server.BackendServer(
--- a/tests/test_feed_peers.py
+++ b/tests/test_feed_peers.py
@@ -3,12 +3,15 @@
 import pytest
 
 from figstream import clock as clock_lib
+from figstream import configuration
+from figstream import configuration_feed
 from figstream import configuration_holder
 from figstream import feed_peers
 from figstream import membership_api
 from figstream import metrics
 from figstream import object_follower
 from figstream import platform_api
+from figstream import store_era
 from figstream.rpc import feed_pb2
 from tests import gateway_parts
 from tests import lease_parts
@@ -24,10 +27,18 @@
             "servers", self.feed, self.clock, unexported
         )
         self.members = lease_parts.SingleMembership(self.name)
+        self.operator_feed = gateway_parts.ScriptedFeed()
+        self.configuration_follower = object_follower.ObjectFollower(
+            "config", self.operator_feed, self.clock, unexported
+        )
+        self.holder = configuration_holder.ConfigurationHolder(self.clock)
+        self.configuration = configuration_feed.ConfigurationFeed(
+            self.configuration_follower, "main", _decode, self.holder
+        )
         self.peers = feed_peers.FeedPeers(
             (self.follower,),
             self.members,
-            configuration_holder.ConfigurationHolder(self.clock),
+            self.configuration,
             self.clock,
             unexported,
         )
@@ -38,10 +49,27 @@
                 feed_pb2.KindPosition(
                     kind="servers", position=self.follower.position
                 )
-            ]
+            ],
+            generation=self.holder.current.generation,
         )
-        for state in other.peers.answer(request).newer:
+        answer = other.peers.answer(request)
+        for state in answer.newer:
             self.peers._adopt(other.name, state)
+        if answer.configuration:
+            self.peers._apply_configuration(other.name, answer.configuration)
+
+    async def read_configuration(self, version: int, generation: int) -> None:
+        """Lists the operator's object from the store."""
+        item = gateway_parts.item("main", version, generation)
+        self.operator_feed.answers.append(
+            platform_api.Snapshot((item,), version)
+        )
+        self.configuration_follower._listed = False
+        await self.configuration_follower._poll_once()
+
+
+def _decode(item: platform_api.StoredItem) -> configuration.Configuration:
+    return configuration.Configuration(generation=item.value)
 
 
 async def _set_state(daemon: _Daemon, position: int, *names: str) -> None:
@@ -99,3 +127,36 @@
     state = feed_pb2.KindState(kind="servers", position=7, items=b"{broken")
     daemon.peers._adopt("b", state)
     assert daemon.follower.position == 0
+
+
+@pytest.mark.anyio
+async def test_after_a_restore_the_newest_configuration_comes_from_a_peer() -> (
+    None
+):
+    """Fails if peers offer only the objects that the store shows.
+
+    After a restore from an older copy, the store shows an older configuration
+    until the operator has written the newest one again.
+    """
+    old, started = _Daemon("a"), _Daemon("b")
+    await old.read_configuration(store_era.version_of(1, 9), generation=8)
+    restored = store_era.version_of(2, 5)
+    await old.read_configuration(restored, generation=7)
+    assert old.holder.current.generation == 8
+    await started.read_configuration(restored, generation=7)
+    started.learn_from(old)
+    assert started.holder.current.generation == 8
+    old.learn_from(started)
+    assert old.holder.current.generation == 8
+
+
+@pytest.mark.anyio
+async def test_a_state_of_a_newer_era_wins_over_a_higher_revision() -> None:
+    ahead, behind = _Daemon("a"), _Daemon("b")
+    await _set_state(ahead, store_era.version_of(2, 5), "one")
+    await _set_state(behind, store_era.version_of(1, 90), "one", "two")
+    ahead.learn_from(behind)
+    assert set(ahead.follower.items) == {"one"}
+    behind.learn_from(ahead)
+    assert set(behind.follower.items) == {"one"}
+    assert not behind.follower.settled
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,10 +5,12 @@
 import anyio
 import pytest
 
+from figstream import clock as clock_lib
 from figstream import http_server
 from figstream import platform_api
 from figstream import platform_http
 from figstream import serialization
+from figstream import store_era
 from figstream import usage_api
 from figstream import usage_window
 from figstream_platform import duties
@@ -20,8 +22,10 @@
     def __init__(self, url: str, store: standin_store.Store) -> None:
         self.store = store
         self.http_client = platform_http.PlatformHttpClient(url, "entry-1", 1.0)
-        self.objects = store_lib.StoreObjects(self.http_client)
-        self.feed = store_lib.StoreFeed(self.http_client)
+        self.era = store_era.StoreEra(clock_lib.ManualClock())
+        client = store_lib.StoreClient(self.http_client, self.era)
+        self.objects = store_lib.StoreObjects(client)
+        self.feed = store_lib.StoreFeed(client)
 
 
 @pytest.fixture
@@ -76,7 +80,7 @@
     found = await adapter.feed.snapshot("servers")
     assert isinstance(found, platform_api.Snapshot)
     assert len(found.items) == 1_100
-    assert found.position == adapter.store.revision
+    assert found.position == store_era.version_of(1, adapter.store.revision)
 
     async def change() -> None:
         await anyio.sleep(0.05)
@@ -86,7 +90,7 @@
         group.start_soon(change)
         changes = await adapter.feed.changes("servers", found.position, 2.0)
     assert changes == platform_api.FeedChanges(
-        (), ("i-0001",), adapter.store.revision
+        (), ("i-0001",), store_era.version_of(1, adapter.store.revision)
     )
 
 
@@ -96,10 +100,12 @@
 ) -> None:
     adapter.store.put("config", "main", {})
     adapter.store.discard_history()
-    gone = await adapter.feed.changes("config", 1, 0.1)
+    listed = await adapter.feed.snapshot("config")
+    assert isinstance(listed, platform_api.Snapshot)
+    gone = await adapter.feed.changes("config", store_era.version_of(1, 1), 0.1)
     assert gone == platform_api.HistoryGone()
     adapter.store.faults.down = True
-    down = await adapter.feed.changes("config", 9, 0.1)
+    down = await adapter.feed.changes("config", listed.position, 0.1)
     assert isinstance(down, platform_api.Unavailable)
 
 
@@ -139,3 +145,65 @@
     out_of_capacity = await scaling.send(order)
     assert isinstance(out_of_capacity, platform_api.OrderRefused)
     assert out_of_capacity.none_available
+
+
+@pytest.mark.anyio
+async def test_a_restore_ends_the_watch_and_every_earlier_condition(
+    adapter: _Adapter,
+) -> None:
+    """Fails if a revision of an earlier era is sent or believed.
+
+    The store gives out the same revisions again, so that a condition or a
+    position of an earlier era may fit another object.
+    """
+    name = "leases/usage"
+    adapter.store.put("config", "main", 1)
+    before = await adapter.feed.snapshot("config")
+    assert isinstance(before, platform_api.Snapshot)
+    written = await adapter.objects.write(name, b'{"a":1}', 0)
+    assert isinstance(written, platform_api.Written)
+    adapter.store.restore(age_s=60.0)
+    for number in range(5):
+        adapter.store.put("config", "main", number)
+    lost = await adapter.feed.changes("config", before.position, 0.1)
+    assert lost == platform_api.HistoryGone()
+    again = await adapter.objects.write(name, b'{"b":1}', 0)
+    assert isinstance(again, platform_api.Written)
+    calls = adapter.store.calls["PUT figstream-leases"]
+    refused = await adapter.objects.write(name, b'{"a":2}', written.version)
+    assert isinstance(refused, platform_api.Conflict)
+    assert adapter.store.calls["PUT figstream-leases"] == calls
+    after = await adapter.feed.snapshot("config")
+    assert isinstance(after, platform_api.Snapshot)
+    assert after.position > before.position
+
+
+@pytest.mark.anyio
+async def test_a_write_answered_in_another_era_is_unknown(
+    adapter: _Adapter,
+) -> None:
+    await adapter.feed.snapshot("config")
+    adapter.store.restore(age_s=60.0)
+    outcome = await adapter.objects.write("leases/usage", b"{}", 0)
+    assert isinstance(outcome, platform_api.Unknown)
+    assert adapter.era.restores == 1
+
+
+@pytest.mark.anyio
+async def test_a_waiting_watch_ends_with_the_restore(
+    adapter: _Adapter,
+) -> None:
+    adapter.store.put("config", "main", 1)
+    before = await adapter.feed.snapshot("config")
+    assert isinstance(before, platform_api.Snapshot)
+
+    async def restore() -> None:
+        await anyio.sleep(0.05)
+        adapter.store.restore(age_s=0.0)
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(restore)
+        cut = await adapter.feed.changes("config", before.position, 2.0)
+    assert isinstance(cut, platform_api.Unavailable)
+    gone = await adapter.feed.changes("config", before.position, 0.0)
+    assert gone == platform_api.HistoryGone()
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -4,6 +4,7 @@
 
 from figstream import object_follower
 from figstream import platform_api
+from figstream import store_era
 from tests import gateway_parts
 
 _item = gateway_parts.item
@@ -99,3 +100,81 @@
         platform_api.HistoryGone(), _list(7, _item("one"))
     )
     assert directory.names == {"two"}
+
+
+def _entry(
+    name: str, era: int, revision: int, state: str = "ready", run: int = 7
+) -> object:
+    version = store_era.version_of(era, revision)
+    return _item(name, version, {"zone": "a", "state": state, "run": run})
+
+
+def _states(directory: gateway_parts.DirectoryFixture) -> set[str]:
+    return {item.state.value for item in directory.directory.servers}
+
+
+def _restored(revision: int, *items: object) -> platform_api.Snapshot:
+    return _list(store_era.version_of(2, revision), *items)
+
+
+@pytest.mark.anyio
+async def test_a_drained_server_stays_drained_after_a_restore() -> None:
+    """Fails if an entry of the copy makes a draining server ready again."""
+    directory = gateway_parts.DirectoryFixture()
+    await directory.run_follower(
+        _list(store_era.version_of(1, 9), _entry("one", 1, 9, "draining")),
+        platform_api.HistoryGone(),
+        _restored(5, _entry("one", 2, 4)),
+    )
+    assert _states(directory) == {"draining"}
+    await directory.run_follower(
+        platform_api.FeedChanges(
+            (_entry("one", 2, 6, run=8),),  # type: ignore[arg-type]
+            (),
+            store_era.version_of(2, 6),
+        )
+    )
+    assert _states(directory) == {"active"}
+
+
+@pytest.mark.anyio
+async def test_a_restored_entry_of_a_gone_server_counts_once_rewritten() -> (
+    None
+):
+    """Fails if an entry that the copy brings back names a server to use."""
+    directory = gateway_parts.DirectoryFixture()
+    await directory.run_follower(
+        _list(
+            store_era.version_of(1, 8),
+            _entry("one", 1, 3),
+            _entry("two", 1, 4),
+        ),
+        _gone(store_era.version_of(1, 9), "one"),
+        platform_api.HistoryGone(),
+        _restored(5, _entry("one", 2, 3), _entry("two", 2, 4)),
+    )
+    assert directory.names == {"two"}
+    await directory.run_follower(
+        platform_api.FeedChanges(
+            (_entry("one", 2, 6),),  # type: ignore[arg-type]
+            (),
+            store_era.version_of(2, 6),
+        )
+    )
+    assert directory.names == {"one", "two"}
+
+
+@pytest.mark.anyio
+async def test_servers_that_the_copy_lacks_stay_until_they_could_write() -> (
+    None
+):
+    directory = gateway_parts.DirectoryFixture()
+    await directory.run_follower(
+        _list(store_era.version_of(1, 9), _entry("one", 1, 9)),
+        platform_api.HistoryGone(),
+        _restored(5),
+    )
+    assert directory.names == {"one"}
+    directory.clock.advance(object_follower.RECOVERY_GRACE_S)
+    await directory.run_directory()
+    assert directory.names == set()
