--- a/figstream/claim_group_commit.py
+++ b/figstream/claim_group_commit.py
@@ -105,6 +105,8 @@
         self._highest_version = platform_api.ABSENT_VERSION
         self._unconfirmed_version: int | None = None
         self._objects_to_delete: list[str] = []
+        # Answers that expired in writes whose outcome is unknown.
+        self._expired_in_doubt: set[str] = set()
 
     @property
     def idle(self) -> bool:
@@ -118,7 +120,7 @@
 
     def add_claim(self, change: ClaimChange) -> None:
         """Queues a claim for the next write."""
-        if len(self._results) >= MAX_PENDING_CLAIMS:
+        if len(self._claims) >= MAX_PENDING_CLAIMS:
             change.resolve(
                 NotCommitted("too many changes are queued for the journal")
             )
@@ -172,13 +174,15 @@
             draft, records, results = self._draft(page, claims)
             if page is self._cached and self._must_read_again(claims, records):
                 continue
+            self._expired_in_doubt.update(draft.expired_results)
             if not draft.changed and page.version != self._unconfirmed_version:
                 self._resolve_all(claims, records, results)
+                self._delete_expired(draft)
                 return False
             outcome = await self._write(draft.encode(), page.version)
             if isinstance(outcome, platform_api.Written):
                 self._resolve_all(claims, records, results)
-                self._objects_to_delete.extend(draft.expired_results)
+                self._delete_expired(draft)
                 return False
             if isinstance(outcome, platform_api.Unavailable):
                 break
@@ -204,6 +208,12 @@
         draft.expire(self._clock.wall())
         return draft, [draft.claim(item.record) for item in claims], results
 
+    def _delete_expired(self, stored: claim_record.PageDraft) -> None:
+        """Queues the expired answers that the stored page does not use."""
+        unused = stored.without_results(self._expired_in_doubt)
+        self._objects_to_delete.extend(unused)
+        self._expired_in_doubt.clear()
+
     def _must_read_again(
         self,
         claims: Sequence[ClaimChange],
--- a/figstream/claim_record.py
+++ b/figstream/claim_record.py
@@ -181,6 +181,11 @@
                 self.expired_results.append(found.result.object_name)
             self._remove(digest)
 
+    def without_results(self, names: Iterable[str]) -> list[str]:
+        """Returns the names of result objects that the page does not use."""
+        content = self.encode()
+        return [name for name in names if name.encode() not in content]
+
     def encode(self) -> bytes:
         """Returns the content to store."""
         return b"\n".join(self._lines.values())
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -56,6 +56,7 @@
         self.sites: list[WorkerSite] = []
         self.workers: list[standin_worker.Worker] = []
         self._version = 1
+        self._entry_sequence = 0
         self._routes: tuple[str, ...] = ()
         self._keys: tuple[str, ...] = (standin_program.KEY, "old-key")
         self.removed: list[tuple[str, float, float]] = []
@@ -117,8 +118,21 @@
         self._configure()
         self.revoked[key] = time.monotonic()
 
+    def rewrite(self) -> None:
+        """Writes the manifest and all entries again after a restore."""
+        self._write_manifest()
+        registered = {site.worker.name for site in self.sites}
+        for name in self.store.names("servers"):
+            if name not in registered:
+                self.store.remove("servers", name)
+        for site in self.sites:
+            self._register(site)
+
     def _configure(self) -> None:
         self._version += 3
+        self._write_manifest()
+
+    def _write_manifest(self) -> None:
         manifest_fields = standin_program.manifest(
             self._version, self._routes, self._keys
         )
@@ -139,6 +153,7 @@
         await self._group.start(serve)
 
     def _register(self, site: WorkerSite) -> None:
+        self._entry_sequence += 1
         self.store.put(
             "servers",
             site.worker.name,
@@ -148,5 +163,7 @@
                 "zone": site.zone,
                 "slots": _SLOTS,
                 "state": "draining" if site.draining else "ready",
+                "born": site.worker.started_ms,
+                "seq": self._entry_sequence,
             },
         )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -37,6 +37,7 @@
     STORE_SLOW = "store_slow"
     STORE_LOSES = "store_loses"  # Writes are done, answers dropped.
     STORE_FORGETS = "store_forgets"  # The store drops its change history.
+    STORE_RESTORED = "store_restored"  # An outage, then back from a copy.
     WORKER_CRASH = "worker_crash"
     WORKER_FAULTS = "worker_faults"  # Next answers of a worker are faulty.
     DRAIN = "drain"  # A worker drains until the soak ends.
@@ -46,6 +47,11 @@
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
 _LASTING_KINDS: Final = frozenset({EventKind.DRAIN, EventKind.REVOKE})
+# Kinds that a generator of their own adds, so that the other events of a seed
+# stay as they were when it was first played.
+_ADDED_KINDS: Final = frozenset({EventKind.STORE_RESTORED})
+# Share of the plans with a restore of the store; some have two.
+_RESTORE_SHARES: Final = (0.5, 0.25)
 
 
 @attrs.frozen
@@ -71,18 +77,26 @@
     """Returns the events of a seed, sorted by start time."""
     generator = random.Random(seed)
     events: list[Event] = []
-    kinds = list(EventKind)
+    kinds = [kind for kind in EventKind if kind not in _ADDED_KINDS]
     for _ in range(generator.randint(_MIN_EVENTS, _MAX_EVENTS)):
         kind = generator.choice(kinds)
         if kind in _LASTING_KINDS:
             kinds.remove(kind)
-        events.append(
-            Event(
-                generator.uniform(0.5, LATEST_START_S),
-                kind,
-                generator.randrange(1_000),
-                generator.uniform(_MIN_DURATION_S, _MAX_DURATION_S),
-                generator.randrange(1_000),
-            )
-        )
+        events.append(_draw_event(generator, kind))
+    restores = random.Random(f"restores {seed}")
+    events += [
+        _draw_event(restores, EventKind.STORE_RESTORED)
+        for share in _RESTORE_SHARES
+        if restores.random() < share
+    ]
     return sorted(events, key=lambda item: item.at_s)
+
+
+def _draw_event(generator: random.Random, kind: EventKind) -> Event:
+    return Event(
+        generator.uniform(0.5, LATEST_START_S),
+        kind,
+        generator.randrange(1_000),
+        generator.uniform(_MIN_DURATION_S, _MAX_DURATION_S),
+        generator.randrange(1_000),
+    )
--- a/soak/system.py
+++ b/soak/system.py
@@ -42,6 +42,10 @@
 _FAULTY_ANSWERS_LIMIT_S: Final = 4.0
 _SLOW_STORE_DELAY_S: Final = 0.3
 _LOST_ANSWERS: Final = 3
+# Age of the oldest copy from which the store is restored.
+_MAX_COPY_AGE_S: Final = 6.0
+# Time until operator and workers have written again what a restore lost.
+_REWRITE_DELAY_S: Final = 1.0
 # Time for the stand-in of the store to close its connections.
 _STORE_SHUTDOWN_S: Final = 0.3
 _EXTRA_ROUTE: Final = "report"
@@ -233,6 +237,7 @@
             _KIND.STORE_SLOW: self._store_slow,
             _KIND.STORE_LOSES: self._store_loses,
             _KIND.STORE_FORGETS: self._store_forgets,
+            _KIND.STORE_RESTORED: self._store_restored,
             _KIND.WORKER_CRASH: self._worker_crash,
             _KIND.WORKER_FAULTS: self._worker_faults,
             _KIND.DRAIN: self._drain,
@@ -414,6 +419,18 @@
     async def _store_forgets(self, event: plan_lib.Event) -> None:
         self._backends.store.discard_history()
 
+    async def _store_restored(self, event: plan_lib.Event) -> None:
+        store = self._backends.store
+
+        def set_down(on: bool) -> None:
+            store.faults.down = on
+
+        with self._record_fault_period(_SCOPE.ALL):
+            await self._apply_for_duration(_KIND.STORE_DOWN, event, set_down)
+            store.restore(1.0 + event.draw % _MAX_COPY_AGE_S)
+            await anyio.sleep(_REWRITE_DELAY_S)
+            self._backends.rewrite()
+
     async def _worker_crash(self, event: plan_lib.Event) -> None:
         site = self._target_site(event)
         if site.draining or self._active_faults.get(site.worker.name):
--- a/tests/test_claim_journal.py
+++ b/tests/test_claim_journal.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from figstream import claim_group_commit
 from figstream import claim_journal
 from figstream import claim_record
 from figstream import claims_api
@@ -331,6 +332,51 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_waiting_claims_are_limited() -> None:
+    """Guards against a limit on waiting answers instead of waiting claims."""
+    store = _FaultyStore()
+    writer = claim_group_commit.RangeWriter(
+        store,
+        clock_lib.ManualClock(),
+        "claims/range-0000",
+        1.0,
+        random.Random(1),
+    )
+    changes = [
+        claim_group_commit.ClaimChange(
+            claim_record.ClaimRecord(f"d{number}", 1, f"a-{number}", 1e9)
+        )
+        for number in range(claim_group_commit.MAX_PENDING_CLAIMS + 5)
+    ]
+    for change in changes:
+        writer.add_claim(change)
+    refused = [item for item in changes if item.done.is_set()]
+    assert refused == changes[-5:]
+
+
+@pytest.mark.anyio
+async def test_expired_answers_are_deleted_after_a_lost_answer() -> None:
+    """Guards against objects that stay when a write's answer was lost."""
+    store, clock = _FaultyStore(), clock_lib.ManualClock(1_000.0)
+    async with anyio.create_task_group() as tasks:
+        journal = _journal(store, "a", clock)
+        tasks.start_soon(journal.run)
+        await anyio.lowlevel.checkpoint()
+        claim = await journal.claim("c", "long", 7)
+        assert isinstance(claim, claims_api.Claimed)
+        assert await journal.complete(claim, _result(b"x" * 5_000))
+        assert await store.list_names("claims/result/")
+        clock.advance(claim_record.RETENTION_S + 1)
+        store.faults.lose_answers = 1
+        await journal.claim("c", "long", 7)
+        with anyio.move_on_after(1.0):
+            while await store.list_names("claims/result/"):
+                await anyio.sleep(0.01)
+        assert not await store.list_names("claims/result/")
+        tasks.cancel_scope.cancel()
+
+
 def test_a_page_stays_under_a_megabyte() -> None:
     """Guards against a page that is too large for the platform.
 
