Let the tier of a route decide between requests of equal customers

Cause: a customer's priority replaced that of the route, so that engines saw all requests of a customer as equally urgent and preempted the newest, short answers among long prompts.

Change: the rank of the pair (customer's tier, route's tier) is sent; customers still take precedence.

--- a/figstream/configuration.py
+++ b/figstream/configuration.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
+import itertools
 import ipaddress
 import urllib.parse
 
@@ -37,8 +38,8 @@
       gateway_routes: routes of the gateway.
       gateway_services: services behind the gateway.
       gateway_limits: limits on the requests that the gateway accepts.
-      gateway_tiers: tier by customer name, for customers whose requests use
-        this tier instead of the tier of the route.
+      gateway_tiers: tier by customer name, for customers whose tier takes
+        precedence over the tiers of the routes.
     """
 
     generation: int = 0
@@ -89,6 +90,28 @@
         """Returns the gateway's routes by host and prefix."""
         return gateway_route.RouteTable(self.gateway_routes)
 
+    @functools.cached_property
+    def gateway_ranks(self) -> Mapping[tuple[int, int], int]:
+        """Returns the rank of each pair of customer tier and route tier.
+
+        Customers' tiers take precedence; among requests of equal customer
+        tiers, the route's tier decides.
+        """
+        route_tiers = {x.request_class.tier for x in self.gateway_routes}
+        # Customers without a tier have that of the route.
+        customer_tiers = {*self.gateway_tiers.values(), *route_tiers}
+        if len(self.gateway_tiers) >= len(self.customers):
+            customer_tiers = set(self.gateway_tiers.values())
+        pairs = sorted(itertools.product(customer_tiers, route_tiers))
+        return {pair: rank for rank, pair in enumerate(pairs)}
+
+    def gateway_tier(self, customer: str, route_tier: int) -> int:
+        """Returns the tier of a customer's request on a route."""
+        if not self.gateway_tiers:
+            return route_tier
+        tier = self.gateway_tiers.get(customer, route_tier)
+        return self.gateway_ranks.get((tier, route_tier), route_tier)
+
     @functools.cached_property
     def routes_by_length(self) -> tuple[route_lib.Route, ...]:
         """Returns the routes, longest prefix first."""
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -172,9 +172,11 @@
         wait_s = route.timeout_s
         if head.wait_s is not None:
             wait_s = min(wait_s, head.wait_s)
-        tier = self._holder.current.gateway_tiers.get(identity.customer)
         request_class = route.request_class
-        if tier is not None:
+        tier = self._holder.current.gateway_tier(
+            identity.customer, request_class.tier
+        )
+        if tier != request_class.tier:
             request_class = attrs.evolve(
                 request_class, name=f"{request_class.name}@{tier}", tier=tier
             )
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -99,6 +99,41 @@
     assert not gateway_front.decode_manifest().gateway_tiers
 
 
+def test_the_tier_of_a_route_decides_between_equal_customers() -> None:
+    """Fails if all requests of a customer are equally urgent.
+
+    Engines then preempt short answers while long prompts of the same customer
+    run on. Seen on scale-1 of the grown third site (TIER, entry ada269f9).
+    """
+    route = gateway_front.manifest_value()["routes"][0]
+    found = gateway_front.decode_manifest(
+        routes=[
+            {**route, "name": f"r{tier}", "priority": tier} for tier in range(3)
+        ],
+        tenants=[
+            {"name": "first", "apiKeys": ["k"], "priority": 0},
+            {"name": "second", "apiKeys": ["l"], "priority": 1},
+        ],
+    )
+    ranked = [
+        found.gateway_tier(customer, tier)
+        for customer in ("first", "second")
+        for tier in range(3)
+    ]
+    assert ranked == [0, 1, 2, 3, 4, 5]
+
+
+def test_a_customer_without_a_tier_has_that_of_the_route() -> None:
+    found = gateway_front.decode_manifest(
+        tenants=[
+            {"name": "first", "apiKeys": ["k"], "priority": 0},
+            {"name": "other", "apiKeys": ["l"]},
+        ],
+    )
+    assert found.gateway_tier("first", 2) < found.gateway_tier("other", 2)
+    assert gateway_front.decode_manifest().gateway_tier("studio", 2) == 2
+
+
 def _read(**headers: str) -> Any:
     listed = [(b"host", b"h"), (b"x-request-id", b"r")]
     listed += [
