--- a/figstream/configuration.py
+++ b/figstream/configuration.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import functools
-import itertools
 import ipaddress
+import itertools
 import urllib.parse
 
 import attrs
