--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -157,37 +157,15 @@
         self._budget = retry_budget.FleetBudget(
             options.retry_share, options.retry_burst
         )
-        self._serving = gateway_serving.make_gateway_serving(
-            context,
-            platform.callers,
-            platform.backends,
-            self._budget,
-            blame,
-            self._usage,
-        )
+        self._serving = self._make_serving(sources, blame)
         self._app = self._serving.app
-        sources.directory.subscribe(
-            lambda _: self._serving.announcements.update_servers(
-                sources.directory.servers
-            )
-        )
-        pages = gateway_pages.GatewayPages(
-            platform.ready_path, lambda: self._app.ready
-        )
         self._server = self._serve_at(
             self._app.application,
             options.front.host,
             options.front.port,
             _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s,
         )
-        self._page_servers = [
-            self._serve_at(
-                pages.readiness, options.readiness.host, options.readiness.port
-            ),
-            self._serve_at(
-                pages.metrics, options.address, options.metrics_port
-            ),
-        ]
+        self._page_servers = self._make_page_servers()
 
     async def run(self) -> None:
         """Runs until `shut_down`, then finishes requests in flight."""
@@ -300,6 +278,39 @@
                 self._budget.set_live_daemons(live)
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
+    def _make_serving(
+        self, sources: gateway_sources.Sources, blame: blame_lib.CrashBlame
+    ) -> gateway_serving.GatewayServing:
+        """Returns the components that process requests."""
+        serving = gateway_serving.make_gateway_serving(
+            self.context,
+            self._platform.callers,
+            self._platform.backends,
+            self._budget,
+            blame,
+            self._usage,
+        )
+        directory = sources.directory
+        directory.subscribe(
+            lambda _: serving.announcements.update_servers(directory.servers)
+        )
+        return serving
+
+    def _make_page_servers(self) -> Sequence[http_server.HttpServer]:
+        """Returns the servers of the readiness and metrics pages."""
+        options = self._options
+        pages = gateway_pages.GatewayPages(
+            self._platform.ready_path, lambda: self._app.ready
+        )
+        return (
+            self._serve_at(
+                pages.readiness, options.readiness.host, options.readiness.port
+            ),
+            self._serve_at(
+                pages.metrics, options.address, options.metrics_port
+            ),
+        )
+
     def _make_roles(
         self,
         sources: gateway_sources.Sources,
