Find the other daemons as soon as with shorter heartbeats

Cause: heartbeats each 2 s also slowed the first reads of the list of daemons and the opening of streams; a daemon that knows no other after 3 s takes the whole retry budget for its own.

Change: both happen each second as before.

--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -28,6 +28,8 @@
 
 # Heartbeats within which a started daemon learns of the other daemons.
 _STARTUP_GRACE_HEARTBEATS: Final = 3.0
+# Longest time until streams to new neighbours are opened.
+_CHECK_INTERVAL_S: Final = 1.0
 # Several times the delay with which changes are sent to neighbours.
 _LEAVE_PROPAGATION_S: Final = 0.5
 
@@ -167,7 +169,8 @@
                     self._streams.maintain(group, self._successor_addresses())
                     self._notify_scheduler()
                     await self._channels.close_unused(self._known_addresses())
-                    await anyio.sleep(self._context.options.heartbeat_s)
+                    heartbeat_s = self._context.options.heartbeat_s
+                    await anyio.sleep(min(_CHECK_INTERVAL_S, heartbeat_s))
         finally:
             with anyio.CancelScope(shield=True):
                 await self._channels.close()
--- a/figstream/membership_discovery.py
+++ b/figstream/membership_discovery.py
@@ -25,6 +25,9 @@
 READERS_PER_ZONE: Final = 2
 # The list of VMs is delayed by about the same time.
 READ_INTERVAL_S: Final = 5.0
+# Interval between reads by a daemon that knows no other; a part of the time
+# after which it takes the whole retry budget for its own.
+_ALONE_INTERVAL_S: Final = 1.0
 _ROLE: Final = "vm-list"
 # Maximum number of candidates contacted concurrently.
 _MAX_CONCURRENT_CONTACTS: Final = 3
@@ -59,7 +62,9 @@
             reads = alone or self._is_reader()
             listed = await self._list_candidates() if reads else []
             await self._contact_candidates([*listed, *self._dead_addresses()])
-            interval_s = self._options.heartbeat_s if alone else READ_INTERVAL_S
+            interval_s = READ_INTERVAL_S
+            if alone:
+                interval_s = min(_ALONE_INTERVAL_S, self._options.heartbeat_s)
             await anyio.sleep(interval_s * self._random.uniform(0.7, 1.3))
 
     def _present(self) -> list[membership_api.Member]:
