Take ports for the soak's daemons that no connection is given

The soak takes a free port from the kernel and closes it; before the daemon listened, the kernel gave it to an outgoing connection of another process (tests ran beside it).

Change: ports below the kernel's range for outgoing connections.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -1,7 +1,9 @@
 """Runs daemons as real processes, which a soak starts, signals and kills."""
 
+import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -19,17 +21,27 @@
 # Environment variable with the path of the file that holds the clock step.
 CLOCK_VARIABLE: Final = "FIGSTREAM_SOAK_CLOCK"
 GRACE_S: Final = 4.0
+# Linux gives ports from 32768 on to outgoing connections.
+_PORTS: Final = range(20_000, 32_000)
 _DAEMON_TIMES: Final = standin_program.DaemonTimes(
     GRACE_S, window_s=1.0, lease_ms=1000
 )
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns local ports that are free at the moment."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Returns local ports that are free at the moment.
+
+    The ports are below those that the kernel gives to outgoing connections of
+    other processes, one of which could otherwise take a port before the daemon
+    listens there.
+    """
+    ports: list[int] = []
+    generator = random.SystemRandom()
+    while len(ports) < count:
+        port = generator.choice(_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
