--- a/figstream/server_announcements.py
+++ b/figstream/server_announcements.py
@@ -13,6 +13,7 @@
 import attrs
 
 from figstream import backend_server
+from figstream import bounded_records
 from figstream import clock as clock_lib
 from figstream import logs
 from figstream import metrics as metrics_lib
@@ -63,13 +64,13 @@
         if run < self._known_runs.get(name, 0):
             return
         if announcement.leaving and self._leaving_runs.get(name) != run:
-            _put_bounded(self._leaving_runs, name, run)
+            bounded_records.put(self._leaving_runs, name, run, _MAX_SERVERS)
             logs.info("server_announced_leaving", server=name, run=run)
             self._metrics.event("server_announced_leaving")
             self._scheduler.set_leaving(frozenset(self._leaving_runs))
         if announcement.pause_s > 0:
             pause_s = min(announcement.pause_s, MAX_PAUSE_S)
-            _put_bounded(self._paused_runs, name, run)
+            bounded_records.put(self._paused_runs, name, run, _MAX_SERVERS)
             logs.info(
                 "server_asked_for_pause",
                 server=name,
@@ -102,14 +103,6 @@
         ]
 
 
-def _put_bounded(runs: dict[str, int], name: str, run: int) -> None:
-    """Adds an entry and evicts the oldest ones beyond the limit."""
-    runs.pop(name, None)
-    runs[name] = run
-    while len(runs) > _MAX_SERVERS:
-        del runs[next(iter(runs))]
-
-
 def make_server_announcements(
     scheduler: scheduler_api.Scheduler,
     clock: clock_lib.Clock,
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -14,12 +14,12 @@
 from collections.abc import Callable
 import itertools
 from typing import Final
-from typing import TypeVar
 
 import anyio
 import attrs
 
 from figstream import backend_server
+from figstream import bounded_records
 from figstream import clock as clock_lib
 from figstream import configuration as configuration_lib
 from figstream import configuration_holder
@@ -41,8 +41,6 @@
 # with missing entries.
 _CHECK_INTERVAL_S: Final = 0.1
 
-_T = TypeVar("_T")
-
 Decode = Callable[[platform_api.StoredItem], backend_server.BackendServer]
 Listener = Callable[[frozenset[str]], None]
 
@@ -169,7 +167,12 @@
         if not server.started_ms:
             return server
         if server.state is draining:
-            _put_bounded(self._drained_runs, server.name, server.started_ms)
+            bounded_records.put(
+                self._drained_runs,
+                server.name,
+                server.started_ms,
+                _MAX_DEPARTED,
+            )
             return server
         if self._drained_runs.get(server.name) != server.started_ms:
             return server
@@ -179,7 +182,7 @@
         self, before: dict[str, backend_server.BackendServer]
     ) -> None:
         for name in before.keys() - self._servers.keys():
-            _put_bounded(self._departed, name, None)
+            bounded_records.put(self._departed, name, None, _MAX_DEPARTED)
         for name in self._departed.keys() & self._servers.keys():
             del self._departed[name]
 
@@ -245,11 +248,3 @@
         names = frozenset(item.name for item in self.servers)
         for listener in self._listeners:
             listener(names)
-
-
-def _put_bounded(records: dict[str, _T], name: str, value: _T) -> None:
-    """Adds a record and evicts the oldest ones beyond the limit."""
-    records.pop(name, None)
-    records[name] = value
-    while len(records) > _MAX_DEPARTED:
-        del records[next(iter(records))]
