--- a/soak/backends.py
+++ b/soak/backends.py
@@ -119,7 +119,7 @@
         self.revoked[key] = time.monotonic()
 
     def rewrite(self) -> None:
-        """Writes the manifest and all entries again after a restore."""
+        """Writes configuration and entries again after a restore."""
         self._write_manifest()
         registered = {site.worker.name for site in self.sites}
         for name in self.store.names("servers"):
--- a/soak/system.py
+++ b/soak/system.py
@@ -44,7 +44,7 @@
 _LOST_ANSWERS: Final = 3
 # Age of the oldest copy from which the store is restored.
 _MAX_COPY_AGE_S: Final = 6.0
-# Time until operator and workers have written again what a restore lost.
+# Time until what a restore lost has been written again.
 _REWRITE_DELAY_S: Final = 1.0
 # Time for the stand-in of the store to close its connections.
 _STORE_SHUTDOWN_S: Final = 0.3
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -290,9 +290,7 @@
     """Plays 40 daemons that each see three requests a second of mixed sizes.
 
     Fails if daemons split the servers by the sizes of the few requests that
-    they saw: nine of the 72 servers then got both kinds of work, and streams
-    paused there while long prompts were read. Seen on quiet-1 of the grown
-    third site, where a quarter of the short answers came late by a pause.
+    they saw: nine of the 72 servers then got both kinds of work.
     """
     sizes = random.Random(7)
     texts: set[str] = set()
