Record which configuration decides a refusal, and how old its proof is

Cause: a call to the store that waits leaves no trace, and a refusal did not say which configuration decided it.

Change: the follower keeps the age of the last proof that nothing is newer (an answer proves what the store had when the call was sent) and confirms the configuration by it. Refusals of unchecked requests name the generation and that age; feed_lost says how long the failed call had waited.

--- a/figstream/configuration_feed.py
+++ b/figstream/configuration_feed.py
@@ -42,6 +42,7 @@
         self._version = 0
         self._active_item: platform_api.StoredItem | None = None
         follower.subscribe(self._apply_items)
+        follower.subscribe_confirmed(self._confirm)
 
     @property
     def generation(self) -> int:
@@ -74,6 +75,9 @@
             )
         self._holder.confirm(configuration.generation)
 
+    def _confirm(self, age_s: float) -> None:
+        self._holder.confirm(self.generation, age_s)
+
     def _apply_items(self, items: object_follower.Items) -> None:
         item = items.get(self._name)
         if item is None or item.version == self._version:
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -107,7 +107,9 @@
             # is killed.
             call = errors.Refusal(_R.SHUTTING_DOWN, retry_after_s=0.0)
         if isinstance(call, errors.Refusal):
-            self._records.refused_unchecked(call, caller_id, "")
+            self._records.refused_unchecked(
+                call, caller_id, "", self._configuration_state()
+            )
             await answer.refuse(call)
             return
         try:
@@ -130,6 +132,14 @@
             self._records.refused(call, refusal)
             await answer.refuse(refusal)
 
+    def _configuration_state(self) -> str:
+        """Returns which configuration decides, and the age of its proof."""
+        holder = self._holder
+        return (
+            f"generation={holder.current.generation} "
+            f"unconfirmed_s={holder.unconfirmed_s:.1f}"
+        )
+
     async def _check(
         self,
         head: gateway_dialect.CallerHead | errors.Refusal,
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -46,6 +46,8 @@
 
 Items = Mapping[str, platform_api.StoredItem]
 Listener = Callable[[Items], None]
+# Receives the age in seconds of the confirmation.
+ConfirmListener = Callable[[float], None]
 
 
 @attrs.frozen
@@ -77,6 +79,8 @@
         self._listed = False
         self._failures = 0
         self._lost_at = _NEVER
+        self._confirmed_at = _NEVER
+        self._confirm_listeners: list[ConfirmListener] = []
         self._recovered_at = _NEVER
         self._outage_s = 0.0
         self._peer_settled = False
@@ -104,6 +108,14 @@
         """Returns whether the last call failed or no list was received yet."""
         return self._failures > 0 or not self._listed
 
+    @property
+    def unconfirmed_s(self) -> float:
+        """Returns the age in seconds of the last proof that nothing is newer.
+
+        An answer proves what the store had when the call was sent.
+        """
+        return self._clock.now() - self._confirmed_at
+
     @property
     def settles_at(self) -> float:
         """Returns when entries that expired in the last outage are restored."""
@@ -128,6 +140,10 @@
         """Registers a listener that is called after each change."""
         self._listeners.append(listener)
 
+    def subscribe_confirmed(self, listener: ConfirmListener) -> None:
+        """Registers a listener that is called after each answered call."""
+        self._confirm_listeners.append(listener)
+
     def changes_since(
         self, position: int
     ) -> platform_api.FeedChanges | platform_api.HistoryGone:
@@ -179,35 +195,44 @@
 
     async def _poll_once(self) -> bool:
         """Makes one call; returns whether the next call may follow at once."""
+        sent_at = self._clock.now()
         if not self._listed:
             result = await self._feed.snapshot(self._kind)
-            return self._apply_snapshot(result)
+            return self._apply_snapshot(result, sent_at)
         # After a failure the call must not wait for a change, since its answer
         # marks the time at which the store recovered.
         wait_s = 0.0 if self._failures else WATCH_TIMEOUT_S
         changes = await self._feed.changes(self._kind, self._position, wait_s)
         if isinstance(changes, platform_api.Unavailable):
-            self._record_failure(changes.detail)
+            self._record_failure(changes.detail, sent_at)
             return False
         if isinstance(changes, platform_api.HistoryGone):
             logs.info("feed_history_gone", kind=self._kind)
             self._listed = False
             return True
         self._record_success()
-        if self._apply_changes(changes):
+        advanced = self._apply_changes(changes)
+        self._confirm(sent_at)
+        if advanced:
             await self._clock.sleep(_COALESCE_S)
         return True
 
     def _apply_snapshot(
-        self, result: platform_api.Snapshot | platform_api.Unavailable
+        self,
+        result: platform_api.Snapshot | platform_api.Unavailable,
+        sent_at: float,
     ) -> bool:
         if isinstance(result, platform_api.Unavailable):
-            self._record_failure(result.detail)
+            self._record_failure(result.detail, sent_at)
             return False
         self._record_success()
         self._listed = True
-        if result.position < self._position:
-            return True
+        if result.position >= self._position:
+            self._replace_items(result)
+        self._confirm(sent_at)
+        return True
+
+    def _replace_items(self, result: platform_api.Snapshot) -> None:
         items = {item.name: item for item in result.items}
         changed = items != self._items
         self._note_era(result.position)
@@ -215,7 +240,6 @@
         self._items = items
         if changed:
             self._notify_listeners("list")
-        return True
 
     def _apply_changes(self, changes: platform_api.FeedChanges) -> bool:
         """Applies changes; returns whether the position advanced."""
@@ -266,12 +290,28 @@
         for listener in self._listeners:
             listener(self._items)
 
-    def _record_failure(self, detail: str) -> None:
+    def _confirm(self, sent_at: float) -> None:
+        """Records that the objects were the newest ones when a call was sent.
+
+        The listeners run after those of changes.
+        """
+        self._confirmed_at = max(self._confirmed_at, sent_at)
+        for listener in self._confirm_listeners:
+            listener(self.unconfirmed_s)
+
+    def _record_failure(self, detail: str, sent_at: float) -> None:
         self._failures += 1
         self._metrics.event("feed_call_failed")
         if self._failures == 1:
-            self._lost_at = self._clock.now()
-            logs.warning("feed_lost", kind=self._kind, detail=detail)
+            now = self._clock.now()
+            self._lost_at = now
+            logs.warning(
+                "feed_lost",
+                kind=self._kind,
+                detail=detail,
+                waited_s=round(now - sent_at, 3),
+                unconfirmed_s=round(self.unconfirmed_s, 3),
+            )
 
     def _record_success(self) -> None:
         if not self._failures:
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -29,13 +29,16 @@
         self._decisions = decisions
 
     def refused_unchecked(
-        self, refusal: errors.Refusal, request_id: str, customer: str
+        self,
+        refusal: errors.Refusal,
+        request_id: str,
+        customer: str,
+        detail: str = "",
     ) -> None:
         """Records the refusal of a request that has no class yet."""
         self._metrics.refused(refusal.reason)
-        self._add(
-            request_id, customer, "", "refused", refusal.reason.value, "", ""
-        )
+        reason = refusal.reason.value
+        self._add(request_id, customer, "", "refused", reason, "", detail)
 
     def refused(self, call: inbound.Call, refusal: errors.Refusal) -> None:
         """Records the refusal of a validated request."""
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -77,6 +77,15 @@
         }
 
 
+@pytest.mark.anyio
+async def test_a_refusal_records_the_configuration_that_decided_it() -> None:
+    async with gateway_front.front(_Worker()) as front:
+        await front.send_request("nowhere", "r5")
+        [record] = front.context.decisions.of_request("r5")
+        assert record.reason == "unknown_route"
+        assert record.detail.startswith("generation=7 unconfirmed_s=")
+
+
 @pytest.mark.anyio
 async def test_errors_of_the_caller_are_refused() -> None:
     async with gateway_front.front(_Worker()) as front:
