--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -23,6 +23,8 @@
 
 _ROOT = pathlib.Path(__file__).parent.parent
 _GRACE_S = 4.0
+# Time within which a change must become active.
+_CHANGE_S = 2.0
 _TIMES = standin_program.DaemonTimes(_GRACE_S, window_s=1.0, lease_ms=1000)
 
 
@@ -62,6 +64,20 @@
                 await anyio.sleep(0.05)
         return self.process.returncode
 
+    async def activate_manifest(self, version: int) -> None:
+        """Writes a version that adds a route; waits until it is served."""
+        route = f"added-{version}"
+        value = gateway_front.manifest_value(version)
+        added = {
+            **value["routes"][0],
+            "name": route,
+            "pathPrefix": f"/{route}/",
+        }
+        value["routes"].append(added)
+        self.store.put("config", "main", value)
+        while (await self.send_request(route, route)).status_code == 404:
+            await anyio.sleep(0.02)
+
     async def _readiness(self) -> int:
         try:
             answer = await self.client.get(self.readiness + "/-/readyz")
@@ -225,6 +241,22 @@
         await system.ready()
 
 
+@pytest.mark.anyio
+async def test_a_change_after_an_unanswered_watch_is_active_in_time(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Fails if a watch that got no answer hides later changes."""
+    async with _system(tmp_path) as system:
+        await system.ready()
+        await system.activate_manifest(8)
+        system.store.faults.silent = True
+        # The follower starts its next watch within this time.
+        await anyio.sleep(0.5)
+        system.store.faults.silent = False
+        with anyio.fail_after(_CHANGE_S):
+            await system.activate_manifest(9)
+
+
 def test_bad_settings_are_all_named(tmp_path: pathlib.Path) -> None:
     boot = tmp_path / "boot.ini"
     boot.write_text("[vm]\nname = x\nzone =\n[gateway]\nfront = nowhere\n")
