Give up a watch that is not answered within the time of a change

Cause: a store that goes silent takes a watch and never answers it, while the connection stays alive. The follower waited 16 s for it, since that is also how a quiet store looks. All daemons had started their watch right after the same change, so peers knew nothing newer. Class: a wait without proof of life that is longer than the promise that depends on it. The same held for backend servers, whose entries come the same way.

Why it works: a watch waits 0.6 of the time within which a change must be active (of a drain's time for backend servers), its answer may take 0.2 more, and the next call does not wait.

--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -131,13 +131,14 @@
             _BALANCER_LAG_S, _BALANCER_LAG_FRACTION * options.grace_s
         )
         self.members = membership.make_membership(context, self._peers.address)
+        change_s = options.change_ms / _MS_PER_S
+        drain_s = options.drain_ms / _MS_PER_S
         feed = feed_relay.make_relayed_feed(
-            context,
-            platform.feed,
-            self.members,
-            options.change_ms / _MS_PER_S,
+            context, platform.feed, self.members, min(change_s, drain_s)
+        )
+        sources = gateway_sources.make_sources(
+            context, feed, platform.kinds, change_s, drain_s
         )
-        sources = gateway_sources.make_sources(context, feed, platform.kinds)
         followers = (sources.configuration_follower, sources.entries)
         peers = feed_peers.make_feed_peers(
             context, followers, sources.configuration_feed, self.members
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -57,6 +57,8 @@
       grace_s: seconds from the stop signal until the daemon is killed.
       change_ms: milliseconds within which a change in the store must become
         active in every daemon.
+      drain_ms: milliseconds after which a backend server that leaves must
+        receive no new requests from any daemon.
       log_level: lowest level of the lines logged.
     """
 
@@ -78,6 +80,7 @@
     retry_burst: float = 50.0
     grace_s: float = 8.0
     change_ms: int = 2000
+    drain_ms: int = 2000
     log_level: str = defaults.LOG_LEVEL
 
     @property
@@ -124,6 +127,7 @@
     _seconds_field("platform", "platform_timeout_s", 0.05, 60, 1.0),
     _integer_field("platform", "lease_ms", 200, 300_000, 3000),
     _integer_field("platform", "change_ms", 200, 300_000, 2000),
+    _integer_field("platform", "drain_ms", 200, 300_000, 2000),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -53,14 +53,24 @@
     context: daemon_context.DaemonContext,
     feed: platform_api.ObjectFeed,
     kinds: SourceKinds,
+    change_s: float,
+    drain_s: float,
 ) -> Sources:
-    """Creates the followers and connects them to holder and scheduler."""
+    """Creates the followers and connects them to holder and scheduler.
+
+    Args:
+      context: objects shared by the roles of the daemon.
+      feed: feed of both kinds of objects.
+      kinds: kinds, names and decoders of the objects.
+      change_s: seconds within which a configuration must become active.
+      drain_s: seconds after which a leaving server must receive no requests.
+    """
     clock, metrics = context.clock, context.metrics
     configuration_follower = object_follower.ObjectFollower(
-        kinds.configuration_kind, feed, clock, metrics
+        kinds.configuration_kind, feed, clock, metrics, change_s
     )
     entries = object_follower.ObjectFollower(
-        kinds.servers_kind, feed, clock, metrics
+        kinds.servers_kind, feed, clock, metrics, drain_s
     )
     feed_of_configuration = configuration_feed.ConfigurationFeed(
         configuration_follower,
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -3,6 +3,12 @@
 The follower lists the kind once and then watches for changes, so that a change
 arrives one round trip after the store has applied it. While the store does not
 answer, the last known objects stay valid, and peers may supply a newer state.
+
+A watch that the store will never answer looks like one without changes: the
+connection stays open, and its peer answers the probes of the kernel. A watch
+is therefore short, and one without an answer at its end counts as failed, so
+that the objects are never older than the time within which a change must
+become active.
 After the store was restored from an older copy, an object may be missing until
 its writer has written it again, as after an outage.
 """
@@ -14,6 +20,7 @@
 import random
 from typing import Final
 
+import anyio
 import attrs
 
 from figstream import clock as clock_lib
@@ -22,9 +29,11 @@
 from figstream import platform_api
 from figstream import store_era
 
-# Below the store's limit of 30 s for one watch call. A silent connection is
-# detected earlier by TCP keepalive probes of the kernel.
-WATCH_TIMEOUT_S: Final = 15.0
+# Parts of the time within which a change must become active. The store answers
+# a watch without changes after the first part, and the answer must arrive
+# within the second. The rest is for the call that follows a lost answer.
+WATCH_FRACTION: Final = 0.6
+_ANSWER_FRACTION: Final = 0.2
 # Pause after a change, so that changes in quick succession cost one call; an
 # eighth of the 2 s within which a change must become active.
 _COALESCE_S: Final = 0.25
@@ -44,6 +53,11 @@
 _MAX_REMOVALS: Final = 1_024
 _NEVER: Final = float("-inf")
 
+_Changes = (
+    platform_api.FeedChanges
+    | platform_api.HistoryGone
+    | platform_api.Unavailable
+)
 Items = Mapping[str, platform_api.StoredItem]
 Listener = Callable[[Items], None]
 # Receives the age in seconds of the confirmation.
@@ -66,9 +80,20 @@
         feed: platform_api.ObjectFeed,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        change_s: float,
     ) -> None:
-        """Initializes the follower without objects."""
+        """Initializes the follower without objects.
+
+        Args:
+          kind: kind of the objects.
+          feed: source of lists and changes.
+          clock: time source.
+          metrics: instruments.
+          change_s: seconds within which a change must become active.
+        """
         self._kind = kind
+        self._watch_s = WATCH_FRACTION * change_s
+        self._answer_s = _ANSWER_FRACTION * change_s
         self._feed = feed
         self._clock = clock
         self._metrics = metrics
@@ -199,10 +224,7 @@
         if not self._listed:
             result = await self._feed.snapshot(self._kind)
             return self._apply_snapshot(result, sent_at)
-        # After a failure the call must not wait for a change, since its answer
-        # marks the time at which the store recovered.
-        wait_s = 0.0 if self._failures else WATCH_TIMEOUT_S
-        changes = await self._feed.changes(self._kind, self._position, wait_s)
+        changes = await self._call_for_changes()
         if isinstance(changes, platform_api.Unavailable):
             self._record_failure(changes.detail, sent_at)
             return False
@@ -217,6 +239,20 @@
             await self._clock.sleep(_COALESCE_S)
         return True
 
+    async def _call_for_changes(self) -> _Changes:
+        """Watches; after a failure, calls without waiting for a change.
+
+        The answer to a call that does not wait marks the time at which the
+        store recovered.
+        """
+        feed = self._feed
+        if self._failures:
+            return await feed.changes(self._kind, self._position, 0.0)
+        with anyio.move_on_after(self._watch_s + self._answer_s):
+            return await feed.changes(self._kind, self._position, self._watch_s)
+        self._metrics.event("feed_watch_unanswered")
+        return platform_api.Unavailable("the watch was not answered")
+
     def _apply_snapshot(
         self,
         result: platform_api.Snapshot | platform_api.Unavailable,
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -16,6 +16,9 @@
 from figstream import scheduler
 from figstream import server_directory
 
+# Seconds within which a change must become active.
+CHANGE_S = 2.0
+
 
 class ScriptedFeed:
     """A feed that returns answers queued by the test, waiting if none is left.
@@ -84,7 +87,7 @@
         self.feed = ScriptedFeed()
         unexported = metrics.make_unexported_metrics()
         self.follower = object_follower.ObjectFollower(
-            "servers", self.feed, self.clock, unexported
+            "servers", self.feed, self.clock, unexported, CHANGE_S
         )
         self.holder = configuration_holder.ConfigurationHolder(self.clock)
         self.scheduler = scheduler.make_scheduler("a", 1)
--- a/tests/test_feed_peers.py
+++ b/tests/test_feed_peers.py
@@ -24,12 +24,12 @@
         self.feed = gateway_parts.ScriptedFeed()
         unexported = metrics.make_unexported_metrics()
         self.follower = object_follower.ObjectFollower(
-            "servers", self.feed, self.clock, unexported
+            "servers", self.feed, self.clock, unexported, 2.0
         )
         self.members = lease_parts.SingleMembership(self.name)
         self.operator_feed = gateway_parts.ScriptedFeed()
         self.configuration_follower = object_follower.ObjectFollower(
-            "config", self.operator_feed, self.clock, unexported
+            "config", self.operator_feed, self.clock, unexported, 2.0
         )
         self.holder = configuration_holder.ConfigurationHolder(self.clock)
         self.configuration = configuration_feed.ConfigurationFeed(
--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -57,7 +57,7 @@
             self.store, self.members, self.clock, unexported, change_s=2.0
         )
         self.follower = object_follower.ObjectFollower(
-            _KIND, self.feed, self.clock, unexported
+            _KIND, self.feed, self.clock, unexported, 2.0
         )
         self.relay = feed_relay.FeedRelay(self.feed, (self.follower,))
 
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -48,11 +48,12 @@
     """
     directory = gateway_parts.DirectoryFixture()
     await directory.run_follower(_list(5, _item("one")), _DOWN, _gone(5))
+    watch_s = object_follower.WATCH_FRACTION * gateway_parts.CHANGE_S
     assert directory.feed.call_timeouts == [
         None,
-        object_follower.WATCH_TIMEOUT_S,
+        watch_s,
         0.0,
-        object_follower.WATCH_TIMEOUT_S,
+        watch_s,
     ]
 
 
