--- a/soak/links.py
+++ b/soak/links.py
@@ -41,6 +41,7 @@
         self._mode = LinkMode.PASS
         self._changed = anyio.Event()
         self._open_streams: set[anyio.abc.SocketStream] = set()
+        self._stalled_streams: set[anyio.abc.SocketStream] = set()
         self.port = 0
 
     @property
@@ -57,6 +58,13 @@
             for stream in self._open_streams:
                 _reset(stream)
 
+    def stall_open(self) -> None:
+        """Holds back all data of the open connections for good.
+
+        New connections work. No connection is closed by it.
+        """
+        self._stalled_streams |= self._open_streams
+
     async def serve(
         self,
         *,
@@ -98,6 +106,7 @@
                     group.cancel_scope.cancel()
             finally:
                 self._open_streams -= {caller_stream, target_stream}
+                self._stalled_streams -= {caller_stream, target_stream}
 
     async def _forward(
         self,
@@ -109,7 +118,8 @@
             while True:
                 chunk = await source.receive(_CHUNK_BYTES)
                 await self._delay_or_hold(is_answer)
-                await sink.send(chunk)
+                if source not in self._stalled_streams:
+                    await sink.send(chunk)
         except _CLOSED_ERRORS:
             # Closes both directions, since HTTP does not use half-closed
             # connections.
