Share the request rate that a backend server names among all daemons

Cause: no daemon read the limit. Class: a word of a server that nothing decodes; what answers say besides was checked (Server-Leaving and Retry-After are read).

Change: server_limits divides the rate into turns of the wall clock by the rank of each daemon; limit_announcements keeps what answers say, limit_spread passes changes on.

Why it works: turns are one sequence that every daemon computes alike, and lapse after a second, so any window of 4 s holds 5 * rate + 1 of the allowed 6 * rate + 5.

--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -45,7 +45,9 @@
         """Activates a new configuration."""
         self._configuration = configuration
 
-    def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
+    def set_live_daemons(
+        self, in_zone: int, in_fleet: int, rank: int = 0
+    ) -> None:
         """Ignores the numbers of daemons; each uses all slots of a server."""
 
     def set_leaving(self, servers: frozenset[str]) -> None:
@@ -55,6 +57,11 @@
     def pause_server(self, server: str, until: float) -> None:
         """Ignores the pauses that servers ask for."""
 
+    def limit_server(
+        self, server: str, per_s: float | None, epoch: float
+    ) -> None:
+        """Ignores the limit, since simulated servers name none."""
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import math
 from typing import Final
 import urllib.parse
 
@@ -33,7 +34,8 @@
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
 AnnouncementListener = Callable[
-    [backend_server.BackendServer, server_announcements.Announcement], None
+    [backend_server.BackendServer, server_announcements.Announcement, float],
+    None,
 ]
 _Answer = backend_transport.Answer
 
@@ -56,7 +58,8 @@
           dialect: wire format of the backend servers.
           clock: source of the current time.
           on_load: called with each load report found in an answer.
-          on_announcement: called with each announcement of a server.
+          on_announcement: called with the server, its announcement and the
+            clock time at which the request was sent, for each answer.
           eager: whether connections read data as soon as it arrives, for
             streams whose reads are not paced.
         """
@@ -144,7 +147,8 @@
         on_start: Callable[[], None] | None,
     ) -> attempt_outcome.AttemptOutcome:
         timeouts = attempt.call.request_class.timeouts
-        left_s = attempt.call.deadline - self._clock.now()
+        sent_at = self._clock.now()
+        left_s = attempt.call.deadline - sent_at
         answer: _Answer | None = None
         with anyio.move_on_after(timeouts.first_byte_s):
             answer = await self._transport.send(
@@ -157,7 +161,7 @@
         if answer is None:
             return _failed(attempt, _R.FIRST_BYTE_TIMEOUT)
         try:
-            return await self._receive(attempt, answer, on_start)
+            return await self._receive(attempt, answer, sent_at, on_start)
         finally:
             await answer.close()
 
@@ -165,15 +169,19 @@
         self,
         attempt: backend_dialect.Attempt,
         answer: _Answer,
+        sent_at: float,
         on_start: Callable[[], None] | None,
     ) -> attempt_outcome.AttemptOutcome:
         head = answer.head
         if load := self._dialect.load(head):
             self._on_load(attempt.server.name, load)
+        fault = self._dialect.fault(attempt, head)
         announcement = self._dialect.announcement(head)
         if announcement and self._on_announcement:
-            self._on_announcement(attempt.server, announcement)
-        fault = self._dialect.fault(attempt, head)
+            if fault and fault.reason is _R.ANSWER_CROSSED:
+                # The answer of an earlier request.
+                sent_at = -math.inf
+            self._on_announcement(attempt.server, announcement, sent_at)
         if on_start and _has_begun(attempt, fault):
             on_start()
         if fault and not self._dialect.passes_server_errors:
--- a/figstream/backend_dialect.py
+++ b/figstream/backend_dialect.py
@@ -91,7 +91,11 @@
     def announcement(
         self, head: backend_connection.Head
     ) -> server_announcements.Announcement | None:
-        """Returns what an answer says about its server, None if nothing."""
+        """Returns what an answer says about the server it was sent to.
+
+        Returns None if the dialect has no announcements, or if the answer is
+        that of another server.
+        """
 
     def cancel_request(
         self, call: inbound.Call
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -29,6 +29,7 @@
 from figstream import gateway_serving
 from figstream import gateway_sources
 from figstream import http_server
+from figstream import limit_spread
 from figstream import logs
 from figstream import membership
 from figstream import metrics as metrics_lib
@@ -291,6 +292,9 @@
             blame,
             self._usage,
         )
+        limit_spread.LimitSpread(
+            serving.announcements.limits, self.members.notices
+        )
         directory = sources.directory
         directory.subscribe(
             lambda _: serving.announcements.update_servers(directory.servers)
--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -83,7 +83,7 @@
         self._rankings: dict[
             tuple[str, str], tuple[membership_api.Member, ...]
         ] = {}
-        self._last_counts: tuple[int, int] = (0, 0)
+        self._last_counts = (0, 0, 0)
         self._started_at = now
         self._leaving = False
         context.holder.subscribe(self._update_own_status)
@@ -202,20 +202,23 @@
         # Members behind a network partition are counted, since they continue
         # to serve. The share of each daemon must not grow merely because the
         # other daemons became unreachable.
+        this = self.this()
         present = [
-            entry.member.zone
+            entry.member
             for entry in self._table.entries
             if entry.state is not member_table.MemberState.DEAD
             and not entry.member.leaving
         ]
-        counts = (present.count(self.this().zone), len(present))
+        in_zone = sum(item.zone == this.zone for item in present)
+        rank = sum(item.name < this.name for item in present)
+        counts = (max(1, in_zone), len(present), rank)
         grace_s = _STARTUP_GRACE_HEARTBEATS * self._context.options.heartbeat_s
         starting = self._context.clock.now() - self._started_at < grace_s
         if counts == self._last_counts or (starting and len(present) == 1):
             return
         self._last_counts = counts
         logs.info("members", in_zone=counts[0], in_fleet=counts[1])
-        self._context.scheduler.set_live_daemons(max(1, counts[0]), counts[1])
+        self._context.scheduler.set_live_daemons(*counts)
 
 
 def make_membership(
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -98,6 +98,10 @@
         "Every backend server has asked for a pause; try again after the time "
         "in Retry-After."
     ),
+    _R.BACKEND_SERVERS_LIMITED: (
+        "Every backend server has named a limit that is reached; try again "
+        "after the time in Retry-After."
+    ),
     _R.CLAIM_UNAVAILABLE: (
         "The call can't be protected from running twice at present; send it "
         "again with the same idempotency key."
@@ -150,6 +154,7 @@
     _R.SHED_FOR_OTHERS: 503,
     _R.NO_BACKEND_SERVER: 503,
     _R.BACKEND_SERVERS_PAUSED: 503,
+    _R.BACKEND_SERVERS_LIMITED: 503,
     _R.CLAIM_UNAVAILABLE: 503,
     _R.CLAIM_UNRESOLVED: 409,
     _R.CLAIM_MISMATCH: 422,
--- a/figstream/paused_pool.py
+++ b/figstream/paused_pool.py
@@ -1,9 +1,10 @@
-"""Refuses requests while every server that could run them asks for a pause.
+"""Refuses requests that no server wants from this daemon at present.
 
-Answers the load in which a whole service sheds requests: its servers turn
-requests away and say for how long they want none. A request that can wait for
-the end of the first pause stays in the queue. Any other is refused at once and
-told when to return. The returns of a tier are spread over a slot of time that
+Answers the load in which a whole service is in need: its servers turn requests
+away and say for how long they want none, or name how many they take. A request
+that can wait for the end of the first pause, or for this daemon's next turn at
+a limited server, stays in the queue. Any other is refused at once and told when
+to return. The returns of a tier are spread over a slot of time that
 follows the slots of the more urgent tiers.
 """
 
@@ -26,7 +27,7 @@
 
 
 class PausedPools:
-    """Decides on requests whose servers are all paused."""
+    """Decides on requests whose servers are all paused or limited."""
 
     def __init__(
         self, book: server_load.LoadBook, source: random.Random
@@ -42,13 +43,16 @@
         now: float,
     ) -> errors.Refusal | None:
         """Returns the refusal of a request that can't wait for a server."""
-        wait_s = self._book.pause_end(pool.names, now) - now
+        wait_s = self._book.wanted_at(pool.names, now) - now
         level = request.request_class.service_level
         if wait_s <= _WAIT_RATIO * level.first_token_s:
             return None
+        paused = self._book.pause_end(pool.names, now) > now
         tier = min(request.request_class.tier, _LAST_TIER)
         return refusals.make_refusal(
             request,
-            reasons.RefusalReason.BACKEND_SERVERS_PAUSED,
+            reasons.RefusalReason.BACKEND_SERVERS_PAUSED
+            if paused
+            else reasons.RefusalReason.BACKEND_SERVERS_LIMITED,
             wait_s + _SPREAD_S * (tier + self._random.random()),
         )
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -43,6 +43,7 @@
     SHED_FOR_OTHERS = "shed_for_others"
     NO_BACKEND_SERVER = "no_backend_server"
     BACKEND_SERVERS_PAUSED = "backend_servers_paused"
+    BACKEND_SERVERS_LIMITED = "backend_servers_limited"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_UNRESOLVED = "claim_unresolved"
     CLAIM_MISMATCH = "claim_mismatch"
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -99,12 +99,15 @@
         self._book.evict_except(frozenset(configuration.servers_by_name))
         self._dispatcher.unblock_all()
 
-    def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
+    def set_live_daemons(
+        self, in_zone: int, in_fleet: int, rank: int = 0
+    ) -> None:
         """Applies the numbers of daemons that share servers and limits."""
         self._daemons_in_zone = in_zone
         self._index.set_live_daemons(in_zone, in_fleet)
         self._limits.set_live_daemons(in_fleet, self._now)
         self._dispatcher.set_live_daemons(in_zone)
+        self._book.limits.set_place(rank, in_fleet)
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Excludes the servers that the platform is reclaiming."""
@@ -116,6 +119,16 @@
         self._book.pause(server, until, self._now)
         self._dispatcher.unblock_all()
 
+    def limit_server(
+        self, server: str, per_s: float | None, epoch: float
+    ) -> None:
+        """Shares the requests that a server takes with the other daemons."""
+        if per_s is None:
+            self._book.limits.remove_limit(server)
+            self._dispatcher.unblock_all()
+        else:
+            self._book.limits.set_limit(server, per_s, epoch, self._now)
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -192,8 +192,16 @@
     ) -> None:
         """Applies a new configuration."""
 
-    def set_live_daemons(self, in_zone: int, in_fleet: int) -> None:
-        """Applies the numbers of daemons that share servers and limits."""
+    def set_live_daemons(
+        self, in_zone: int, in_fleet: int, rank: int = 0
+    ) -> None:
+        """Applies the numbers of daemons that share servers and limits.
+
+        Args:
+          in_zone: number of daemons in the availability zone.
+          in_fleet: number of daemons in all zones.
+          rank: place of this daemon among all by name, from 0.
+        """
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Excludes the servers that the platform is reclaiming."""
@@ -201,6 +209,17 @@
     def pause_server(self, server: str, until: float) -> None:
         """Sends no requests to a server, at its own request, until a time."""
 
+    def limit_server(
+        self, server: str, per_s: float | None, epoch: float
+    ) -> None:
+        """Shares the requests that a server takes with the other daemons.
+
+        Args:
+          server: name of the server.
+          per_s: requests a second over all daemons, None for no limit.
+          epoch: clock time of the Unix epoch.
+        """
+
     def offer(
         self, request: PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/server_announcements.py
+++ b/figstream/server_announcements.py
@@ -3,8 +3,9 @@
 The client for backend servers passes each announcement on as soon as it has
 read the head of the answer. A server that is leaving receives no further
 requests, whatever its entry in the platform's store says. A server that asks
-for a pause receives none until the pause ends. An announcement holds for one
-run of a server: after a restart under the same name, the server starts anew.
+for a pause receives none until the pause ends. One that names a limit receives
+no more than that (`limit_announcements`). An announcement holds for one run of
+a server: after a restart under the same name, the server starts anew.
 """
 
 from collections.abc import Iterable
@@ -15,6 +16,7 @@
 from figstream import backend_server
 from figstream import bounded_records
 from figstream import clock as clock_lib
+from figstream import limit_announcements
 from figstream import logs
 from figstream import metrics as metrics_lib
 from figstream import scheduler_api
@@ -32,10 +34,15 @@
     Attributes:
       leaving: whether the server is about to exit.
       pause_s: seconds for which the server wants no requests, 0 for none.
+      limit_per_s: requests a second that the server takes from all daemons
+        together, None if it names no limit.
+      limit_unreadable: whether the server names a limit that is no rate.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
+    limit_unreadable: bool = False
 
 
 class ServerAnnouncements:
@@ -55,14 +62,28 @@
         self._known_runs: dict[str, int] = {}
         self._leaving_runs: dict[str, int] = {}
         self._paused_runs: dict[str, int] = {}
+        self.limits = limit_announcements.LimitAnnouncements(
+            scheduler, clock, metrics
+        )
 
     def receive(
-        self, server: backend_server.BackendServer, announcement: Announcement
+        self,
+        server: backend_server.BackendServer,
+        announcement: Announcement,
+        sent_at: float,
     ) -> None:
-        """Applies an announcement of a server."""
+        """Applies an announcement of a server.
+
+        Args:
+          server: the server that answered.
+          announcement: what the head of its answer says.
+          sent_at: clock time at which the request of the answer was sent.
+        """
         name, run = server.name, server.started_ms
         if run < self._known_runs.get(name, 0):
             return
+        if not announcement.limit_unreadable:
+            self.limits.receive(server, announcement.limit_per_s, sent_at)
         if announcement.leaving and self._leaving_runs.get(name) != run:
             bounded_records.put(self._leaving_runs, name, run, _MAX_SERVERS)
             logs.info("server_announced_leaving", server=name, run=run)
@@ -85,6 +106,7 @@
     ) -> None:
         """Discards the announcements of servers that were restarted."""
         self._known_runs = {item.name: item.started_ms for item in servers}
+        self.limits.update_servers(self._known_runs)
         for name in self._restarted(self._paused_runs):
             del self._paused_runs[name]
             self._scheduler.pause_server(name, self._clock.now())
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -16,6 +16,7 @@
 import attrs
 
 from figstream import scheduler_api
+from figstream import server_limits
 
 # More changes than occur during the delay of a report.
 _MAX_CHANGES: Final = 64
@@ -94,6 +95,7 @@
             collections.defaultdict(ServerState)
         )
         self._pauses: dict[str, float] = {}
+        self.limits = server_limits.ServerLimits()
 
     def state(self, server: str) -> ServerState:
         """Returns the load and failures of a server."""
@@ -117,23 +119,45 @@
         }
 
     def paused(self, now: float) -> frozenset[str]:
-        """Returns the servers that have asked for no requests at present."""
+        """Returns the servers that want no request of this daemon now.
+
+        They have asked for a pause, or have named a limit of which this daemon
+        has no part at present.
+        """
+        limited = self.limits.without_turn(now)
         if not self._pauses:
-            return frozenset()
-        return frozenset(
+            return limited
+        return limited.union(
             name for name, until in self._pauses.items() if until > now
         )
 
     def pause_end(self, servers: frozenset[str], now: float) -> float:
-        """Returns the first time at which one of the servers wants requests."""
+        """Returns the end of the first pause that one of the servers asked for.
+
+        Returns `now` if one of them has asked for none.
+        """
         if not self._pauses:
             return now
         ends = (self._pauses.get(name, now) for name in servers)
         return max(now, min(ends, default=now))
 
+    def wanted_at(self, servers: frozenset[str], now: float) -> float:
+        """Returns the first time at which one of the servers wants a request.
+
+        Considers both pauses and limits.
+        """
+        if not self._pauses and not self.limits.any:
+            return now
+        times = (
+            self.limits.next_turn(name, max(now, self._pauses.get(name, now)))
+            for name in servers
+        )
+        return min(times, default=now)
+
     def dispatched(self, server: str, now: float) -> None:
         """Records that this daemon sent a request to a server."""
         self._states[server].change_own_requests(1, now)
+        self.limits.use(server, now)
 
     def finished(
         self, server: str, result: scheduler_api.AttemptResult, now: float
--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -163,10 +163,11 @@
     old = backend_server.BackendServer("i-1", "http://h:1", "a", started_ms=1)
     new = attrs.evolve(old, started_ms=2)
     announcements.update_servers([new])
-    announcements.receive(old, server_announcements.Announcement(leaving=True))
+    leaving = server_announcements.Announcement(leaving=True)
+    announcements.receive(old, leaving, 100.0)
     assert not recorded.leaving
     hour = server_announcements.Announcement(pause_s=3_600.0)
-    announcements.receive(new, hour)
+    announcements.receive(new, hour, 100.0)
     assert recorded.pauses == {"i-1": 100.0 + server_announcements.MAX_PAUSE_S}
     announcements.update_servers([attrs.evolve(new, started_ms=3)])
     assert recorded.pauses == {"i-1": 100.0}
