Bound the memory that endless answers of servers take

Callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end. With six such servers at once, a daemon buffered 192 MB, more than a small entry VM has, and would have been killed with all its requests. An event without end was searched for its end again with each read, which took all processor time until the route's limit (40 MB in 2.2 s).

Cause: the bound on a body was one for each answer, and events had none.

Change: answer_buffers bounds all buffered answers of a daemon together; one may take as much as is left for the others. An event has a bound of 1 MB.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -14,6 +14,7 @@
 import anyio
 import httpcore
 
+from figstream import answer_buffers
 from figstream import attempt_outcome
 from figstream import backend_dialect
 from figstream import backend_server
@@ -68,6 +69,7 @@
         self._on_load = on_load
         self._on_announcement = on_announcement
         self._transport = backend_transport.BackendTransport(eager=eager)
+        self._buffers = answer_buffers.AnswerBuffers()
 
     async def attempt(
         self,
@@ -90,7 +92,7 @@
             )
         except httpcore.ReadTimeout:
             outcome = _failed(attempt, _R.IDLE_TIMEOUT)
-        except stream_relay.AnswerTooLongError:
+        except answer_buffers.AnswerTooLongError:
             outcome = _failed(attempt, _R.SERVER_ERROR, "answer too long")
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             detail = f"{type(error).__name__} {error}".strip()
@@ -123,7 +125,7 @@
             ):
                 return None
             try:
-                await stream_relay.read_complete_body(answer)
+                await stream_relay.read_complete_body(answer, self._buffers)
             finally:
                 await answer.close()
             if answer.head.status != 200:
@@ -192,7 +194,7 @@
             return _failed(attempt, _R.ANSWER_TRUNCATED, "answer not framed")
         if fault and fault.reason is _R.ANSWER_CROSSED:
             return fault
-        body = await stream_relay.read_complete_body(answer)
+        body = await stream_relay.read_complete_body(answer, self._buffers)
         answered = attempt_outcome.Answered(head.status, head.headers, body)
         if fault is None:
             return answered
@@ -202,7 +204,7 @@
         self, attempt: backend_dialect.Attempt, answer: _Answer
     ) -> attempt_outcome.AttemptOutcome:
         idle_s = attempt.call.request_class.timeouts.idle_s
-        await attempt.relay.relay_events(answer, idle_s)
+        await attempt.relay.relay_events(answer, idle_s, self._buffers)
         if not attempt.relay.whole:
             return _failed(attempt, _R.ANSWER_TRUNCATED)
         return attempt_outcome.Answered(answer.head.status, answer.head.headers)
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -10,6 +10,7 @@
 import time
 from typing import Final
 
+from figstream import answer_buffers
 from figstream import asgi
 from figstream import backend_connection
 from figstream import backend_transport
@@ -19,18 +20,15 @@
 
 # A third of the planned time between tokens.
 READ_INTERVAL_S: Final = 0.019
-# Several such answers fit into the memory of a daemon.
-ANSWER_LIMIT_BYTES: Final = 32_000_000
+# Hundreds of times the longest event of an engine; longer bytes without an end
+# of an event are none.
+MAX_EVENT_BYTES: Final = 1_000_000
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
 FirstEventListener = Callable[[], None]
 
 
-class AnswerTooLongError(Exception):
-    """Raised when an answer that is not streamed exceeds the limit."""
-
-
 class StreamRelay:
     """Relays the answer of one request over all its attempts."""
 
@@ -79,11 +77,20 @@
         return self._ended and not self._buffer
 
     async def relay_events(
-        self, answer: backend_transport.Answer, idle_s: float
+        self,
+        answer: backend_transport.Answer,
+        idle_s: float,
+        buffers: answer_buffers.AnswerBuffers,
     ) -> None:
         """Relays a streamed answer until its body ends.
 
+        Args:
+          answer: the answer of the server.
+          idle_s: longest wait for the next bytes.
+          buffers: memory of the answers that are being buffered.
+
         Raises:
+          answer_buffers.AnswerTooLongError: an event does not end.
           httpcore.ReadTimeout: nothing arrived for the idle timeout.
           httpcore.NetworkError: the connection broke.
         """
@@ -93,8 +100,13 @@
         if paced:
             paced.start_pacing(self._read_interval_s, idle_s, self.flush)
         try:
-            async for chunk in answer.body():
-                self._buffer += chunk
+            with answer_buffers.AnswerBuffer(buffers) as buffer:
+                async for chunk in answer.body():
+                    # Complete events were flushed before this read.
+                    if len(self._buffer) > MAX_EVENT_BYTES:
+                        raise answer_buffers.AnswerTooLongError
+                    self._buffer += chunk
+                    buffer.resize(len(self._buffer))
         finally:
             if paced:
                 paced.stop_pacing()
@@ -123,22 +135,26 @@
         await self._answer.end()
 
 
-async def read_complete_body(answer: backend_transport.Answer) -> bytes:
+async def read_complete_body(
+    answer: backend_transport.Answer, buffers: answer_buffers.AnswerBuffers
+) -> bytes:
     """Reads the complete body of an answer that is not streamed.
 
+    Args:
+      answer: the answer of the server.
+      buffers: memory of the answers that are being buffered.
+
     Raises:
       httpcore.ReadTimeout: nothing arrived for the idle timeout.
-      AnswerTooLongError: the answer exceeds the limit.
+      answer_buffers.AnswerTooLongError: too little memory is left.
       httpcore.NetworkError: the connection broke.
     """
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in answer.body():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > ANSWER_LIMIT_BYTES:
-            raise AnswerTooLongError
-    return b"".join(chunks)
+    body = bytearray()
+    with answer_buffers.AnswerBuffer(buffers) as buffer:
+        async for chunk in answer.body():
+            buffer.resize(len(body) + len(chunk))
+            body += chunk
+    return bytes(body)
 
 
 def is_event_stream(head: backend_connection.Head) -> bool:
