Replace connections between daemons that have gone silent

Callers saw: nothing that is on record. After a connection goes silent without a reset, heartbeats over it, pulls of a newer configuration, and counts handed over all fail; each daemon then serves as if it were alone.

Cause: gRPC goes on using a connection until the kernel gives it up, and a new stream or call opens on the same one.

Keep-alive options of gRPC 1.85.3 had no effect.

--- a/figstream/membership_streams.py
+++ b/figstream/membership_streams.py
@@ -81,12 +81,16 @@
             )
         await self._run_session(context.write, messages)
 
-    async def open(self, address: str) -> None:
-        """Opens a stream and exchanges heartbeats until it ends."""
+    async def open(self, address: str) -> bool:
+        """Opens a stream and exchanges heartbeats until it ends.
+
+        Returns:
+          Whether it ended because heartbeats stopped arriving.
+        """
         stub = membership_pb2_grpc.MembershipStub(self._channels.get(address))
         call = stub.Exchange()
         try:
-            await self._run_session(call.write, call)
+            return await self._run_session(call.write, call)
         finally:
             call.cancel()
 
@@ -104,18 +108,23 @@
 
     def close_silent(self) -> None:
         """Closes the streams on which heartbeats have stopped arriving."""
-        limit_s = _SILENCE_HEARTBEATS * self._shared.heartbeat_s
-        now = self._shared.clock.now()
         for session, scope in self._sessions.items():
-            if now - session.received_at > limit_s:
+            if self._is_silent(session):
                 scope.cancel()
 
+    def _is_silent(
+        self, session: membership_heartbeat.HeartbeatSession
+    ) -> bool:
+        silent_s = self._shared.clock.now() - session.received_at
+        return silent_s > _SILENCE_HEARTBEATS * self._shared.heartbeat_s
+
     async def _keep_open(self, address: str, scope: anyio.CancelScope) -> None:
         with scope:
             backoff_heartbeats = 1.0
             while True:
                 opened_at = self._shared.clock.now()
-                await self.open(address)
+                if await self.open(address):
+                    self._channels.replace(address)
                 lasted_s = self._shared.clock.now() - opened_at
                 if lasted_s > _SILENCE_HEARTBEATS * self._shared.heartbeat_s:
                     backoff_heartbeats = 0.5
@@ -128,7 +137,8 @@
         self,
         write: Callable[[membership_pb2.Heartbeat], Awaitable[None]],
         messages: AsyncIterable[membership_pb2.Heartbeat],
-    ) -> None:
+    ) -> bool:
+        """Exchanges heartbeats; returns whether they stopped arriving."""
         joining = len(self._shared.table.entries) == 1
         session = membership_heartbeat.HeartbeatSession(
             self._shared, joining=joining
@@ -141,6 +151,7 @@
                 group.cancel_scope.cancel()
         finally:
             del self._sessions[session]
+        return self._is_silent(session)
 
     def _queue_change(self, run: int, new: bool) -> None:
         for session in self._sessions:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,7 @@
 from figstream import membership
 from figstream import platform_api
 from figstream import platform_memory
+from soak import links
 from tests import lease_parts
 
 _ZONES = ("a", "b", "c")
@@ -238,6 +239,34 @@
             await server.stop(None)
 
 
+@pytest.mark.anyio
+async def test_heartbeats_go_on_after_their_connection_went_silent() -> None:
+    # Fails if the next stream uses the connection of the silent one.
+    platform = platform_memory.MemoryPlatform()
+    server = grpc.aio.server()
+    link = links.Link(server.add_insecure_port("127.0.0.1:0"))
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            await group.start(link.serve)
+            address = f"127.0.0.1:{link.port}"
+            other = _daemon("y", address, platform.interfaces())
+            other.register(server)
+            await server.start()
+            this = _daemon(
+                "x", "127.0.0.1:1", platform.interfaces(), (address,)
+            )
+            group.start_soon(other.run)
+            group.start_soon(this.run)
+            while len(this.live()) < 2:
+                await anyio.sleep(0.05)
+            link.stall_open()
+            other._table.update_own(generation=7, leaving=False)
+            while {item.generation for item in this.live()} != {0, 7}:
+                await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+    await server.stop(None)
+
+
 @pytest.mark.anyio
 async def test_cancelled_call_ends_its_own_stream_only() -> None:
     # Fails if `_suppress_stream_end` propagates a CancelledError of grpc.aio,
