--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -292,7 +292,7 @@
             blame,
             self._usage,
         )
-        limit_spread.LimitSpread(
+        limit_spread.make_limit_spread(
             serving.announcements.limits, self.members.notices
         )
         directory = sources.directory
--- a/figstream/limit_spread.py
+++ b/figstream/limit_spread.py
@@ -43,3 +43,14 @@
             logs.warning("limit_notice_unreadable", detail=str(error))
             return
         self._limits.receive_from_peer(limit)
+
+
+def make_limit_spread(
+    limits: limit_announcements.LimitAnnouncements,
+    notices: notices_lib.Notices,
+) -> LimitSpread:
+    """Connects the limits of one daemon to its notices.
+
+    The subscriptions keep the object alive.
+    """
+    return LimitSpread(limits, notices)
--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -217,7 +217,9 @@
         if counts == self._last_counts or (starting and len(present) == 1):
             return
         self._last_counts = counts
-        logs.info("members", in_zone=counts[0], in_fleet=counts[1])
+        logs.info(
+            "members", in_zone=counts[0], in_fleet=counts[1], rank=counts[2]
+        )
         self._context.scheduler.set_live_daemons(*counts)
 
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -144,7 +144,7 @@
             unexported,
         )
         self.notices = notices.Notices(run, "a", self.clock, unexported)
-        self.spread = limit_spread.LimitSpread(self.limits, self.notices)
+        self.spread = limit_spread.make_limit_spread(self.limits, self.notices)
 
 
 _SERVER = backend_server.BackendServer("s", "http://h:1", "a", started_ms=5)
