Let the store go silent in the soak

Change: three plans in ten end with a silence of the store for all daemons, right after a change; a change after it must be active in time. It comes after the other faults, which would excuse that it is late.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -112,6 +112,13 @@
             ]
         self._configure()
 
+    def set_route(self, name: str, *, present: bool) -> None:
+        """Writes a new configuration that has a route or lacks it."""
+        if (name in self._routes) == present:
+            self._configure()
+        else:
+            self.toggle_route(name)
+
     def revoke(self, key: str) -> None:
         """Removes a key from the configuration."""
         self._keys = tuple(item for item in self._keys if item != key)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -38,6 +38,7 @@
     STORE_LOSES = "store_loses"  # Writes are done, answers dropped.
     STORE_FORGETS = "store_forgets"  # The store drops its change history.
     STORE_RESTORED = "store_restored"  # An outage, then back from a copy.
+    STORE_SILENT = "store_silent"  # Calls are accepted and never answered.
     WORKER_CRASH = "worker_crash"
     WORKER_FAULTS = "worker_faults"  # Next answers of a worker are faulty.
     DRAIN = "drain"  # A worker drains until the soak ends.
@@ -49,7 +50,12 @@
 _LASTING_KINDS: Final = frozenset({EventKind.DRAIN, EventKind.REVOKE})
 # Kinds that a generator of their own adds, so that the other events of a seed
 # stay as they were when it was first played.
-_ADDED_KINDS: Final = frozenset({EventKind.STORE_RESTORED})
+_ADDED_KINDS: Final = frozenset(
+    {EventKind.STORE_RESTORED, EventKind.STORE_SILENT}
+)
+# Share of the plans in which the store goes silent. This comes last, since
+# earlier faults would excuse a change that is late.
+_SILENCE_SHARE: Final = 0.3
 # Share of the plans with a restore of the store; some have two.
 _RESTORE_SHARES: Final = (0.5, 0.25)
 
@@ -89,6 +95,11 @@
         for share in _RESTORE_SHARES
         if restores.random() < share
     ]
+    silences = random.Random(f"silences {seed}")
+    if silences.random() < _SILENCE_SHARE:
+        silence = _draw_event(silences, EventKind.STORE_SILENT)
+        at_s = LATEST_START_S + _MAX_DURATION_S
+        events.append(attrs.evolve(silence, at_s=at_s))
     return sorted(events, key=lambda item: item.at_s)
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -46,6 +46,11 @@
 _MAX_COPY_AGE_S: Final = 6.0
 # Time until what a restore lost has been written again.
 _REWRITE_DELAY_S: Final = 1.0
+# Time from a change until the store goes silent, so that watches begin in the
+# silence.
+_CHANGE_GAP_S: Final = 0.1
+# Time after the next change in which requests show whether it is active.
+_JUDGED_S: Final = checks.PROPAGATION_LIMIT_S + 1.0
 # Time for the stand-in of the store to close its connections.
 _STORE_SHUTDOWN_S: Final = 0.3
 _EXTRA_ROUTE: Final = "report"
@@ -238,6 +243,7 @@
             _KIND.STORE_LOSES: self._store_loses,
             _KIND.STORE_FORGETS: self._store_forgets,
             _KIND.STORE_RESTORED: self._store_restored,
+            _KIND.STORE_SILENT: self._store_silent,
             _KIND.WORKER_CRASH: self._worker_crash,
             _KIND.WORKER_FAULTS: self._worker_faults,
             _KIND.DRAIN: self._drain,
@@ -383,6 +389,20 @@
 
         await self._apply_store_fault(event, set_fault)
 
+    async def _store_silent(self, event: plan_lib.Event) -> None:
+        faults = self._backends.store.faults
+
+        def set_fault(on: bool) -> None:
+            faults.silent = on
+
+        self._backends.set_route(_EXTRA_ROUTE, present=True)
+        await anyio.sleep(_CHANGE_GAP_S)
+        await self._apply_store_fault(event, set_fault)
+        # Faults before a change excuse that it is late.
+        await anyio.sleep(checks.SETTLING_TIME_S)
+        self._backends.set_route(_EXTRA_ROUTE, present=False)
+        await anyio.sleep(_JUDGED_S)
+
     async def _store_refuses(self, event: plan_lib.Event) -> None:
         name = self._daemons[self._target_daemon(event)].name
         refused = self._backends.store.faults.refused
