Log the software version of servers and the stream that a request resumes

Entries of servers now carry the version into server_known and dispatched, and queued names the stream that a caller resumes. No decision uses them yet.

--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -47,6 +47,8 @@
         returns it.
       checks_fencing: whether the server rejects orders with an outdated
         fencing number.
+      software: version of the server's software, not of its model; "" if
+        unknown. Servers of one service may run several versions.
     """
 
     name: str
@@ -64,3 +66,4 @@
     checks_fencing: bool = True
     ordered: bool = False
     started_ms: int = 0
+    software: str = ""
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -207,5 +207,6 @@
                 route.choose_service(self._random),
                 head.prompt,
                 self._holder.current.generation,
+                head.resumed_stream,
             ),
         )
--- a/figstream/gateway_dialect.py
+++ b/figstream/gateway_dialect.py
@@ -31,6 +31,9 @@
       prompt: properties of the prompt, as far as known.
       passed: headers to pass on.
       size_bytes: size of all headers.
+      resumed_stream: id of the caller's attempt that brought the first event
+        of the stream that the request resumes, "" if the caller does not name
+        it, None if the request resumes none.
     """
 
     request_id: str
@@ -43,6 +46,7 @@
     prompt: inbound.Prompt
     passed: Headers
     size_bytes: int
+    resumed_stream: str | None = None
 
 
 class CallerDialect(Protocol):
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -88,12 +88,16 @@
       prompt: what the caller declared about its prompt.
       generation: generation of the configuration that the route was
         selected from.
+      resumed_stream: id of the caller's attempt that brought the first event
+        of the stream that the request resumes, "" if the caller does not name
+        it, None if the request resumes none.
     """
 
     route: gateway_route.GatewayRoute
     service: str
     prompt: Prompt = Prompt()
     generation: int = 0
+    resumed_stream: str | None = None
 
 
 @attrs.frozen
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -52,6 +52,8 @@
         detail = f"ahead={queue_length} left_s={self._remaining_s(call):.3f}"
         if generation:
             detail += f" generation={generation}"
+        if call.passed and call.passed.resumed_stream is not None:
+            detail += f" resumes={call.passed.resumed_stream or 'unnamed'}"
         self._add_for_call(call, "queued", "", "", detail)
 
     def dispatched(
@@ -67,6 +69,7 @@
             decision.reason,
             decision.server.name,
             f"waited_s={waited_s:.3f} attempt={decision.request.attempt} "
+            f"software={decision.server.software or 'unknown'} "
             f"{decision.inputs}".rstrip(),
         )
 
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -233,6 +233,7 @@
                     zone=server.zone,
                     state=server.state.value,
                     reclaimable=server.reclaimable,
+                    software=server.software,
                     position=self._follower.position,
                 )
         for name in before.keys() - self._servers.keys():
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -31,6 +31,7 @@
         return
     server = workers.decode_entry(item)
     assert (server.name, server.url) == ("i-1", "http://10.0.0.9:8080")
+    assert server.software == case["value"].get("version", "")
     draining = case["value"]["state"] == "draining"
     assert (server.state is backend_server.ServerState.DRAINING) == draining
 
