--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -143,6 +143,7 @@
         service=service,
         slots=8,
         started_ms=worker.started_ms,
+        software=worker.software,
     )
 
 
