Go on with a broken stream only at the software that began it

Cause: a daemon that goes on with a stream after its server failed chose among all servers of the service.

The target of a request may now name a software version.

--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -154,6 +154,7 @@
             return None
         if self._services.rules.resumes_anywhere:
             progress.pending.tried.add(server)
+            progress.pending.software = dispatched.server.software
             progress.resume = True
             return None
         if outcome.reason is reasons.RetryReason.PREEMPTED:
--- a/figstream/request_target.py
+++ b/figstream/request_target.py
@@ -18,14 +18,18 @@
       model: the model, or "".
       service: the plain service, or "".
       adapter: the adapter, or "".
+      software: the only software version of the servers, None for any.
     """
 
     model: str = ""
     service: str = ""
     adapter: str = ""
+    software: str | None = None
 
     def served_by(self, server: backend_server.BackendServer) -> bool:
         """Returns whether the backend server can serve this target."""
+        if self.software is not None and server.software != self.software:
+            return False
         if self.service:
             return server.service == self.service
         if self.adapter and self.adapter not in server.adapters:
@@ -35,4 +39,6 @@
 
 def target_of(request: scheduler_api.PendingRequest) -> Target:
     """Returns the target of a request."""
-    return Target(request.model, request.service, request.adapter)
+    return Target(
+        request.model, request.service, request.adapter, request.software
+    )
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -48,6 +48,8 @@
       idempotent: whether the request may be repeated safely.
       tried: names of the servers at which an attempt failed.
       only_server: the only server that can resume the stream, or "".
+      software: the only software version of backend servers at which the
+        stream may run, None for any.
       attempt: number of attempts made so far.
       attempts_not_run: number of attempts that certainly did not run.
       attempts_unsent: number of attempts that reached no server.
@@ -75,6 +77,7 @@
     idempotent: bool = True
     tried: set[str] = attrs.field(factory=set)
     only_server: str = ""
+    software: str | None = None
     attempt: int = 0
     attempts_not_run: int = 0
     attempts_unsent: int = 0
