Take streams up again at the software that began them, after any restart

Cause: nothing read Resumes, and what a daemon knew of a stream ended with it.

Daemons now share a plan in the store: the shares of each version by which a hash of a stream's id selects the version. A daemon that starts derives the version of a stream from the plans of the recent past. Where these differ, it is known only if the daemon that began the stream has told it, and else the request is refused as not run. The plan is one object; it changes when a version comes or goes, not with each stream. The route's service follows from the stream's id too, so that a split route keeps it.

--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -6,8 +6,6 @@
 request that fails one has certainly not run.
 """
 
-import random
-
 import attrs
 
 from figstream import asgi
@@ -61,7 +59,6 @@
         self._authenticator = authenticator
         self._path = path
         self._records = records
-        self._random = random.Random()
         self._in_flight = 0
         self.leaving = False
         self.refusing = False
@@ -204,7 +201,7 @@
             max_output_tokens=head.prompt.max_output_tokens,
             passed=inbound.GatewayCall(
                 route,
-                route.choose_service(self._random),
+                route.choose_service(head.resumed_stream or head.request_id),
                 head.prompt,
                 self._holder.current.generation,
                 head.resumed_stream,
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -32,6 +32,7 @@
 from figstream import logs
 from figstream import membership
 from figstream import metrics as metrics_lib
+from figstream import object_follower
 from figstream import peer_server
 from figstream import placement
 from figstream import platform_api
@@ -39,6 +40,8 @@
 from figstream import role_supervisor
 from figstream import scaling_orders
 from figstream import scheduler as scheduler_lib
+from figstream import software_planner
+from figstream import stream_software_spread
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
@@ -139,7 +142,8 @@
         sources = gateway_sources.make_sources(
             context, feed, platform.kinds, change_s, drain_s
         )
-        followers = (sources.configuration_follower, sources.entries)
+        plans = self._make_plan_follower()
+        followers = (sources.configuration_follower, sources.entries, plans)
         peers = feed_peers.make_feed_peers(
             context, followers, sources.configuration_feed, self.members
         )
@@ -158,10 +162,12 @@
             options.retry_share, options.retry_burst
         )
         self._serving = self._make_serving(sources, crashes)
-        self._roles = (
+        self._roles: Sequence[daemon_context.Role] = (
             limit_spread.make_limit_spread(
                 self._serving.announcements.limits, self.members, context.clock
             ),
+            plans,
+            *self._make_stream_roles(sources, plans),
             *self._make_roles(sources, peers, accounting, crashes),
         )
         self._app = self._serving.app
@@ -284,6 +290,42 @@
                 self._budget.set_live_daemons(live)
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
+    def _make_plan_follower(self) -> object_follower.ObjectFollower:
+        """Returns the follower of the plan of software versions."""
+        context = self.context
+        follow_s = software_planner.FOLLOW_S
+        feed = feed_relay.make_relayed_feed(
+            context, self._platform.feed, self.members, follow_s
+        )
+        kind = self._platform.kinds.plans_kind
+        return object_follower.ObjectFollower(
+            kind, feed, context.clock, context.metrics, follow_s
+        )
+
+    def _make_stream_roles(
+        self,
+        sources: gateway_sources.Sources,
+        plans: object_follower.ObjectFollower,
+    ) -> Sequence[daemon_context.Role]:
+        """Returns the roles that keep streams at their software version."""
+        streams = self._serving.streams
+        return (
+            software_planner.SoftwarePlanner(
+                plans,
+                sources.entries,
+                sources.directory,
+                streams,
+                self.members,
+                self.context,
+            ),
+            stream_software_spread.StreamSoftwareSpread(
+                streams,
+                self.members.notices,
+                self.context.clock,
+                lambda: len(self.members.live()),
+            ),
+        )
+
     def _make_serving(
         self,
         sources: gateway_sources.Sources,
--- a/figstream/gateway_route.py
+++ b/figstream/gateway_route.py
@@ -7,9 +7,10 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-import random
+import itertools
 
 import attrs
+import xxhash
 
 from figstream import request_class as request_class_lib
 
@@ -52,13 +53,23 @@
     resumable: bool = False
     open: bool = False
 
-    def choose_service(self, rng: random.Random) -> str:
-        """Chooses a service for a request at random, by weight."""
-        if len(self.services) == 1:
+    def choose_service(self, name: str) -> str:
+        """Chooses a service by weight.
+
+        Args:
+          name: id of the request, or of the stream that it resumes. The same
+            name leads to the same service.
+        """
+        total = sum(item.weight for item in self.services)
+        if len(self.services) == 1 or total <= 0:
             return self.services[0].service
-        weights = [item.weight for item in self.services]
-        names = [item.service for item in self.services]
-        return rng.choices(names, weights)[0]
+        place = xxhash.xxh3_64_intdigest(name.encode()) % total
+        ends = itertools.accumulate(item.weight for item in self.services)
+        return next(
+            item.service
+            for item, end in zip(self.services, ends, strict=True)
+            if place < end
+        )
 
 
 class RouteTable:
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -28,6 +28,7 @@
 from figstream import retry_policy
 from figstream import server_announcements
 from figstream import server_health_passive
+from figstream import stream_software
 from figstream import usage_api
 
 # Keys must stay valid while the daemon is partitioned from the store, so the
@@ -74,12 +75,14 @@
       backends: the client for backend servers.
       app: the ASGI application for callers.
       announcements: applies what backend servers say about themselves.
+      streams: the software versions of streams.
     """
 
     gate: dispatch_gate.DispatchGate
     backends: backend_client.BackendClient
     app: gateway_app.GatewayApp
     announcements: server_announcements.ServerAnnouncements
+    streams: stream_software.StreamSoftware
 
 
 def make_gateway_serving(
@@ -106,6 +109,7 @@
         context.holder, _KEY_TRUST_S, api_key.split_external_key
     )
     records = request_records.RequestRecords(clock, metrics, context.decisions)
+    streams = stream_software.StreamSoftware(clock, metrics)
     services = request_attempts.RequestServices(
         clock,
         authenticator,
@@ -118,6 +122,7 @@
         crashes.prompts,
         usage,
         records,
+        streams,
         _PATH_RULES,
     )
     app = gateway_app.GatewayApp(
@@ -128,4 +133,4 @@
         request_path.RequestPath(services),
         records,
     )
-    return GatewayServing(gate, backends, app, announcements)
+    return GatewayServing(gate, backends, app, announcements, streams)
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -21,6 +21,7 @@
       configuration_kind: kind of the operator's configuration object.
       configuration_name: name of the operator's configuration object.
       servers_kind: kind of the entries of backend servers.
+      plans_kind: kind of the stored plan of software versions.
       decode_configuration: decodes the operator's configuration object.
       decode_server: decodes the entry of a backend server.
     """
@@ -28,6 +29,7 @@
     configuration_kind: str
     configuration_name: str
     servers_kind: str
+    plans_kind: str
     decode_configuration: configuration_feed.Decode
     decode_server: server_directory.Decode
 
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -128,6 +128,14 @@
     _R.BACKEND_SERVER_FAILED: "A backend server failed; try again.",
     _R.BACKEND_SERVER_REFUSED: "The backend server refused; see the detail.",
     _R.ANSWER_INCOMPLETE: "The answer was interrupted; send the request again.",
+    _R.STREAM_SOFTWARE_UNKNOWN: (
+        "It is not known which software version began the stream, so it can't "
+        "go on; begin a new stream."
+    ),
+    _R.STREAM_SOFTWARE_GONE: (
+        "No server runs the software version that began the stream; begin a "
+        "new stream."
+    ),
     _R.SHUTTING_DOWN: "This VM is shutting down; send the request again.",
     _R.INTERNAL_ERROR: "An internal error; report the request id.",
 }
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -53,6 +53,8 @@
     BACKEND_SERVER_FAILED = "backend_server_failed"
     BACKEND_SERVER_REFUSED = "backend_server_refused"
     ANSWER_INCOMPLETE = "answer_incomplete"
+    STREAM_SOFTWARE_UNKNOWN = "stream_software_unknown"
+    STREAM_SOFTWARE_GONE = "stream_software_gone"
     SHUTTING_DOWN = "shutting_down"
     INTERNAL_ERROR = "internal_error"
 
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -27,6 +27,7 @@
 from figstream import server_health
 from figstream import stream_monitor
 from figstream import stream_relay
+from figstream import stream_software
 from figstream import usage_api
 
 _RESULTS = scheduler_api.AttemptResult
@@ -70,6 +71,7 @@
     prompts: blame_api.PromptTable
     usage: usage_api.UsageLedger
     records: request_records.RequestRecords
+    streams: stream_software.StreamVersions
     rules: PathRules = PathRules()
 
 
@@ -84,6 +86,9 @@
       run_state: whether any attempt so far ran or may have run.
       resume: whether the next attempt resumes the stream after the events
         that the caller already has.
+      stream: the stream, if it may go on at another server.
+      software: version of the software of the server that began the stream or
+        was sent the last attempt.
     """
 
     call: inbound.Call
@@ -91,6 +96,8 @@
     relay: stream_relay.StreamRelay
     run_state: reasons.RunState = reasons.RunState.NOT_RUN
     resume: bool = False
+    stream: stream_software.Stream | None = None
+    software: str = ""
 
 
 class RequestAttempts:
@@ -180,6 +187,8 @@
         server = dispatched.server
         outcome: attempt_outcome.AttemptOutcome | None = None
         run_state_before = progress.run_state
+        if not progress.relay.events_relayed:
+            progress.software = server.software
         progress.run_state = reasons.RunState.MAY_HAVE_RUN
         with services.gate.preemptible(progress.pending):
             outcome = await services.backends.attempt(
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -19,6 +19,7 @@
 from figstream import retry_policy
 from figstream import scheduler_api
 from figstream import stream_relay
+from figstream import stream_software
 
 _RESULTS = scheduler_api.AttemptResult
 _R = reasons.RefusalReason
@@ -90,18 +91,23 @@
         rules = self._services.rules
         relay = stream_relay.StreamRelay(
             answer,
-            lambda: self._services.records.started(call),
+            lambda: self._note_first_event(progress),
             rules.terminator,
             rules.read_interval_s,
         )
         progress = request_attempts.RequestProgress(
-            call, _make_pending_request(call), relay
+            call,
+            _make_pending_request(call),
+            relay,
+            stream=_stream_of(call, self._services.clock.now()),
         )
         remaining_s = call.deadline - self._services.clock.now()
         try:
             with anyio.move_on_after(remaining_s):
                 return await self._attempt_until_answered(progress)
         finally:
+            if progress.stream:
+                self._services.streams.ended(progress.stream)
             if progress.run_state is reasons.RunState.NOT_RUN:
                 self._services.prompts.not_run(
                     call.prompt_parts,
@@ -110,6 +116,13 @@
                 )
         return errors.Refusal(_R.DEADLINE_PASSED, progress.run_state)
 
+    def _note_first_event(
+        self, progress: request_attempts.RequestProgress
+    ) -> None:
+        self._services.records.started(progress.call)
+        if progress.stream:
+            self._services.streams.began(progress.stream, progress.software)
+
     async def _attempt_until_answered(
         self, progress: request_attempts.RequestProgress
     ) -> _ServeResult:
@@ -154,7 +167,6 @@
             return None
         if self._services.rules.resumes_anywhere:
             progress.pending.tried.add(server)
-            progress.pending.software = dispatched.server.software
             progress.resume = True
             return None
         if outcome.reason is reasons.RetryReason.PREEMPTED:
@@ -171,6 +183,7 @@
         call = progress.call
         refused = services.authenticator.still_valid(call.identity)
         refused = refused or self._check_blame(progress)
+        refused = refused or self._select_software(progress)
         if refused:
             return _with_run_state(refused, progress)
         services.records.queued(call, services.gate.waiting)
@@ -206,6 +219,25 @@
         services.records.dispatched(progress.call, verdict)
         return verdict
 
+    def _select_software(
+        self, progress: request_attempts.RequestProgress
+    ) -> errors.Refusal | None:
+        """Sets the software version at which the next attempt may run."""
+        stream, pending = progress.stream, progress.pending
+        if stream is None:
+            return None
+        resumed = progress.call.passed and progress.call.passed.resumed_stream
+        if progress.relay.events_relayed:
+            pending.software = progress.software
+        elif resumed is None:
+            pending.software = self._services.streams.for_new(stream)
+        elif pending.software is None:
+            found = self._services.streams.for_resumed(stream)
+            if isinstance(found, errors.Refusal):
+                return found
+            pending.software = found
+        return None
+
     def _check_blame(
         self, progress: request_attempts.RequestProgress
     ) -> errors.Refusal | None:
@@ -263,6 +295,20 @@
     )
 
 
+def _stream_of(call: inbound.Call, now: float) -> stream_software.Stream | None:
+    """Returns the stream of a call, None if only its server can resume it."""
+    passed = call.passed
+    if passed is None or not passed.route.resumable:
+        return None
+    resumed = passed.resumed_stream
+    return stream_software.Stream(
+        call.caller_id if resumed is None else resumed,
+        passed.service,
+        passed.route.timeout_s,
+        call.deadline - now,
+    )
+
+
 def _with_run_state(
     refusal: errors.Refusal, progress: request_attempts.RequestProgress
 ) -> errors.Refusal:
--- a/figstream/serialization.py
+++ b/figstream/serialization.py
@@ -23,6 +23,11 @@
     )
 
 
+def to_value(value: object) -> object:
+    """Returns an attrs object as the value that its JSON decodes to."""
+    return orjson.loads(to_json(value))
+
+
 def from_json(data: bytes | str, target_class: type[_T]) -> _T:
     """Decodes JSON into an attrs class.
 
--- a/figstream/serving_parts.py
+++ b/figstream/serving_parts.py
@@ -19,6 +19,7 @@
 from figstream import request_records
 from figstream import retry_policy
 from figstream import server_health
+from figstream import stream_software
 from figstream import usage_api
 
 
@@ -76,6 +77,7 @@
         crashes.prompts,
         usage,
         records,
+        stream_software.AnyVersion(),
     )
     app = caller_app.CallerApp(
         context.options,
--- /dev/null
+++ b/figstream/software_plan.py
@@ -0,0 +1,166 @@
+"""Assigns new streams to the software versions of a service.
+
+What two software versions of a backend server write does not fit together, so
+a stream must end at the version that began it. Daemons share a plan: the
+shares of each version, by which a hash of the stream's id selects its version.
+A daemon can therefore tell where a stream began without having seen it.
+`stream_software` applies the plan; `software_planner` keeps it in the
+platform's store.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+from typing import Final
+
+import attrs
+import xxhash
+
+from figstream import backend_server
+
+# With a single server, each crash would leave the streams of a version without
+# one until the entry expires.
+_MIN_SERVERS: Final = 2
+# A difference between planned and present shares that changes the plan, and
+# the shortest time between two such changes.
+_LARGE_DIFFERENCE: Final = 0.1
+_MIN_PERIOD_MS: Final = 1_000
+# The same for small differences, which a release resolves by itself.
+_SMALL_DIFFERENCE: Final = 0.03
+_LONG_PERIOD_MS: Final = 10_000
+# Several times the longest time from the begin of a stream to its end.
+HISTORY_MS: Final = 60_000
+_HASHES: Final = 1 << 64
+
+
+@attrs.frozen
+class Shares:
+    """The shares of the software versions of a service, in one period.
+
+    Attributes:
+      since_ms: begin of the period, Unix milliseconds; unique by service.
+      weights: positive weight of each version.
+      ended_ms: end of the period, Unix milliseconds, 0 for the present one.
+    """
+
+    since_ms: int
+    weights: Mapping[str, int]
+    ended_ms: int = 0
+
+
+@attrs.frozen
+class SoftwarePlan:
+    """The shares of all services, with those of the recent past.
+
+    Attributes:
+      services: periods of each service, the oldest first.
+    """
+
+    services: Mapping[str, tuple[Shares, ...]] = {}
+
+
+def assign(stream: str, weights: Mapping[str, int]) -> str | None:
+    """Returns the software version of a stream, None without weights.
+
+    Weighted rendezvous hashing: a change of the weights changes the versions
+    of as few streams as possible.
+    """
+    if len(weights) <= 1:
+        return next(iter(weights), None)
+    return max(weights, key=lambda x: _score(stream, x, weights[x]))
+
+
+def wanted_weights(
+    servers: Iterable[backend_server.BackendServer],
+) -> dict[str, int]:
+    """Returns the weights that correspond to the active servers.
+
+    Args:
+      servers: the servers of one service.
+    """
+    slots: dict[str, list[int]] = {}
+    for server in servers:
+        if server.state is backend_server.ServerState.ACTIVE:
+            slots.setdefault(server.software, []).append(server.slots)
+    several = {
+        name: sum(item)
+        for name, item in slots.items()
+        if len(item) >= _MIN_SERVERS
+    }
+    return several or {name: sum(item) for name, item in slots.items()}
+
+
+def revised(
+    plan: SoftwarePlan,
+    servers: Iterable[backend_server.BackendServer],
+    services: Iterable[str],
+    now_ms: int,
+) -> SoftwarePlan:
+    """Returns the plan that is due, which is `plan` itself if none is.
+
+    Args:
+      plan: the plan in use.
+      servers: all backend servers.
+      services: the services whose streams may be resumed.
+      now_ms: Unix time in milliseconds.
+    """
+    by_service: dict[str, list[backend_server.BackendServer]] = {}
+    for server in servers:
+        by_service.setdefault(server.service, []).append(server)
+    changed = {}
+    for service in services:
+        periods = plan.services.get(service, ())
+        present = by_service.get(service, [])
+        weights = wanted_weights(present)
+        if weights and _is_due(periods, weights, present, now_ms):
+            changed[service] = _extended(periods, weights, now_ms)
+    if not changed:
+        return plan
+    return SoftwarePlan({**plan.services, **changed})
+
+
+def _is_due(
+    periods: tuple[Shares, ...],
+    wanted: Mapping[str, int],
+    servers: Iterable[backend_server.BackendServer],
+    now_ms: int,
+) -> bool:
+    if not periods:
+        return True
+    planned = periods[-1].weights
+    active = {
+        item.software
+        for item in servers
+        if item.state is backend_server.ServerState.ACTIVE
+    }
+    if not planned.keys() <= active:
+        return True
+    difference = max(
+        abs(_share(planned, name) - _share(wanted, name))
+        for name in planned.keys() | wanted.keys()
+    )
+    age_ms = now_ms - periods[-1].since_ms
+    return (difference > _LARGE_DIFFERENCE and age_ms >= _MIN_PERIOD_MS) or (
+        difference > _SMALL_DIFFERENCE and age_ms >= _LONG_PERIOD_MS
+    )
+
+
+def _extended(
+    periods: tuple[Shares, ...], weights: Mapping[str, int], now_ms: int
+) -> tuple[Shares, ...]:
+    ended = [
+        item if item.ended_ms else attrs.evolve(item, ended_ms=now_ms)
+        for item in periods
+    ]
+    recent = [item for item in ended if item.ended_ms > now_ms - HISTORY_MS]
+    since_ms = max([now_ms, *(item.since_ms + 1 for item in ended)])
+    return (*recent, Shares(since_ms, dict(weights)))
+
+
+def _share(weights: Mapping[str, int], name: str) -> float:
+    return weights.get(name, 0) / sum(weights.values())
+
+
+def _score(stream: str, version: str, weight: int) -> float:
+    digest = xxhash.xxh3_64_intdigest(f"{version}\n{stream}".encode())
+    return weight / -math.log((digest + 0.5) / _HASHES)
--- /dev/null
+++ b/figstream/stream_software.py
@@ -0,0 +1,278 @@
+"""Decides at which software version a stream may run.
+
+A stream may go on only at the software version of the backend server that began
+it. The request path asks for the version of each resumable stream before its
+dispatch. A new stream gets the version that the shared plan assigns to its id.
+A stream that its caller takes up again, perhaps at another daemon, gets the
+version that all plans of the recent past assign to it. If they differ, its
+version is known only if the daemon that began the stream has told the others.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Final
+from typing import Protocol
+
+import attrs
+import xxhash
+
+from figstream import backend_server
+from figstream import bounded_records
+from figstream import clock as clock_lib
+from figstream import errors
+from figstream import logs
+from figstream import metrics as metrics_lib
+from figstream import reasons
+from figstream import software_plan
+
+# Differences between the clocks of daemons, and the time for a new plan to
+# reach all of them.
+_SLACK_S: Final = 3.0
+# Callers may wait longer than the present time limit of their route, which
+# operators change.
+_PATIENCE_RATIO: Final = 1.5
+# Streams whose versions are recorded; those that a large fleet begins within
+# half a minute.
+_MAX_KNOWN: Final = 65_536
+_MAX_PENDING: Final = 4_096
+# A crashed server is back in about that time.
+_RETRY_AFTER_S: Final = 2.0
+_MS_PER_S: Final = 1000.0
+_R = reasons.RefusalReason
+
+
+@attrs.frozen
+class Stream:
+    """A stream over all attempts of its caller.
+
+    Attributes:
+      name: id of the caller's attempt that brought the first event.
+      service: the service that runs the stream.
+      timeout_s: time limit of its route, in seconds.
+      left_s: seconds for which the caller still waits.
+    """
+
+    name: str
+    service: str
+    timeout_s: float
+    left_s: float
+
+    @property
+    def key(self) -> int:
+        """Returns a hash that identifies the stream among daemons."""
+        return xxhash.xxh3_64_intdigest(f"{self.service}\n{self.name}".encode())
+
+    @property
+    def max_age_s(self) -> float:
+        """Returns the longest time since the stream began."""
+        return max(0.0, _PATIENCE_RATIO * self.timeout_s - self.left_s)
+
+
+@attrs.frozen
+class KnownStream:
+    """The software version that began a stream, by the key of the stream."""
+
+    key: int
+    software: str
+
+
+class StreamVersions(Protocol):
+    """The software versions of streams, as the request path needs them."""
+
+    def for_new(self, stream: Stream) -> str | None:
+        """Returns the version at which a stream begins, None for any."""
+
+    def for_resumed(self, stream: Stream) -> str | errors.Refusal:
+        """Returns the only version at which a stream may go on."""
+
+    def began(self, stream: Stream, software: str) -> None:
+        """Records that the caller has the first event of a stream."""
+
+    def ended(self, stream: Stream) -> None:
+        """Records that this daemon no longer relays a stream."""
+
+
+class AnyVersion:
+    """Implements `StreamVersions` where streams stay at their server."""
+
+    def for_new(self, stream: Stream) -> None:
+        """Returns None, since any server may begin a stream."""
+
+    def for_resumed(self, stream: Stream) -> str | errors.Refusal:
+        """Refuses, since no other daemon can resume a stream."""
+        return errors.Refusal(_R.STREAM_SOFTWARE_UNKNOWN)
+
+    def began(self, stream: Stream, software: str) -> None:
+        """Records nothing."""
+
+    def ended(self, stream: Stream) -> None:
+        """Records nothing."""
+
+
+class StreamSoftware:
+    """The software versions of the streams of a gateway.
+
+    Implements `StreamVersions`.
+    """
+
+    def __init__(
+        self, clock: clock_lib.Clock, metrics: metrics_lib.Metrics
+    ) -> None:
+        """Initializes without servers, plan and streams."""
+        self._clock = clock
+        self._metrics = metrics
+        # Slots of the active servers, by service and version.
+        self._active: dict[str, dict[str, int]] = {}
+        self._periods: dict[str, dict[int, software_plan.Shares]] = {}
+        self._present: Mapping[str, tuple[software_plan.Shares, ...]] = {}
+        self._known: dict[int, str] = {}
+        self._relayed: dict[int, tuple[Stream, str]] = {}
+        self._pending: dict[int, str] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when versions wait for `take_pending`."""
+        self._listeners.append(listener)
+
+    def update_servers(
+        self, servers: Iterable[backend_server.BackendServer]
+    ) -> None:
+        """Applies the present backend servers."""
+        active: dict[str, dict[str, int]] = {}
+        for server in servers:
+            if server.state is backend_server.ServerState.ACTIVE:
+                slots = active.setdefault(server.service, {})
+                slots[server.software] = (
+                    slots.get(server.software, 0) + server.slots
+                )
+        self._active = active
+
+    def apply_plan(self, plan: software_plan.SoftwarePlan) -> None:
+        """Applies the newest plan; remembers the recent ones."""
+        now_ms = self._now_ms()
+        for service, shares in plan.services.items():
+            periods = self._periods.setdefault(service, {})
+            for item in periods.values():
+                if not item.ended_ms:
+                    # A restore of the store may have lost the period.
+                    ended = attrs.evolve(item, ended_ms=now_ms)
+                    periods[item.since_ms] = ended
+            periods.update((item.since_ms, item) for item in shares)
+            self._discard_old(periods, now_ms)
+        self._present = plan.services
+        for stream, software in list(self._relayed.values()):
+            self._tell_if_uncertain(stream, software)
+
+    def for_new(self, stream: Stream) -> str | None:
+        """Returns the version at which a stream begins, None for any."""
+        active = self._active.get(stream.service)
+        if not active:
+            return None
+        periods = self._present.get(stream.service)
+        weights = periods[-1].weights if periods else active
+        usable = {name: x for name, x in weights.items() if name in active}
+        return software_plan.assign(stream.name, usable or active)
+
+    def for_resumed(self, stream: Stream) -> str | errors.Refusal:
+        """Returns the only version at which a stream may go on.
+
+        Returns:
+          The version, or a refusal if the version is not certain or has no
+          server.
+        """
+        software = self._known.get(stream.key) if stream.name else None
+        source = "known"
+        if software is None:
+            software = self._certain(stream)
+            source = "plan"
+        if software is None:
+            self._metrics.event("stream_software_unknown")
+            return errors.Refusal(
+                _R.STREAM_SOFTWARE_UNKNOWN,
+                detail=f"stream {stream.name}",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        if software not in self._active.get(stream.service, {}):
+            self._metrics.event("stream_software_gone")
+            return errors.Refusal(
+                _R.STREAM_SOFTWARE_GONE,
+                detail=f"stream {stream.name} software {software}",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        logs.info(
+            "stream_resumed",
+            stream=stream.name,
+            software=software,
+            source=source,
+        )
+        return software
+
+    def began(self, stream: Stream, software: str) -> None:
+        """Records that the caller has the first event of a stream."""
+        if not stream.name:
+            return
+        bounded_records.put(self._known, stream.key, software, _MAX_KNOWN)
+        self._relayed[stream.key] = stream, software
+        self._tell_if_uncertain(stream, software)
+
+    def ended(self, stream: Stream) -> None:
+        """Records that this daemon no longer relays a stream."""
+        self._relayed.pop(stream.key, None)
+
+    def learn(self, found: Iterable[KnownStream]) -> None:
+        """Records the versions of streams that other daemons began."""
+        for item in found:
+            bounded_records.put(
+                self._known, item.key, item.software, _MAX_KNOWN
+            )
+
+    def take_pending(self, limit: int) -> list[KnownStream]:
+        """Returns versions that other daemons can't derive, all of one kind.
+
+        Args:
+          limit: most streams to return; they all have the same version.
+        """
+        if not self._pending:
+            return []
+        software = next(iter(self._pending.values()))
+        keys = [x for x, found in self._pending.items() if found == software]
+        taken = keys[:limit]
+        for key in taken:
+            del self._pending[key]
+        return [KnownStream(key, software) for key in taken]
+
+    def _tell_if_uncertain(self, stream: Stream, software: str) -> None:
+        """Tells other daemons of a stream unless the plans are enough."""
+        oldest = attrs.evolve(stream, left_s=0.0)
+        if self._certain(oldest) == software:
+            return
+        bounded_records.put(self._pending, stream.key, software, _MAX_PENDING)
+        for listener in self._listeners:
+            listener()
+
+    def _certain(self, stream: Stream) -> str | None:
+        """Returns the version to which all plans assign a stream."""
+        periods = self._periods.get(stream.service, {}).values()
+        since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
+        recent = [
+            item.weights
+            for item in periods
+            if not item.ended_ms or item.ended_ms >= since_ms
+        ]
+        if stream.name:
+            found = {software_plan.assign(stream.name, x) for x in recent}
+        else:
+            found = {name for weights in recent for name in weights}
+        return found.pop() if len(found) == 1 else None
+
+    def _discard_old(
+        self, periods: dict[int, software_plan.Shares], now_ms: int
+    ) -> None:
+        oldest_ms = now_ms - software_plan.HISTORY_MS
+        for since_ms, item in list(periods.items()):
+            if item.ended_ms and item.ended_ms < oldest_ms:
+                del periods[since_ms]
+
+    def _now_ms(self) -> int:
+        return round(self._clock.wall() * _MS_PER_S)
--- /dev/null
+++ b/tests/test_software_plan.py
@@ -0,0 +1,279 @@
+"""Tests of the plan of software versions and of what follows from it."""
+
+import random
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import errors
+from figstream import metrics
+from figstream import reasons
+from figstream import serialization
+from figstream import software_plan
+from figstream import stream_software
+
+_LLM = "llm"
+
+
+def _servers(**counts: int) -> list[backend_server.BackendServer]:
+    return [
+        backend_server.BackendServer(
+            f"{software}-{number}",
+            "http://10.0.0.1:1",
+            "a",
+            kind=backend_server.ServerKind.SERVICE,
+            service=_LLM,
+            slots=10,
+            software=software,
+        )
+        for software, count in counts.items()
+        for number in range(count)
+    ]
+
+
+def _revised(
+    plan: software_plan.SoftwarePlan, now_ms: int, **counts: int
+) -> software_plan.SoftwarePlan:
+    return software_plan.revised(plan, _servers(**counts), [_LLM], now_ms)
+
+
+def _weights(plan: software_plan.SoftwarePlan) -> dict[str, int]:
+    return dict(plan.services[_LLM][-1].weights)
+
+
+@pytest.mark.parametrize(
+    ("counts", "wanted"),
+    [
+        ({"v1": 3}, {"v1": 30}),
+        ({"v1": 3, "v2": 2}, {"v1": 30, "v2": 20}),
+        ({"v1": 3, "v2": 1}, {"v1": 30}),
+        ({"v1": 1, "v2": 1}, {"v1": 10, "v2": 10}),
+        ({}, {}),
+    ],
+)
+def test_versions_with_several_servers_get_streams(
+    counts: dict[str, int], wanted: dict[str, int]
+) -> None:
+    assert software_plan.wanted_weights(_servers(**counts)) == wanted
+
+
+def test_a_plan_changes_at_once_when_a_version_has_no_server() -> None:
+    first = _revised(software_plan.SoftwarePlan(), 5_000, v1=4, v2=4)
+    gone = _revised(first, 5_001, v2=4)
+    assert _weights(gone) == {"v2": 40}
+    assert gone.services[_LLM][0].ended_ms == 5_001
+
+
+def test_a_plan_does_not_follow_each_step_of_a_release() -> None:
+    plan = _revised(software_plan.SoftwarePlan(), 0, v1=9)
+    assert _revised(plan, 500, v1=9, v2=4) is plan
+    changed = _revised(plan, 1_000, v1=9, v2=4)
+    assert _weights(changed) == {"v1": 90, "v2": 40}
+    assert _revised(changed, 3_000, v1=9, v2=5) is changed
+    assert _weights(_revised(changed, 11_000, v1=9, v2=5))["v2"] == 50
+
+
+def test_a_plan_keeps_only_the_recent_past() -> None:
+    plan = software_plan.SoftwarePlan()
+    for number in range(200):
+        counts = {"v1": 4, "v2": 4 if number % 2 else 0}
+        plan = _revised(plan, number * 2_000, **counts)
+    assert len(plan.services[_LLM]) <= 32
+
+
+def test_a_plan_survives_its_encoding() -> None:
+    plan = _revised(software_plan.SoftwarePlan(), 7, v1=4, v2=4)
+    value = serialization.to_value(plan)
+    decoded = serialization.from_value(value, software_plan.SoftwarePlan)
+    assert serialization.to_value(decoded) == value
+
+
+def test_streams_are_divided_by_weight() -> None:
+    weights = {"v1": 90, "v2": 30}
+    found = [software_plan.assign(f"r{x}", weights) for x in range(4_000)]
+    assert 0.70 < found.count("v1") / 4_000 < 0.80
+
+
+def test_a_change_of_weights_moves_few_streams() -> None:
+    names = [f"r{x}" for x in range(4_000)]
+    before = [software_plan.assign(x, {"v1": 90, "v2": 30}) for x in names]
+    after = [software_plan.assign(x, {"v1": 90, "v2": 90}) for x in names]
+    moved = [x for x in zip(before, after, strict=True) if x[0] != x[1]]
+    assert set(moved) == {("v1", "v2")}
+    assert len(moved) < 0.3 * len(names)
+
+
+class _Daemon:
+    """The streams of one daemon, with the plan and servers it knows."""
+
+    def __init__(self, clock: clock_lib.ManualClock) -> None:
+        self.streams = stream_software.StreamSoftware(
+            clock, metrics.make_unexported_metrics()
+        )
+
+    def apply(
+        self, plan: software_plan.SoftwarePlan, counts: dict[str, int]
+    ) -> None:
+        self.streams.update_servers(_servers(**counts))
+        self.streams.apply_plan(plan)
+
+
+def _stream(name: str, left_s: float = 5.0) -> stream_software.Stream:
+    return stream_software.Stream(name, _LLM, 5.0, left_s)
+
+
+_STEP = strategies.tuples(
+    strategies.dictionaries(
+        strategies.sampled_from(["v1", "v2", "v3"]),
+        strategies.integers(0, 6),
+        min_size=1,
+    ),
+    strategies.floats(0.0, 4.0),
+    strategies.booleans(),
+)
+
+
+@hypothesis.given(
+    strategies.lists(_STEP, min_size=1, max_size=12), strategies.integers(0, 99)
+)
+def test_a_stream_never_goes_on_at_other_software(
+    steps: list[tuple[dict[str, int], float, bool]], seed: int
+) -> None:
+    """Fails if plans decide where they do not agree.
+
+    All daemons are replaced before some of the take-ups, by such as know only
+    what is stored.
+    """
+    source = random.Random(seed)
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=2)
+    daemon = _Daemon(clock)
+    begun: list[tuple[str, float, str]] = []
+    for number, (counts, pause_s, restart) in enumerate(steps):
+        plan = _revised(plan, round(clock.now() * 1000), **counts)
+        if restart:
+            daemon = _Daemon(clock)
+        daemon.apply(plan, counts)
+        for item in range(20):
+            stream = _stream(f"r{number}-{item}")
+            software = daemon.streams.for_new(stream)
+            if software is not None:
+                daemon.streams.began(stream, software)
+                begun.append((stream.name, clock.now(), software))
+        clock.advance(pause_s)
+        for name, at, software in begun:
+            left_s = 5.0 - (clock.now() - at)
+            if left_s <= 0.0 or source.random() < 0.5:
+                continue
+            found = daemon.streams.for_resumed(_stream(name, left_s))
+            assert isinstance(found, errors.Refusal) or found == software
+
+
+def test_all_streams_go_on_while_the_plan_stays() -> None:
+    clock = clock_lib.ManualClock(1_000.0)
+    counts = {"v1": 4, "v2": 5}
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    before, after = _Daemon(clock), _Daemon(clock)
+    before.apply(plan, counts)
+    after.apply(plan, counts)
+    for number in range(50):
+        stream = _stream(f"r{number}")
+        began = before.streams.for_new(stream)
+        assert after.streams.for_resumed(stream) == began
+
+
+def test_a_changed_plan_is_no_obstacle_while_daemons_are_in_touch() -> None:
+    """Fails if daemons do not tell what the plans leave open."""
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    one, other = _Daemon(clock), _Daemon(clock)
+    for daemon in (one, other):
+        daemon.apply(plan, {"v1": 9})
+    names = [f"r{number}" for number in range(200)]
+    for name in names:
+        one.streams.began(_stream(name), "v1")
+    assert not one.streams.take_pending(1_000)
+    clock.advance(2.0)
+    counts = {"v1": 9, "v2": 9}
+    changed = _revised(plan, 1_002_000, **counts)
+    for daemon in (one, other):
+        daemon.apply(changed, counts)
+    told = one.streams.take_pending(1_000)
+    assert 60 < len(told) < 140
+    other.streams.learn(told)
+    for name in names:
+        assert other.streams.for_resumed(_stream(name, 3.0)) == "v1"
+
+
+def test_a_stream_of_software_without_servers_is_refused() -> None:
+    clock = clock_lib.ManualClock(1_000.0)
+    counts = {"v1": 4, "v2": 4}
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    daemon = _Daemon(clock)
+    daemon.apply(plan, {"v2": 4})
+    found = [
+        daemon.streams.for_resumed(_stream(f"r{number}"))
+        for number in range(50)
+    ]
+    refused = [x for x in found if isinstance(x, errors.Refusal)]
+    assert {x.reason for x in refused} == {
+        reasons.RefusalReason.STREAM_SOFTWARE_GONE
+    }
+    assert {x for x in found if isinstance(x, str)} == {"v2"}
+
+
+def test_a_stream_that_is_not_named_goes_on_if_there_is_one_version() -> None:
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=4)
+    daemon = _Daemon(clock)
+    daemon.apply(plan, {"v1": 4})
+    assert daemon.streams.for_resumed(_stream("")) == "v1"
+    changed = _revised(plan, 1_002_000, v1=4, v2=4)
+    daemon.apply(changed, {"v1": 4, "v2": 4})
+    assert isinstance(daemon.streams.for_resumed(_stream("")), errors.Refusal)
+
+
+def test_recorded_streams_are_bounded() -> None:
+    clock = clock_lib.ManualClock(1_000.0)
+    daemon = _Daemon(clock)
+    for number in range(70_000):
+        stream = _stream(f"r{number}")
+        daemon.streams.began(stream, "v1")
+        daemon.streams.ended(stream)
+    assert len(daemon.streams._known) == 65_536
+    assert len(daemon.streams._pending) == 4_096
+
+
+def test_the_history_of_a_restored_store_is_not_forgotten() -> None:
+    """Fails if a plan that a restore lost no longer counts as recent."""
+    clock = clock_lib.ManualClock(1_000.0)
+    older = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=4)
+    counts = {"v1": 4, "v2": 4}
+    newer = _revised(older, 1_002_000, **counts)
+    daemon = _Daemon(clock)
+    for plan in (older, newer, older):
+        daemon.apply(plan, counts)
+        clock.advance(1.0)
+    names = [f"r{number}" for number in range(100)]
+    found = [daemon.streams.for_resumed(_stream(name)) for name in names]
+    moved = [
+        name
+        for name in names
+        if software_plan.assign(name, _weights(newer)) == "v2"
+    ]
+    assert moved
+    refused = [
+        name
+        for name, item in zip(names, found, strict=True)
+        if isinstance(item, errors.Refusal)
+    ]
+    assert refused == moved
+
+
+def test_a_stream_key_depends_on_the_service() -> None:
+    stream = _stream("r1")
+    assert stream.key != attrs.evolve(stream, service="other").key
