Play releases and kills of all daemons in the soak

Workers of a service may run two software versions; a release replaces them one by one, and most plans with one kill all daemons at once, half of the time while it goes on. Callers take broken streams up again at other daemons. A new check: all events of a stream, over its take-ups, are of one version.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -4,6 +4,7 @@
 key, are written to the store here.
 """
 
+from collections.abc import Callable
 import time
 from typing import Final
 
@@ -19,6 +20,8 @@
 SERVICES: Final = ("model", "render")
 ZONES: Final = ("a", "b", "c")
 _SLOTS: Final = 16
+# Software version of the first workers; a release replaces it by the other.
+_SOFTWARE: Final = ("v1", "v2")
 # A block of prompts and a body that crash each backend server which begins to
 # answer them.
 CRASHING_BLOCK: Final = "bad0"
@@ -44,6 +47,7 @@
     link: links.Link
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     starts: int = 1
+    releases: int = 0
     draining: bool = False
 
 
@@ -72,7 +76,7 @@
         self._configure()
         for service in SERVICES:
             for number in range(self._workers_per_service):
-                worker = self._make_worker(f"{service}-{number}-1")
+                worker = self._make_worker(f"{service}-{number}-1", 0)
                 zone = ZONES[number % len(ZONES)]
                 site = WorkerSite(service, zone, worker, links.Link(0))
                 await self._serve(site)
@@ -91,7 +95,7 @@
         self.store.remove("servers", site.worker.name)
         site.starts += 1
         base = site.worker.name.rpartition("-")[0]
-        worker = self._make_worker(f"{base}-{site.starts}")
+        worker = self._make_worker(f"{base}-{site.starts}", site.releases)
         worker.port = site.worker.port
         worker.on_listen = site.link.set_accepting
         site.worker.on_listen = None
@@ -100,6 +104,30 @@
         site.link.set_accepting(True)
         self._register(site)
 
+    async def release(self, site: WorkerSite) -> Callable[[], None]:
+        """Starts a worker of other software; the present one drains.
+
+        Returns:
+          A function that ends the worker that drains.
+        """
+        old = attrs.evolve(site, draining=True)
+        site.starts += 1
+        site.releases += 1
+        base = old.worker.name.rpartition("-")[0]
+        site.worker = self._make_worker(f"{base}-{site.starts}", site.releases)
+        await self._serve(site)
+        site.link = links.Link(site.worker.port)
+        await self._group.start(site.link.serve)
+        site.worker.on_listen = site.link.set_accepting
+        self._register(site)
+        self.drain(old)
+
+        def end() -> None:
+            self.store.remove("servers", old.worker.name)
+            old.scope.cancel()
+
+        return end
+
     def drain(self, site: WorkerSite) -> None:
         """Registers a worker as draining; the worker continues to serve."""
         site.draining = True
@@ -153,9 +181,10 @@
         )
         self.store.put("config", "main", manifest_fields)
 
-    def _make_worker(self, name: str) -> standin_worker.Worker:
+    def _make_worker(self, name: str, releases: int) -> standin_worker.Worker:
         worker = standin_worker.Worker(
             name,
+            _SOFTWARE[releases % len(_SOFTWARE)],
             pause_s=_ANSWER_DELAY_S,
             crashing_blocks=frozenset({CRASHING_BLOCK}),
             crashing_bodies=frozenset({CRASHING_BODY}),
@@ -181,6 +210,7 @@
                 "service": site.service,
                 "address": f"127.0.0.1:{site.link.port}",
                 "zone": site.zone,
+                "version": site.worker.software,
                 "slots": _SLOTS,
                 "state": "draining" if site.draining else "ready",
                 "born": site.worker.started_ms,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -24,10 +24,15 @@
 _DEADLINE_S: Final = 7.0
 _PAUSE_BETWEEN_REQUESTS_S: Final = 0.06
 _MS_PER_S: Final = 1000
+_OK: Final = 200
 # Share of requests that the caller cancels, and the time until then.
 _CANCELLED_SHARE: Final = 0.05
 _CANCEL_AFTER_S: Final = 0.08
 _BLOCK_TOKENS: Final = 400
+_EVENT_END: Final = b"\n\n"
+# Attempts to resume a broken stream, and the pause before each.
+_MAX_RESUMES: Final = 6
+_PAUSE_BEFORE_RESUME_S: Final = 0.4
 
 
 @attrs.define
@@ -41,6 +46,8 @@
       key: API key of the request.
       content: body of the request.
       blocks: hashes of the shared blocks of its prompt.
+      resumes: id of the request that began the stream, "" for a new one.
+      after: number of events of the stream that the caller has.
       at: time of sending.
       ended_at: time when the answer was complete or failed.
       status: status of the answer, 0 if none arrived.
@@ -57,6 +64,8 @@
     key: str
     content: bytes
     blocks: tuple[str, ...] = ()
+    resumes: str = ""
+    after: int = 0
     at: float = attrs.field(factory=time.monotonic)
     ended_at: float = 0.0
     status: int = 0
@@ -66,6 +75,17 @@
     cancelled: bool = False
     fault: str = ""
 
+    @property
+    def events(self) -> int:
+        """Returns the number of events that the caller has."""
+        return self.after + self.body.count(_EVENT_END)
+
+    @property
+    def broken(self) -> bool:
+        """Returns whether a stream broke that its caller may resume."""
+        stream = self.route == STREAM_ROUTE and self.events > 0
+        return stream and not self.whole and not self.cancelled
+
 
 class Callers:
     """Sends requests to daemons until `stopping` is set."""
@@ -98,6 +118,7 @@
         key: str = standin_program.KEY,
         content: bytes = b"",
         blocks: tuple[str, ...] = (),
+        resumed: SentRequest | None = None,
     ) -> SentRequest:
         """Sends one request and returns the record of its answer.
 
@@ -108,6 +129,7 @@
           key: API key.
           content: body, the id of the request by default.
           blocks: hashes of the shared blocks of its prompt.
+          resumed: the request whose stream this one resumes.
         """
         request_id = f"{len(self.sent):06x}"
         sent = SentRequest(
@@ -118,6 +140,9 @@
             content or request_id.encode(),
             blocks,
         )
+        if resumed:
+            sent.resumes = resumed.resumes or resumed.request_id
+            sent.after = resumed.events
         self.sent.append(sent)
         cancels = self._random.random() < _CANCELLED_SHARE
         limit_s = _CANCEL_AFTER_S if cancels else _DEADLINE_S
@@ -131,11 +156,33 @@
         async with httpx.AsyncClient(timeout=_DEADLINE_S) as client:
             while not self.stopping:
                 route = self._random.choice(_ROUTES)
-                await self.send_request(client, daemon, route)
+                sent = await self.send_request(client, daemon, route)
+                if sent.broken:
+                    await self._resume(client, sent)
                 await anyio.sleep(
                     _PAUSE_BETWEEN_REQUESTS_S * self._random.uniform(0.5, 1.5)
                 )
 
+    async def _resume(
+        self, client: httpx.AsyncClient, sent: SentRequest
+    ) -> None:
+        """Resumes a broken stream at other daemons until it is complete."""
+        for _ in range(_MAX_RESUMES):
+            await anyio.sleep(_PAUSE_BEFORE_RESUME_S)
+            again = await self.send_request(
+                client,
+                (sent.daemon + 1) % len(self._urls),
+                sent.route,
+                content=sent.content,
+                resumed=sent,
+            )
+            if again.status == _OK and again.whole:
+                return
+            if again.status == _OK and again.broken:
+                sent = again
+            else:
+                sent = attrs.evolve(sent, daemon=again.daemon)
+
     async def _exchange(
         self, client: httpx.AsyncClient, sent: SentRequest
     ) -> None:
@@ -150,6 +197,9 @@
             blocks = (*sent.blocks, f"f{sent.request_id}")
             text = ",".join(f"{item}:{_BLOCK_TOKENS}" for item in blocks)
             headers[wire.PROMPT_BLOCKS.decode()] = text
+        if sent.resumes:
+            headers[wire.RESUMES.decode()] = sent.resumes
+            headers[wire.RESUME_AFTER.decode()] = str(sent.after)
         if sent.route == STREAM_ROUTE:
             headers["accept"] = "text/event-stream"
         try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -91,6 +91,7 @@
       removed: route name, time of its removal and time of its return
         (infinite if the route was not added again).
       revoked: time when the removal of a key was stored, by key.
+      software: software version of each worker, by its name.
       events: number of events in a complete stream.
       grace_exceeded: names of daemons that ran beyond their grace time.
       recovery_failure: message if daemons did not recover after the faults,
@@ -104,6 +105,7 @@
     drained: dict[str, float] = attrs.field(factory=dict)
     removed: list[tuple[str, float, float]] = attrs.field(factory=list)
     revoked: dict[str, float] = attrs.field(factory=dict)
+    software: dict[str, str] = attrs.field(factory=dict)
     events: int = 3
     grace_exceeded: list[str] = attrs.field(factory=list)
     recovery_failure: str = ""
@@ -164,17 +166,31 @@
             events = _EVENT.findall(sent.body)
             numbers = [int(number) for number, _ in events]
             joined = b"".join(b"id: %b\ndata: %b\n\n" % x for x in events)
-            if numbers != list(range(1, observed.events + 1)):
+            if numbers != list(range(sent.after + 1, observed.events + 1)):
                 yield (
                     f"{sent.request_id} got events {numbers} "
                     f"as a complete answer"
                 )
-            elif joined != sent.body or events[0][1] != signer:
+            elif joined != sent.body or (events and events[0][1] != signer):
                 yield f"{sent.request_id} got a stream that is not its own"
         elif sent.body != b"answer " + signer:
             yield f"{sent.request_id} got {sent.body!r} signed by {signer!r}"
 
 
+def _streams_keep_software(observed: Observations) -> Iterable[str]:
+    """Checks that all events of a stream are of one software version."""
+    found: dict[str, set[str]] = {}
+    for sent in observed.sent:
+        if sent.route != callers.STREAM_ROUTE:
+            continue
+        software = found.setdefault(sent.resumes or sent.request_id, set())
+        for _, worker in _EVENT.findall(sent.body):
+            software.add(observed.software.get(worker.decode(), ""))
+    for name, software in found.items():
+        if len(software) > 1:
+            yield f"{name} has events of software {sorted(software)}"
+
+
 def _runs_match_requests(observed: Observations) -> Iterable[str]:
     sent = {item.request_id: item for item in observed.sent}
     for name, run in observed.all_runs():
@@ -340,6 +356,7 @@
     _at_most_once,
     _refused_requests_not_run,
     _answers_match_requests,
+    _streams_keep_software,
     _runs_match_requests,
     _drain_propagation,
     _configuration_propagation,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -48,6 +48,8 @@
     REVOKE = "revoke"  # A key is removed for good.
     PROMPT_CRASHES = "prompt_crashes"  # Prompts with one block crash servers.
     REQUEST_CRASHES = "request_crashes"  # One request crashes servers.
+    RELEASE = "release"  # Model workers are replaced by other software.
+    KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
 
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
@@ -60,6 +62,8 @@
         EventKind.STORE_SILENT,
         EventKind.PROMPT_CRASHES,
         EventKind.REQUEST_CRASHES,
+        EventKind.RELEASE,
+        EventKind.KILL_ALL,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -72,6 +76,12 @@
 # Share of the plans in which the store goes silent. This comes last, since
 # earlier faults would excuse a change that is late.
 _SILENCE_SHARE: Final = 0.3
+# Share of the plans with a release; some have two. All daemons are then killed
+# in most plans, half of the time shortly after a release began.
+_RELEASE_SHARES: Final = (0.5, 0.25)
+_KILL_ALL_SHARE: Final = 0.7
+_KILL_DURING_RELEASE_SHARE: Final = 0.5
+_RELEASE_LASTS_S: Final = 3.0
 # Share of the plans with a restore of the store; some have two.
 _RESTORE_SHARES: Final = (0.5, 0.25)
 
@@ -122,9 +132,26 @@
             if crashes.random() < _LATE_CRASHES_SHARE:
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_CRASHES_LAST_S))
+    events += _draw_releases(random.Random(f"releases {seed}"))
     return sorted(events, key=lambda item: item.at_s)
 
 
+def _draw_releases(generator: random.Random) -> list[Event]:
+    """Draws releases, and kills of all daemons beside or after them."""
+    releases = [
+        _draw_event(generator, EventKind.RELEASE)
+        for share in _RELEASE_SHARES
+        if generator.random() < share
+    ]
+    if not releases or generator.random() >= _KILL_ALL_SHARE:
+        return releases
+    kill = _draw_event(generator, EventKind.KILL_ALL)
+    if generator.random() < _KILL_DURING_RELEASE_SHARE:
+        at_s = releases[0].at_s + generator.uniform(0.0, _RELEASE_LASTS_S)
+        kill = attrs.evolve(kill, at_s=at_s)
+    return [*releases, kill]
+
+
 def _draw_event(generator: random.Random, kind: EventKind) -> Event:
     return Event(
         generator.uniform(0.5, LATEST_START_S),
--- a/soak/system.py
+++ b/soak/system.py
@@ -62,6 +62,10 @@
 _SHARED_BLOCK: Final = "aa"
 _EXTRA_ROUTE: Final = "report"
 _OLD_KEY: Final = "old-key"
+_MODEL: Final = "model"
+# Time between two workers of a release, and for which each drains.
+_RELEASE_GAP_S: Final = 0.5
+_DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
 _LINK_MODES: Final = (
     links.LinkMode.DELAY,
     links.LinkMode.SILENT,
@@ -139,6 +143,9 @@
         observed.runs = {
             item.name: item.runs for item in self._backends.workers
         }
+        observed.software = {
+            item.name: item.software for item in self._backends.workers
+        }
         observed.duties = self._backends.store.duties
         observed.drained = self._backends.drained
         observed.removed = self._backends.removed
@@ -258,6 +265,8 @@
             _KIND.REVOKE: self._revoke,
             _KIND.PROMPT_CRASHES: self._prompt_crashes,
             _KIND.REQUEST_CRASHES: self._request_crashes,
+            _KIND.RELEASE: self._release,
+            _KIND.KILL_ALL: self._kill_all,
         }
 
     @contextlib.contextmanager
@@ -300,6 +309,15 @@
             await anyio.sleep(event.for_s)
             await self._start_daemon(number)
 
+    async def _kill_all(self, event: plan_lib.Event) -> None:
+        with self._record_fault_period(_SCOPE.ALL):
+            for daemon in self._daemons:
+                daemon.kill_and_wait()
+            await anyio.sleep(event.for_s)
+            async with anyio.create_task_group() as group:
+                for number in range(len(self._daemons)):
+                    group.start_soon(self._start_daemon, number)
+
     async def _terminate(self, event: plan_lib.Event) -> None:
         await self._stop_and_restart(self._target_daemon(event))
 
@@ -470,6 +488,24 @@
             await anyio.sleep(event.for_s)
             await self._backends.restart(site)
 
+    async def _release(self, event: plan_lib.Event) -> None:
+        """Replaces model workers one by one by such of other software.
+
+        In half of the releases one worker keeps its software.
+        """
+        sites = [x for x in self._backends.sites if x.service == _MODEL]
+        async with anyio.create_task_group() as group:
+            for site in sites[event.draw % 2 :]:
+                group.start_soon(self._release_site, site)
+                await anyio.sleep(_RELEASE_GAP_S)
+
+    async def _release_site(self, site: backends_lib.WorkerSite) -> None:
+        if site.draining or self._active_faults.get(site.worker.name):
+            return
+        end_old = await self._backends.release(site)
+        await anyio.sleep(_DRAIN_S)
+        end_old()
+
     async def _worker_faults(self, event: plan_lib.Event) -> None:
         with self._record_fault_period(_SCOPE.ANSWERS):
             fault = backends_lib.FAULTS[event.draw % len(backends_lib.FAULTS)]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -126,6 +126,28 @@
         },
         "as a complete answer",
     ),
+    (
+        "a stream of two software versions",
+        {
+            "sent": [
+                _sent_request("a", "rewrite", body=_STREAM[:17], whole=False),
+                _sent_request(
+                    "b",
+                    "rewrite",
+                    body=_STREAM[17:],
+                    headers={
+                        "x-request-id": "b",
+                        "x-server-signature": "signed by w-2",
+                    },
+                    resumes="a",
+                    after=1,
+                ),
+            ],
+            "fault_periods": [checks.FaultPeriod(checks.Scope.ALL, None, 0.0)],
+            "software": {"w-1": "v1", "w-2": "v2"},
+        },
+        "has events of software ['v1', 'v2']",
+    ),
     (
         "a request that no caller sent",
         {"runs": {"w-1": [_worker_run("zz")]}},
