--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -1,6 +1,8 @@
 """Runs daemons as real processes, which a soak starts, signals and kills."""
 
 import collections
+from collections.abc import Sequence
+import functools
 import os
 import pathlib
 import random
@@ -33,6 +35,10 @@
 _claims: collections.deque[socket.socket] = collections.deque(maxlen=256)
 
 
+# Sockets of the port to which connections hang, kept open.
+_black_hole: list[socket.socket] = []
+
+
 def free_ports(count: int) -> list[int]:
     """Returns local ports that are free at the moment.
 
@@ -62,6 +68,23 @@
     return standin_program.DaemonPorts(*free_ports(4))
 
 
+@functools.cache
+def _black_hole_port() -> int:
+    """Returns a local port to which connections hang while they open."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    _black_hole.append(listener)
+    # These fill the queue of connections; the kernel drops further ones.
+    for _ in range(2):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        _black_hole.append(filler)
+    port: int = listener.getsockname()[1]
+    return port
+
+
 @attrs.define
 class DaemonProcess:
     """One daemon and its process.
@@ -113,6 +136,21 @@
         new_file.write_text(str(seconds))
         new_file.replace(self._clock)
 
+    def block(self, ports: Sequence[int], *, silent: bool) -> None:
+        """Lets new connections of the daemon to some ports fail.
+
+        Args:
+          ports: the ports; without any, all connections work again.
+          silent: whether connections hang instead of being refused.
+        """
+        if not ports:
+            self._blocked.unlink(missing_ok=True)
+            return
+        black_hole = _black_hole_port() if silent else 0
+        new_file = self._blocked.with_suffix(".new-blocked")
+        new_file.write_text(" ".join(map(str, (*ports, black_hole))))
+        new_file.replace(self._blocked)
+
     def start(self) -> None:
         """Starts the process unless one runs."""
         if self.running:
@@ -157,3 +195,7 @@
     @property
     def _clock(self) -> pathlib.Path:
         return self.folder / f"{self.name}.clock"
+
+    @property
+    def _blocked(self) -> pathlib.Path:
+        return self.folder / f"{self.name}.blocked"
