Reach backend servers through peers when a daemon has no path of its own

Cause: a daemon had no other way to a server than its own connections, and tried one after the other for 0.6 s each until the time was over; peers that reached the servers were not asked.

Failures at two servers, or half a second in which no server answers anything, make a daemon suspect its path. It then connects to three servers, one in its zone; if none answers, new connections go through peers until a probe succeeds. A peer carries the bytes of a connection over gRPC, so that whatever an exchange says of runs, ends and resets stays true, and reaches only servers of its directory. A refusal counts as a crash of a server only if no peer gets a connection either: a partition that refuses connections would otherwise have blamed sound requests and prompts.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -9,7 +9,6 @@
 import dataclasses
 import math
 from typing import Final
-import urllib.parse
 
 import anyio
 import httpcore
@@ -23,6 +22,7 @@
 from figstream import engine_protocol
 from figstream import reasons
 from figstream import server_announcements
+from figstream import server_connector
 from figstream import stream_relay
 
 _CANCEL_TIMEOUT_S: Final = 1.0
@@ -49,9 +49,8 @@
         dialect: backend_dialect.BackendDialect,
         clock: clock_lib.Clock,
         on_load: LoadListener,
+        connector: server_connector.ServerConnector,
         on_announcement: AnnouncementListener | None = None,
-        *,
-        eager: bool = False,
     ) -> None:
         """Initializes the client without connections.
 
@@ -59,16 +58,16 @@
           dialect: wire format of the backend servers.
           clock: source of the current time.
           on_load: called with each load report found in an answer.
+          connector: opens connections to backend servers.
           on_announcement: called with the server, its announcement and the
             clock time at which the request was sent, for each answer.
-          eager: whether connections read data as soon as it arrives, for
-            streams whose reads are not paced.
         """
         self._dialect = dialect
         self._clock = clock
         self._on_load = on_load
         self._on_announcement = on_announcement
-        self._transport = backend_transport.BackendTransport(eager=eager)
+        self._connector = connector
+        self._transport = backend_transport.BackendTransport(connector)
         self._buffers = answer_buffers.AnswerBuffers()
 
     async def attempt(
@@ -116,7 +115,9 @@
         with anyio.move_on_after(_PROBE_TIMEOUT_S):
             try:
                 answer = await self._transport.send(
-                    _address_of(server), request, _PROBE_TIMEOUT_S
+                    server_connector.address_of(server),
+                    request,
+                    _PROBE_TIMEOUT_S,
                 )
             except (
                 httpcore.TimeoutException,
@@ -135,13 +136,13 @@
 
     async def listens(self, server: backend_server.BackendServer) -> bool:
         """Returns whether a server accepts connections, or may accept them."""
-        return await self._transport.may_accept_connections(
-            _address_of(server), _CRASH_CHECK_TIMEOUT_S
+        return await self._connector.accepts(
+            server_connector.address_of(server), _CRASH_CHECK_TIMEOUT_S
         )
 
-    async def close(self) -> None:
-        """Closes all connections."""
-        await self._transport.close()
+    async def close_idle(self) -> None:
+        """Closes all idle connections."""
+        await self._transport.close_idle()
 
     async def _exchange(
         self,
@@ -154,7 +155,7 @@
         answer: _Answer | None = None
         with anyio.move_on_after(timeouts.first_byte_s):
             answer = await self._transport.send(
-                _address_of(attempt.server),
+                server_connector.address_of(attempt.server),
                 self._dialect.request(attempt, left_s),
                 timeouts.connect_s,
                 max(timeouts.idle_s, timeouts.first_byte_s),
@@ -226,7 +227,9 @@
                 httpcore.ProtocolError,
             ):
                 answer = await self._transport.send(
-                    _address_of(attempt.server), request, _CANCEL_TIMEOUT_S
+                    server_connector.address_of(attempt.server),
+                    request,
+                    _CANCEL_TIMEOUT_S,
                 )
                 await answer.close()
 
@@ -245,15 +248,6 @@
     return ran and not attempt.call.stream
 
 
-def _address_of(
-    server: backend_server.BackendServer,
-) -> backend_transport.ServerAddress:
-    parts = urllib.parse.urlsplit(server.url)
-    return backend_transport.ServerAddress(
-        parts.hostname or "", parts.port or 80, server.name
-    )
-
-
 def _failed(
     attempt: backend_dialect.Attempt,
     reason: reasons.RetryReason,
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -12,12 +12,10 @@
 from typing import Final
 
 import anyio
-import attrs
-import httpcore
 
 from figstream import backend_connection
 from figstream import backend_network
-from figstream import eager_stream
+from figstream import server_connector
 
 # Fractions of a server's idle timeout after which a connection is not reused.
 # The rest covers the network delay of a request and, for a request that must
@@ -27,25 +25,6 @@
 # As many as a large server has slots.
 _MAX_IDLE_PER_SERVER: Final = 64
 _SWEEP_INTERVAL_S: Final = 1.0
-# Time for which data may stay unacknowledged before the kernel breaks the
-# connection: enough for two lost retransmissions, and less than callers wait.
-_UNACKNOWLEDGED_TIMEOUT_MS: Final = 800
-
-
-@attrs.frozen
-class ServerAddress:
-    """Address and name of the backend server behind a connection.
-
-    Attributes:
-      host: IP address.
-      port: TCP port.
-      server: name of the backend server, since another server may later get
-        the same address.
-    """
-
-    host: str
-    port: int
-    server: str
 
 
 class Answer:
@@ -54,7 +33,7 @@
     def __init__(
         self,
         transport: "BackendTransport",
-        address: ServerAddress,
+        address: server_connector.ServerAddress,
         connection: backend_connection.Connection,
         head: backend_connection.Head,
     ) -> None:
@@ -87,24 +66,18 @@
 class BackendTransport:
     """Sends requests to backend servers over pooled connections."""
 
-    def __init__(self, *, eager: bool = False) -> None:
-        """Initializes an empty pool.
-
-        Args:
-          eager: whether connections read data as it arrives; otherwise their
-            reads can be paced.
-        """
-        self._network = eager_stream.make_network(
-            _UNACKNOWLEDGED_TIMEOUT_MS, eager=eager
-        )
+    def __init__(self, connector: server_connector.ServerConnector) -> None:
+        """Initializes an empty pool; `connector` opens its connections."""
+        self._connector = connector
         self._idle: dict[
-            ServerAddress, collections.deque[backend_connection.Connection]
+            server_connector.ServerAddress,
+            collections.deque[backend_connection.Connection],
         ] = {}
         self._swept_at = time.monotonic()
 
     async def send(
         self,
-        address: ServerAddress,
+        address: server_connector.ServerAddress,
         request: backend_connection.Request,
         connect_s: float,
         read_s: float | None = None,
@@ -130,40 +103,22 @@
             address, at_most_once=at_most_once
         )
         if connection is None:
-            stream = await self._network.connect_tcp(
-                address.host, address.port, connect_s
-            )
+            stream = await self._connector.connect(address, connect_s)
             connection = backend_connection.Connection(stream)
         connection.read_timeout_s = read_s
         try:
-            head = await connection.send(request)
+            with self._connector.awaiting(address):
+                head = await connection.send(request)
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await connection.close()
             raise
         return Answer(self, address, connection, head)
 
-    async def may_accept_connections(
-        self, address: ServerAddress, connect_s: float
-    ) -> bool:
-        """Returns whether a server accepts connections, or may accept them.
-
-        Only a connection error such as a refusal shows that nothing listens
-        at the address; after a timeout the packets may have been lost.
-        """
-        try:
-            stream = await self._network.connect_tcp(
-                address.host, address.port, connect_s
-            )
-        except httpcore.ConnectTimeout:
-            return True
-        except httpcore.ConnectError:
-            return False
-        await stream.aclose()
-        return True
-
     async def release(
-        self, address: ServerAddress, connection: backend_connection.Connection
+        self,
+        address: server_connector.ServerAddress,
+        connection: backend_connection.Connection,
     ) -> None:
         """Returns a connection to the pool, or closes it if not reusable."""
         idle = self._idle.setdefault(address, collections.deque())
@@ -173,7 +128,7 @@
             await connection.close()
         await self._sweep()
 
-    async def close(self) -> None:
+    async def close_idle(self) -> None:
         """Closes all idle connections."""
         for address in list(self._idle):
             for connection in self._idle.pop(address):
@@ -198,7 +153,7 @@
                 self._idle.pop(address, None)
 
     async def _acquire_idle(
-        self, address: ServerAddress, *, at_most_once: bool
+        self, address: server_connector.ServerAddress, *, at_most_once: bool
     ) -> backend_connection.Connection | None:
         idle_fraction = (
             _AT_MOST_ONCE_IDLE_FRACTION
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -169,7 +169,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._peers.stop()
-        await self._serving.backends.close()
+        await self._serving.backends.close_idle()
         logs.info("daemon_stopped", vm=options.name)
 
     async def shut_down(self) -> None:
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -40,6 +40,8 @@
 from figstream import role_supervisor
 from figstream import scaling_orders
 from figstream import scheduler as scheduler_lib
+from figstream import server_connector
+from figstream import server_reach
 from figstream import software_planner
 from figstream import stream_software_spread
 from figstream import usage_parts
@@ -152,20 +154,23 @@
         )
         self._usage = usage_totals.UsageTotals(accounting.ledger)
         crashes = crash_parts.make_counting_parts(self.members, context.clock)
+        reach = server_reach.make_server_reach(context, self.members, sources)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             peers,
             feed_relay.FeedRelay(feed, followers),
             accounting.handover,
+            reach.tunnels,
             self.members,
         )
         self._budget = retry_budget.FleetBudget(
             options.retry_share, options.retry_burst
         )
-        self._serving = self._make_serving(sources, crashes)
+        self._serving = self._make_serving(sources, crashes, reach.connector)
         self._roles: Sequence[daemon_context.Role] = (
             limit_spread.make_limit_spread(
                 self._serving.announcements.limits, self.members, context.clock
             ),
+            reach.make_probe(self._serving.backends.close_idle),
             plans,
             *self._make_stream_roles(sources, plans),
             *self._make_roles(sources, peers, accounting, crashes),
@@ -212,7 +217,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._peers.stop()
-        await self._serving.backends.close()
+        await self._serving.backends.close_idle()
         logs.info("daemon_stopped", vm=self._options.name)
 
     async def shut_down(self) -> None:
@@ -330,6 +335,7 @@
         self,
         sources: gateway_sources.Sources,
         crashes: crash_parts.CrashParts,
+        connector: server_connector.ServerConnector,
     ) -> gateway_serving.GatewayServing:
         """Returns the components that process requests."""
         serving = gateway_serving.make_gateway_serving(
@@ -339,6 +345,7 @@
             self._budget,
             crashes,
             self._usage,
+            connector,
         )
         directory = sources.directory
         directory.subscribe(
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -27,6 +27,7 @@
 from figstream import retry_budget
 from figstream import retry_policy
 from figstream import server_announcements
+from figstream import server_connector
 from figstream import server_health_passive
 from figstream import stream_software
 from figstream import usage_api
@@ -92,6 +93,7 @@
     budget: retry_budget.RetryBudget,
     crashes: crash_parts.CrashParts,
     usage: usage_api.UsageLedger,
+    connector: server_connector.ServerConnector,
 ) -> GatewayServing:
     """Creates the components that process requests without starting them."""
     clock, metrics = context.clock, context.metrics
@@ -103,7 +105,7 @@
         context.scheduler, clock, metrics
     )
     backends = backend_client.BackendClient(
-        servers, clock, health.on_load, announcements.receive, eager=True
+        servers, clock, health.on_load, connector, announcements.receive
     )
     authenticator = authentication.Authenticator(
         context.holder, _KEY_TRUST_S, api_key.split_external_key
--- a/figstream/serving_parts.py
+++ b/figstream/serving_parts.py
@@ -18,6 +18,7 @@
 from figstream import request_path
 from figstream import request_records
 from figstream import retry_policy
+from figstream import server_connector
 from figstream import server_health
 from figstream import stream_software
 from figstream import usage_api
@@ -57,7 +58,10 @@
         context.metrics,
     )
     backends = backend_client.BackendClient(
-        backend_dialect.EngineDialect(), clock, health.on_load
+        backend_dialect.EngineDialect(),
+        clock,
+        health.on_load,
+        server_connector.DirectConnector(),
     )
     authenticator = authentication.Authenticator(
         context.holder, context.options.key_trust_s
--- /dev/null
+++ b/figstream/tunnel_stream.py
@@ -0,0 +1,88 @@
+"""The client's end of a connection to a backend server through a peer.
+
+Carries bytes over a gRPC stream, so that an exchange with a backend server is
+the same as over a TCP connection of this daemon.
+"""
+
+import ssl
+from typing import Any
+from typing import Final
+
+import anyio
+import grpc
+import httpcore
+
+from figstream.rpc import tunnel_pb2
+
+# Longer messages would delay those of other streams of the connection.
+_MAX_CHUNK_BYTES: Final = 65_536
+
+Call = grpc.aio.StreamStreamCall[tunnel_pb2.Chunk, tunnel_pb2.Chunk]
+
+
+class TunnelStream(httpcore.AsyncNetworkStream):
+    """Bytes to and from a backend server over an open call."""
+
+    def __init__(self, call: Call) -> None:
+        """Takes ownership of a call whose first answer has arrived."""
+        self._call = call
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Reads the next bytes, b"" at the end of the connection.
+
+        Raises:
+          httpcore.ReadTimeout: nothing arrived within the timeout.
+          httpcore.ReadError: the connection or the path through the peer
+            broke.
+        """
+        try:
+            with anyio.fail_after(timeout):
+                chunk = await self._call.read()
+                if isinstance(chunk, tunnel_pb2.Chunk):
+                    return bytes(chunk.data)
+                code = await self._call.code()
+        except TimeoutError as error:
+            raise httpcore.ReadTimeout from error
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+            raise httpcore.ReadError(type(error).__name__) from error
+        if code is not grpc.StatusCode.OK:
+            raise httpcore.ReadError(f"tunnel {code.name}")
+        return b""
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Writes the complete buffer.
+
+        Raises:
+          httpcore.WriteTimeout: the buffer was not written in time.
+          httpcore.WriteError: the connection broke.
+        """
+        try:
+            with anyio.fail_after(timeout):
+                for start in range(0, len(buffer), _MAX_CHUNK_BYTES):
+                    data = buffer[start : start + _MAX_CHUNK_BYTES]
+                    await self._call.write(tunnel_pb2.Chunk(data=data))
+        except TimeoutError as error:
+            raise httpcore.WriteTimeout from error
+        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+            raise httpcore.WriteError(type(error).__name__) from error
+
+    async def aclose(self) -> None:
+        """Closes the connection at both ends."""
+        self._call.cancel()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Raises `httpcore.UnsupportedProtocol`: TLS is not supported."""
+        raise httpcore.UnsupportedProtocol("tunnels do not support TLS")
+
+    def get_extra_info(self, info: str) -> Any:
+        """Returns whether the stream can't be reused, for "is_readable".
+
+        That is always so: whether bytes have arrived is known only to the
+        peer. Other keys give None.
+        """
+        return True if info == "is_readable" else None
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -26,6 +26,7 @@
 from figstream import request_crashes
 from figstream import retry_budget
 from figstream import scheduler
+from figstream import server_connector
 from figstream import usage_totals
 from figstream_platform import callers
 from figstream_platform import manifest
@@ -180,6 +181,7 @@
             (),
         ),
         usage,
+        server_connector.DirectConnector(eager=True),
     )
     async with anyio.create_task_group() as group:
         for worker in workers:
--- /dev/null
+++ b/tests/test_server_tunnels.py
@@ -0,0 +1,185 @@
+"""Tests of connections to backend servers through a peer."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import anyio
+import anyio.abc
+import attrs
+import grpc
+import httpcore
+import pytest
+
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import membership_api
+from figstream import metrics
+from figstream import peer_server
+from figstream import peer_tunnels
+from figstream import server_connector
+from figstream import server_paths
+from figstream import tunnel_server
+from figstream_platform import standin_worker
+from soak import daemons
+
+
+class _Members:
+    """Two peers, the second of which does not answer, and this daemon."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._members = [
+            membership_api.Member(f"entry-{number}", "a", "r", address, 1)
+            for number, address in enumerate(["", *addresses])
+        ]
+        self._channels = {
+            item.address: grpc.aio.insecure_channel(item.address)
+            for item in self._members[1:]
+        }
+
+    def this(self) -> membership_api.Member:
+        return self._members[0]
+
+    def live(self) -> list[membership_api.Member]:
+        return self._members
+
+    def ranked(self, role: str, zone: str = "") -> list[membership_api.Member]:
+        return self._members
+
+    def channel(self, member: membership_api.Member) -> grpc.aio.Channel:
+        return self._channels[member.address]
+
+    async def close(self) -> None:
+        for channel in self._channels.values():
+            await channel.close()
+
+
+@attrs.define
+class _Peers:
+    tunnels: peer_tunnels.PeerTunnels
+    paths: server_paths.ServerPaths
+    connections: list[anyio.abc.SocketStream]
+
+
+@contextlib.asynccontextmanager
+async def _peers() -> AsyncIterator[_Peers]:
+    """Runs a peer whose directory has one server, "i-1"."""
+    clock = clock_lib.SystemClock()
+    unexported = metrics.make_unexported_metrics()
+    paths = server_paths.ServerPaths(clock, unexported)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    connections: list[anyio.abc.SocketStream] = []
+    server = backend_server.BackendServer(
+        "i-1", f"http://127.0.0.1:{port}", "a"
+    )
+    peer = peer_server.PeerServer("127.0.0.1", 0, 0.1)
+    role = tunnel_server.TunnelServer(
+        lambda name: server if name == "i-1" else None,
+        paths,
+        server_connector.DirectConnector(eager=True),
+        unexported,
+    )
+    await peer.start([role])
+
+    async def keep(stream: anyio.abc.SocketStream) -> None:
+        connections.append(stream)
+        await anyio.sleep_forever()
+
+    members = _Members([peer.address, "127.0.0.1:1"])
+    async with listener, anyio.create_task_group() as group:
+        group.start_soon(listener.serve, keep)
+        yield _Peers(
+            peer_tunnels.make_peer_tunnels(members, clock, unexported),
+            paths,
+            connections,
+        )
+        group.cancel_scope.cancel()
+    await members.close()
+    await peer.stop()
+
+
+@pytest.mark.anyio
+async def test_bytes_pass_both_ways_and_the_end_is_orderly() -> None:
+    async with _peers() as peers:
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        await stream.write(b"x" * 200_000)
+        [connection] = peers.connections
+        received = 0
+        while received < 200_000:
+            received += len(await connection.receive())
+        await connection.send(b"answer")
+        assert await stream.read(100, 2.0) == b"answer"
+        await connection.aclose()
+        assert await stream.read(100, 2.0) == b""
+
+
+@pytest.mark.anyio
+async def test_a_reset_is_no_orderly_end() -> None:
+    """Fails if an answer without a length that was reset passes for whole."""
+    async with _peers() as peers:
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        await anyio.sleep(0.05)
+        [connection] = peers.connections
+        standin_worker.reset_when_closed(connection)
+        await connection.aclose()
+        with pytest.raises(httpcore.ReadError):
+            await stream.read(100, 2.0)
+
+
+@pytest.mark.anyio
+async def test_closing_a_tunnel_closes_the_connection_to_the_server() -> None:
+    """Fails if a server goes on with a request that its caller has left."""
+    async with _peers() as peers:
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        await anyio.sleep(0.05)
+        await stream.aclose()
+        with anyio.fail_after(0.4), pytest.raises(anyio.EndOfStream):
+            await peers.connections[0].receive()
+
+
+@pytest.mark.anyio
+async def test_a_read_without_bytes_times_out() -> None:
+    async with _peers() as peers:
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        with pytest.raises(httpcore.ReadTimeout):
+            await stream.read(100, 0.1)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("server", ["i-2", ""])
+async def test_only_servers_of_the_directory_are_reached(server: str) -> None:
+    async with _peers() as peers:
+        with pytest.raises(httpcore.ConnectError):
+            await peers.tunnels.connect(server, 2.0)
+        assert not peers.connections
+
+
+@pytest.mark.anyio
+async def test_a_peer_without_a_path_does_not_help() -> None:
+    async with _peers() as peers:
+        peers.paths.lose(["i-1"])
+        with pytest.raises((httpcore.ConnectError, httpcore.ConnectTimeout)):
+            await peers.tunnels.connect("i-1", 1.0)
+        peers.paths.regain("i-1")
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        await stream.aclose()
+
+
+@pytest.mark.anyio
+async def test_a_refused_connection_is_no_crash_if_a_peer_gets_one() -> None:
+    """Fails if a partition that refuses connections passes for crashes."""
+    async with _peers() as peers:
+        connector = server_connector.PathConnector(
+            server_connector.DirectConnector(),
+            server_paths.ServerPaths(
+                clock_lib.SystemClock(), metrics.make_unexported_metrics()
+            ),
+            peers.tunnels,
+        )
+        [closed_port] = daemons.free_ports(1)
+        refused = server_connector.ServerAddress(
+            "127.0.0.1", closed_port, "i-1"
+        )
+        assert await connector.accepts(refused, 1.0)
+        crashed = attrs.evolve(refused, server="i-2")
+        assert not await connector.accepts(crashed, 1.0)
