Spare brittle servers the requests that they would refuse

A server may say that it falls over if it must turn away more than so many requests in a second.

After a refusal a daemon pauses for a time that grows with the fleet and then runs fewer there.

--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -62,6 +62,16 @@
     ) -> None:
         """Ignores the limit, since simulated servers name none."""
 
+    def set_brittle(
+        self,
+        service: str,
+        refusals_per_s: float | None,
+        sent_at: float,
+        epoch: float,
+    ) -> bool:
+        """Ignores brittle servers, since simulated servers are none."""
+        return False
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -210,6 +210,8 @@
             for item in group.servers
             if item.name not in paused
         ]
+        if self._book.brittle.any:
+            servers = [x for x in servers if self._book.has_room(x, now)]
         untried = servers
         if request.tried:
             untried = [x for x in servers if x.name not in request.tried]
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -108,6 +108,7 @@
         self._limits.set_live_daemons(in_fleet, self._now)
         self._dispatcher.set_live_daemons(in_zone)
         self._book.limits.set_place(rank, in_fleet)
+        self._book.brittle.set_place(rank, in_fleet)
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Excludes the servers that the platform is reclaiming."""
@@ -129,6 +130,21 @@
         else:
             self._book.limits.set_limit(server, per_s, epoch, self._now)
 
+    def set_brittle(
+        self,
+        service: str,
+        refusals_per_s: float | None,
+        sent_at: float,
+        epoch: float,
+    ) -> bool:
+        """Keeps requests from servers that would have to refuse them."""
+        changed = self._book.brittle.heard(
+            service, refusals_per_s, sent_at, epoch
+        )
+        if changed:
+            self._dispatcher.unblock_all()
+        return changed
+
     def offer(
         self, request: scheduler_api.PendingRequest, now: float
     ) -> errors.Refusal | None:
@@ -206,6 +222,9 @@
         if item is None:
             return
         self._book.finished(server.name, report.result, now)
+        if report.result is _Result.REFUSED:
+            own_requests = self._book.state(server.name).own_requests
+            self._book.brittle.refused(server, own_requests, now)
         self._index.change_own_requests(server.name, -1)
         state = self._book.state(server.name)
         if state.reserved_for == request.request_id:
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -223,6 +223,26 @@
           epoch: clock time of the Unix epoch.
         """
 
+    def set_brittle(
+        self,
+        service: str,
+        refusals_per_s: float | None,
+        sent_at: float,
+        epoch: float,
+    ) -> bool:
+        """Keeps requests from servers that would have to refuse them.
+
+        Args:
+          service: the service of the servers.
+          refusals_per_s: refusals a second that each of them bears, None if
+            they are not brittle.
+          sent_at: clock time of the request whose answer says so.
+          epoch: clock time of the Unix epoch.
+
+        Returns:
+          Whether this changed.
+        """
+
     def offer(
         self, request: PendingRequest, now: float
     ) -> errors.Refusal | None:
--- a/figstream/server_announcements.py
+++ b/figstream/server_announcements.py
@@ -4,8 +4,9 @@
 read the head of the answer. A server that is leaving receives no further
 requests, whatever its entry in the platform's store says. A server that asks
 for a pause receives none until the pause ends. One that names a limit receives
-no more than that (`limit_announcements`). An announcement holds for one run of
-a server: after a restart under the same name, the server starts anew.
+no more than that (`limit_announcements`). One that is brittle is spared
+requests that it would refuse (`brittle_servers`). An announcement holds for one
+run of a server: after a restart under the same name, the server starts anew.
 """
 
 from collections.abc import Iterable
@@ -37,12 +38,15 @@
       limit_per_s: requests a second that the server takes from all daemons
         together, None if it names no limit.
       limit_unreadable: whether the server names a limit that is no rate.
+      brittle_refusals_per_s: refusals a second beyond which the server falls
+        over, None if it is not brittle.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
     limit_unreadable: bool = False
+    brittle_refusals_per_s: float | None = None
 
 
 class ServerAnnouncements:
@@ -84,6 +88,21 @@
             return
         if not announcement.limit_unreadable:
             self.limits.receive(server, announcement.limit_per_s, sent_at)
+        refusals_per_s = announcement.brittle_refusals_per_s
+        epoch = self._clock.now() - self._clock.wall()
+        if self._scheduler.set_brittle(
+            server.service, refusals_per_s, sent_at, epoch
+        ):
+            event = "servers_brittle"
+            if refusals_per_s is None:
+                event = "servers_brittle_ended"
+            self._metrics.event(event)
+            logs.info(
+                event,
+                service=server.service,
+                server=name,
+                refusals_per_s=refusals_per_s,
+            )
         if announcement.leaving and self._leaving_runs.get(name) != run:
             bounded_records.put(self._leaving_runs, name, run, _MAX_SERVERS)
             logs.info("server_announced_leaving", server=name, run=run)
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from figstream import backend_server
+from figstream import brittle_servers
 from figstream import scheduler_api
 from figstream import server_limits
 
@@ -96,6 +98,7 @@
         )
         self._pauses: dict[str, float] = {}
         self.limits = server_limits.ServerLimits()
+        self.brittle = brittle_servers.BrittleServers()
 
     def state(self, server: str) -> ServerState:
         """Returns the load and failures of a server."""
@@ -131,6 +134,13 @@
             name for name, until in self._pauses.items() if until > now
         )
 
+    def has_room(
+        self, server: backend_server.BackendServer, now: float
+    ) -> bool:
+        """Returns whether this daemon may send to a server that is brittle."""
+        own_requests = self._states[server.name].own_requests
+        return self.brittle.has_room(server, own_requests, now)
+
     def pause_end(self, servers: frozenset[str], now: float) -> float:
         """Returns the end of the first pause that one of the servers asked for.
 
