Let requests that must run once outlast a silent second of their server

A sound server may fall silent for a second or so. TCP_USER_TIMEOUT broke connections after 0.8 s without an acknowledgement, so a request that must not be repeated was answered 502 although its server was about to go on. Such a request now waits 2 s, set for each request on its connection; others still go to another server after 0.8 s. The test reads the option from the socket.

--- a/figstream/backend_network.py
+++ b/figstream/backend_network.py
@@ -41,12 +41,25 @@
     def __init__(self, connected: socket.socket) -> None:
         """Initializes the stream from a connected non-blocking socket."""
         self._socket = connected
+        self._unacknowledged_timeout_ms = 0
         self._pace_s = 0.0
         self._idle_s = 0.0
         self._before_read: BeforeRead | None = None
         self._last_read_s = 0.0
         self._arrivals_sparse = False
 
+    def set_unacknowledged_timeout(self, timeout_ms: int) -> None:
+        """Sets for how long the peer may leave data unacknowledged.
+
+        On Linux this also decides when keep-alive probes give up.
+        """
+        if timeout_ms == self._unacknowledged_timeout_ms:
+            return
+        self._unacknowledged_timeout_ms = timeout_ms
+        self._socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+        )
+
     def start_pacing(
         self, pace_s: float, idle_s: float, before_read: BeforeRead
     ) -> None:
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -24,6 +24,12 @@
 _AT_MOST_ONCE_IDLE_FRACTION: Final = 0.5
 # As many as a large server has slots.
 _MAX_IDLE_PER_SERVER: Final = 64
+# Time for which a server may leave a request unacknowledged before the kernel
+# breaks the connection. Two retransmissions may be lost; another server then
+# answers sooner than one that stays silent. A request that must not be repeated
+# has no other server, and a sound one may be silent for over a second.
+RETRYABLE_SILENCE_MS: Final = 800
+AT_MOST_ONCE_SILENCE_MS: Final = 2_000
 _SWEEP_INTERVAL_S: Final = 1.0
 
 
@@ -105,6 +111,11 @@
         if connection is None:
             stream = await self._connector.connect(address, connect_s)
             connection = backend_connection.Connection(stream)
+        silence_ms = (
+            AT_MOST_ONCE_SILENCE_MS if at_most_once else RETRYABLE_SILENCE_MS
+        )
+        if isinstance(connection.stream, backend_network.PacedStream):
+            connection.stream.set_unacknowledged_timeout(silence_ms)
         connection.read_timeout_s = read_s
         try:
             with self._connector.awaiting(address):
