Play partitioned daemons and brittle workers in the soak

A daemon may be unable to open connections to any worker for 7 s, refused or in silence; after 3 s it must serve two thirds of its callers. Workers of a service may bear few refusals and have one slot each for 7 s; after 3 s they may fall over twice. Both kinds come from a generator of their own. The checks have cases that break them.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -20,6 +20,10 @@
 SERVICES: Final = ("model", "render")
 ZONES: Final = ("a", "b", "c")
 _SLOTS: Final = 16
+# Slots of a brittle worker, fewer than requests run at once, and refusals in a
+# second that it bears.
+_BRITTLE_SLOTS: Final = 1
+_BRITTLE_TEXT: Final = "3"
 # Software version of the first workers; a release replaces it by the other.
 _SOFTWARE: Final = ("v1", "v2")
 # A block of prompts and a body that crash each backend server which begins to
@@ -48,6 +52,7 @@
     scope: anyio.CancelScope = attrs.field(factory=anyio.CancelScope)
     starts: int = 1
     releases: int = 0
+    slots: int = _SLOTS
     draining: bool = False
 
 
@@ -128,6 +133,20 @@
 
         return end
 
+    def set_brittle(self, service: str, *, brittle: bool) -> None:
+        """Lets the workers of a service have few slots and bear few refusals.
+
+        Args:
+          service: the service.
+          brittle: whether they do, or have their usual slots again.
+        """
+        for site in self.sites:
+            if site.service == service:
+                site.slots = _BRITTLE_SLOTS if brittle else _SLOTS
+                site.worker.room = _BRITTLE_SLOTS
+                site.worker.brittle_text = _BRITTLE_TEXT if brittle else ""
+                self._register(site)
+
     def drain(self, site: WorkerSite) -> None:
         """Registers a worker as draining; the worker continues to serve."""
         site.draining = True
@@ -211,7 +230,7 @@
                 "address": f"127.0.0.1:{site.link.port}",
                 "zone": site.zone,
                 "version": site.worker.software,
-                "slots": _SLOTS,
+                "slots": site.slots,
                 "state": "draining" if site.draining else "ready",
                 "born": site.worker.started_ms,
                 "seq": self._entry_sequence,
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,7 +19,8 @@
 AT_MOST_ONCE_ROUTE: Final = "order"
 STREAM_ROUTE: Final = "rewrite"
 SAFE_ROUTE: Final = "status"
-_ROUTES: Final = (AT_MOST_ONCE_ROUTE, STREAM_ROUTE, SAFE_ROUTE)
+# Routes that no event removes.
+LASTING_ROUTES: Final = (AT_MOST_ONCE_ROUTE, STREAM_ROUTE, SAFE_ROUTE)
 # Longer than the time limit of any route.
 _DEADLINE_S: Final = 7.0
 _PAUSE_BETWEEN_REQUESTS_S: Final = 0.06
@@ -155,7 +156,7 @@
     async def _send_until_stopped(self, daemon: int) -> None:
         async with httpx.AsyncClient(timeout=_DEADLINE_S) as client:
             while not self.stopping:
-                route = self._random.choice(_ROUTES)
+                route = self._random.choice(LASTING_ROUTES)
                 sent = await self.send_request(client, daemon, route)
                 if sent.broken:
                     await self._resume(client, sent)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -42,6 +42,10 @@
 MIN_RETURN_TIME_S: Final = 1.0
 # Requests that may run after they have crashed enough backend servers.
 MAX_LATE_CRASHES: Final = 3
+# Requests from which the share that is served says something.
+_MIN_JUDGED: Final = 12
+# Falls of the brittle workers of a service.
+MAX_FALLS: Final = 2
 _PROMPT_REFUSAL: Final = (
     reasons.RefusalReason.PROMPT_CRASHES_SERVERS.value.encode()
 )
@@ -91,6 +95,10 @@
       removed: route name, time of its removal and time of its return
         (infinite if the route was not added again).
       revoked: time when the removal of a key was stored, by key.
+      partitions: daemon that could not open connections to workers, since when
+        and until when.
+      brittle_periods: times from which and until which workers were brittle.
+      fell_at: times at which brittle workers fell over.
       software: software version of each worker, by its name.
       events: number of events in a complete stream.
       grace_exceeded: names of daemons that ran beyond their grace time.
@@ -105,6 +113,9 @@
     drained: dict[str, float] = attrs.field(factory=dict)
     removed: list[tuple[str, float, float]] = attrs.field(factory=list)
     revoked: dict[str, float] = attrs.field(factory=dict)
+    partitions: list[tuple[int, float, float]] = attrs.field(factory=list)
+    brittle_periods: list[tuple[float, float]] = attrs.field(factory=list)
+    fell_at: list[float] = attrs.field(factory=list)
     software: dict[str, str] = attrs.field(factory=dict)
     events: int = 3
     grace_exceeded: list[str] = attrs.field(factory=list)
@@ -119,6 +130,13 @@
             for item in self.fault_periods
         )
 
+    def any_affected(self, since: float, until: float) -> bool:
+        """Returns whether any daemon was affected by a fault in a period."""
+        return any(
+            item.since <= until and item.until >= since
+            for item in self.fault_periods
+        )
+
     def bounds_hold(self, daemon: int, since: float, until: float) -> bool:
         """Returns whether bounds apply to a daemon throughout a period."""
         since -= SETTLING_TIME_S
@@ -304,6 +322,37 @@
         yield f"of {len(sound)} sound prompts {len(refused)} were refused"
 
 
+def _partitioned_daemons_serve(observed: Observations) -> Iterable[str]:
+    """Checks that a daemon without a path to workers serves its callers."""
+    for daemon, cut_at, until in observed.partitions:
+        since = cut_at + SETTLING_TIME_S
+        if observed.affected(
+            daemon, cut_at, until, Scope.ALL, Scope.ANSWERS, Scope.STOP
+        ):
+            continue
+        sent = [
+            item
+            for item in observed.sent
+            if item.daemon == daemon
+            and since <= item.at <= until - MIN_RETURN_TIME_S
+            and not item.cancelled
+            and item.route in callers.LASTING_ROUTES
+        ]
+        served = sum(item.whole and item.status == 200 for item in sent)
+        if len(sent) >= _MIN_JUDGED and served < len(sent) * 2 / 3:
+            yield f"daemon {daemon} without a path served {served}/{len(sent)}"
+
+
+def _brittle_workers_stand(observed: Observations) -> Iterable[str]:
+    for brittle_at, until in observed.brittle_periods:
+        since = brittle_at + SETTLING_TIME_S
+        if observed.any_affected(brittle_at, until):
+            continue
+        fell = sum(since <= at <= until for at in observed.fell_at)
+        if fell > MAX_FALLS:
+            yield f"brittle workers fell over {fell} times"
+
+
 def _grace_time(observed: Observations) -> Iterable[str]:
     for name in observed.grace_exceeded:
         yield f"{name} ran beyond its grace time"
@@ -363,6 +412,8 @@
     _incomplete_answers_excused,
     _crashing_requests_refused,
     _sound_prompts_served,
+    _partitioned_daemons_serve,
+    _brittle_workers_stand,
     _grace_time,
     _recovery,
     _consistent_usage_counts,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -49,6 +49,8 @@
     PROMPT_CRASHES = "prompt_crashes"  # Prompts with one block crash servers.
     REQUEST_CRASHES = "request_crashes"  # One request crashes servers.
     RELEASE = "release"  # Model workers are replaced by other software.
+    PARTITION = "partition"  # A daemon can't open connections to workers.
+    BRITTLE = "brittle"  # Workers of a service bear few refusals.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
 
 
@@ -64,6 +66,8 @@
         EventKind.REQUEST_CRASHES,
         EventKind.RELEASE,
         EventKind.KILL_ALL,
+        EventKind.PARTITION,
+        EventKind.BRITTLE,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -82,6 +86,12 @@
 _KILL_ALL_SHARE: Final = 0.7
 _KILL_DURING_RELEASE_SHARE: Final = 0.5
 _RELEASE_LASTS_S: Final = 3.0
+# Share of the plans with a partitioned daemon, and of those with brittle
+# workers. Both last beyond the time in which a daemon may fail to cope; half of
+# them come last, since faults excuse a daemon.
+_PARTITION_SHARE: Final = 0.4
+_LATE_SHARE: Final = 0.5
+_PARTITION_LASTS_S: Final = 7.0
 # Share of the plans with a restore of the store; some have two.
 _RESTORE_SHARES: Final = (0.5, 0.25)
 
@@ -133,6 +143,13 @@
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_CRASHES_LAST_S))
     events += _draw_releases(random.Random(f"releases {seed}"))
+    partitions = random.Random(f"partitions {seed}")
+    for kind in (EventKind.PARTITION, EventKind.BRITTLE):
+        if partitions.random() < _PARTITION_SHARE:
+            event = _draw_event(partitions, kind)
+            if partitions.random() < _LATE_SHARE:
+                event = attrs.evolve(event, at_s=_LAST_START_S)
+            events.append(attrs.evolve(event, for_s=_PARTITION_LASTS_S))
     return sorted(events, key=lambda item: item.at_s)
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -63,6 +63,7 @@
 _EXTRA_ROUTE: Final = "report"
 _OLD_KEY: Final = "old-key"
 _MODEL: Final = "model"
+_RENDER: Final = "render"
 # Time between two workers of a release, and for which each drains.
 _RELEASE_GAP_S: Final = 0.5
 _DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
@@ -146,6 +147,9 @@
         observed.software = {
             item.name: item.software for item in self._backends.workers
         }
+        observed.fell_at = [
+            at for item in self._backends.workers for at in item.fell_at
+        ]
         observed.duties = self._backends.store.duties
         observed.drained = self._backends.drained
         observed.removed = self._backends.removed
@@ -267,6 +271,8 @@
             _KIND.REQUEST_CRASHES: self._request_crashes,
             _KIND.RELEASE: self._release,
             _KIND.KILL_ALL: self._kill_all,
+            _KIND.PARTITION: self._partition,
+            _KIND.BRITTLE: self._brittle,
         }
 
     @contextlib.contextmanager
@@ -488,6 +494,23 @@
             await anyio.sleep(event.for_s)
             await self._backends.restart(site)
 
+    async def _partition(self, event: plan_lib.Event) -> None:
+        number = self._target_daemon(event)
+        ports = [site.link.port for site in self._backends.sites]
+        silent = event.draw % 2 == 0
+        self._daemons[number].block(ports, silent=silent)
+        since = time.monotonic()
+        await anyio.sleep(event.for_s)
+        self._observations.partitions.append((number, since, time.monotonic()))
+        self._daemons[number].block([], silent=silent)
+
+    async def _brittle(self, event: plan_lib.Event) -> None:
+        since = time.monotonic()
+        self._backends.set_brittle(_RENDER, brittle=True)
+        await anyio.sleep(event.for_s)
+        self._observations.brittle_periods.append((since, time.monotonic()))
+        self._backends.set_brittle(_RENDER, brittle=False)
+
     async def _release(self, event: plan_lib.Event) -> None:
         """Replaces model workers one by one by such of other software.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -148,6 +148,22 @@
         },
         "has events of software ['v1', 'v2']",
     ),
+    (
+        "a daemon without a path to workers that serves nobody",
+        {
+            "sent": [
+                _sent_request(f"{number}", at=14.0, status=503)
+                for number in range(12)
+            ],
+            "partitions": [(0, 10.0, 17.0)],
+        },
+        "daemon 0 without a path served 0/12",
+    ),
+    (
+        "brittle workers that fall over",
+        {"brittle_periods": [(10.0, 17.0)], "fell_at": [14.0, 15.0, 16.0]},
+        "fell over 3 times",
+    ),
     (
         "a request that no caller sent",
         {"runs": {"w-1": [_worker_run("zz")]}},
