--- a/soak/backends.py
+++ b/soak/backends.py
@@ -91,6 +91,10 @@
                 self.sites.append(site)
                 self._register(site)
 
+    def choose_site(self, number: int) -> WorkerSite:
+        """Returns the site that a number selects."""
+        return self.sites[number % len(self.sites)]
+
     def crash(self, site: WorkerSite) -> None:
         """Stops a worker abruptly and closes its connections."""
         site.scope.cancel()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,10 +6,13 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
+import contextlib
 import enum
 import math
 import re
+import time
 from typing import Final
 
 import attrs
@@ -130,6 +133,16 @@
             for item in self.fault_periods
         )
 
+    @contextlib.contextmanager
+    def record_fault(
+        self, scope: Scope, daemon: int | None = None
+    ) -> Iterator[FaultPeriod]:
+        """Records a fault that lasts until the end of the `with` block."""
+        period = FaultPeriod(scope, daemon, time.monotonic())
+        self.fault_periods.append(period)
+        yield period
+        period.until = time.monotonic()
+
     def any_affected(self, since: float, until: float) -> bool:
         """Returns whether any daemon was affected by a fault in a period."""
         return any(
--- a/soak/system.py
+++ b/soak/system.py
@@ -6,9 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterator
 from collections.abc import Sequence
-import contextlib
 import itertools
 import pathlib
 import signal
@@ -28,6 +26,7 @@
 from soak import daemons as daemons_lib
 from soak import links
 from soak import plan as plan_lib
+from soak import worker_events
 
 _CALLERS: Final = 9
 # Leaves time for three daemons that start at once.
@@ -39,10 +38,6 @@
 # Time beyond the grace time after which the platform kills a daemon.
 _GRACE_SLACK_S: Final = 0.5
 _CLOCK_STEP_S: Final = 2.0
-# Number of faulty answers of a worker, and the time until unused faults are
-# removed.
-_FAULTY_ANSWERS: Final = 4
-_FAULTY_ANSWERS_LIMIT_S: Final = 4.0
 _SLOW_STORE_DELAY_S: Final = 0.3
 _LOST_ANSWERS: Final = 3
 # Age of the oldest copy from which the store is restored.
@@ -62,11 +57,6 @@
 _SHARED_BLOCK: Final = "aa"
 _EXTRA_ROUTE: Final = "report"
 _OLD_KEY: Final = "old-key"
-_MODEL: Final = "model"
-_RENDER: Final = "render"
-# Time between two workers of a release, and for which each drains.
-_RELEASE_GAP_S: Final = 0.5
-_DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
 _LINK_MODES: Final = (
     links.LinkMode.DELAY,
     links.LinkMode.SILENT,
@@ -113,6 +103,9 @@
         self._backends = backends_lib.Backends(
             group, plan_lib.WORKERS_PER_SERVICE
         )
+        self._worker_events = worker_events.WorkerEvents(
+            self._backends, self._observations
+        )
         self._daemons: list[daemons_lib.DaemonProcess] = []
         self._store_links: list[links.Link] = []
         self._caller_links: list[links.Link] = []
@@ -123,7 +116,7 @@
     async def run(self, events: list[plan_lib.Event]) -> Result:
         """Plays the events under load, then checks the observations."""
         try:
-            with self._record_fault_period(_SCOPE.ALL):
+            with self._observations.record_fault(_SCOPE.ALL):
                 await self._start()
             async with anyio.create_task_group() as load:
                 load.start_soon(self._callers.run, _CALLERS)
@@ -262,35 +255,22 @@
             _KIND.STORE_FORGETS: self._store_forgets,
             _KIND.STORE_RESTORED: self._store_restored,
             _KIND.STORE_SILENT: self._store_silent,
-            _KIND.WORKER_CRASH: self._worker_crash,
-            _KIND.WORKER_FAULTS: self._worker_faults,
-            _KIND.DRAIN: self._drain,
+            _KIND.WORKER_CRASH: self._worker_events.crash,
+            _KIND.WORKER_FAULTS: self._worker_events.answer_wrongly,
+            _KIND.DRAIN: self._worker_events.drain,
             _KIND.CONFIGURE: self._configure,
             _KIND.REVOKE: self._revoke,
             _KIND.PROMPT_CRASHES: self._prompt_crashes,
             _KIND.REQUEST_CRASHES: self._request_crashes,
-            _KIND.RELEASE: self._release,
+            _KIND.RELEASE: self._worker_events.release,
             _KIND.KILL_ALL: self._kill_all,
             _KIND.PARTITION: self._partition,
-            _KIND.BRITTLE: self._brittle,
+            _KIND.BRITTLE: self._worker_events.be_brittle,
         }
 
-    @contextlib.contextmanager
-    def _record_fault_period(
-        self, scope: checks.Scope, daemon: int | None = None
-    ) -> Iterator[checks.FaultPeriod]:
-        """Records a fault that lasts until the end of the `with` block."""
-        period = checks.FaultPeriod(scope, daemon, time.monotonic())
-        self._observations.fault_periods.append(period)
-        yield period
-        period.until = time.monotonic()
-
     def _target_daemon(self, event: plan_lib.Event) -> int:
         return event.target % len(self._daemons)
 
-    def _target_site(self, event: plan_lib.Event) -> backends_lib.WorkerSite:
-        return self._backends.sites[event.target % len(self._backends.sites)]
-
     async def _apply_for_duration(
         self,
         key: object,
@@ -310,13 +290,13 @@
 
     async def _kill(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             self._daemons[number].kill_and_wait()
             await anyio.sleep(event.for_s)
             await self._start_daemon(number)
 
     async def _kill_all(self, event: plan_lib.Event) -> None:
-        with self._record_fault_period(_SCOPE.ALL):
+        with self._observations.record_fault(_SCOPE.ALL):
             for daemon in self._daemons:
                 daemon.kill_and_wait()
             await anyio.sleep(event.for_s)
@@ -333,7 +313,9 @@
             await anyio.sleep(event.for_s)
 
     async def _stop_and_restart(self, number: int) -> None:
-        with self._record_fault_period(_SCOPE.STOP, number) as fault_period:
+        with self._observations.record_fault(
+            _SCOPE.STOP, number
+        ) as fault_period:
             await self._terminate_within_grace(number, fault_period.since)
             await self._start_daemon(number)
 
@@ -350,7 +332,7 @@
                 number, since, time.monotonic(), _SCOPE.ALL
             ):
                 self._observations.grace_exceeded.append(daemon.name)
-            with self._record_fault_period(_SCOPE.ALL, number):
+            with self._observations.record_fault(_SCOPE.ALL, number):
                 daemon.kill_and_wait()
 
     async def _start_daemon(self, number: int) -> None:
@@ -368,7 +350,7 @@
             sent = signal.SIGSTOP if on else signal.SIGCONT
             self._daemons[number].send(sent)
 
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             await self._apply_for_duration(
                 (_KIND.PAUSE, number), event, set_fault
             )
@@ -383,7 +365,7 @@
         def set_fault(on: bool) -> None:
             self._daemons[number].step_clock(step_s if on else 0.0)
 
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             await self._apply_for_duration(
                 (_KIND.CLOCK, number), event, set_fault
             )
@@ -400,19 +382,21 @@
 
     async def _store_link(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             await self._apply_link_fault(event, self._store_links[number])
 
     async def _caller_link(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             await self._apply_link_fault(event, self._caller_links[number])
 
     async def _worker_link(self, event: plan_lib.Event) -> None:
         # Excuses all bounds, since requests that the link held back reach the
         # worker late.
-        with self._record_fault_period(_SCOPE.ALL):
-            await self._apply_link_fault(event, self._target_site(event).link)
+        with self._observations.record_fault(_SCOPE.ALL):
+            await self._apply_link_fault(
+                event, self._backends.choose_site(event.target).link
+            )
 
     async def _store_down(self, event: plan_lib.Event) -> None:
         faults = self._backends.store.faults
@@ -444,7 +428,7 @@
             (refused.add if on else refused.discard)(name)
 
         number = self._target_daemon(event)
-        with self._record_fault_period(_SCOPE.ALL, number):
+        with self._observations.record_fault(_SCOPE.ALL, number):
             await self._apply_for_duration(
                 (event.kind, number), event, set_fault
             )
@@ -458,7 +442,7 @@
         await self._apply_store_fault(event, set_fault)
 
     async def _store_loses(self, event: plan_lib.Event) -> None:
-        with self._record_fault_period(_SCOPE.ALL):
+        with self._observations.record_fault(_SCOPE.ALL):
             self._backends.store.faults.lost_answers += _LOST_ANSWERS
             await anyio.sleep(event.for_s)
             self._backends.store.faults.lost_answers = 0
@@ -466,7 +450,7 @@
     async def _apply_store_fault(
         self, event: plan_lib.Event, set_fault: Callable[[bool], None]
     ) -> None:
-        with self._record_fault_period(_SCOPE.ALL):
+        with self._observations.record_fault(_SCOPE.ALL):
             await self._apply_for_duration(event.kind, event, set_fault)
 
     async def _store_forgets(self, event: plan_lib.Event) -> None:
@@ -478,22 +462,12 @@
         def set_down(on: bool) -> None:
             store.faults.down = on
 
-        with self._record_fault_period(_SCOPE.ALL):
+        with self._observations.record_fault(_SCOPE.ALL):
             await self._apply_for_duration(_KIND.STORE_DOWN, event, set_down)
             store.restore(1.0 + event.draw % _MAX_COPY_AGE_S)
             await anyio.sleep(_REWRITE_DELAY_S)
             self._backends.rewrite()
 
-    async def _worker_crash(self, event: plan_lib.Event) -> None:
-        site = self._target_site(event)
-        if site.draining or self._active_faults.get(site.worker.name):
-            return
-        self._active_faults[site.worker.name] = 1
-        with self._record_fault_period(_SCOPE.ANSWERS):
-            self._backends.crash(site)
-            await anyio.sleep(event.for_s)
-            await self._backends.restart(site)
-
     async def _partition(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
         ports = [site.link.port for site in self._backends.sites]
@@ -504,44 +478,6 @@
         self._observations.partitions.append((number, since, time.monotonic()))
         self._daemons[number].block([], silent=silent)
 
-    async def _brittle(self, event: plan_lib.Event) -> None:
-        since = time.monotonic()
-        self._backends.set_brittle(_RENDER, brittle=True)
-        await anyio.sleep(event.for_s)
-        self._observations.brittle_periods.append((since, time.monotonic()))
-        self._backends.set_brittle(_RENDER, brittle=False)
-
-    async def _release(self, event: plan_lib.Event) -> None:
-        """Replaces model workers one by one by such of other software.
-
-        In half of the releases one worker keeps its software.
-        """
-        sites = [x for x in self._backends.sites if x.service == _MODEL]
-        async with anyio.create_task_group() as group:
-            for site in sites[event.draw % 2 :]:
-                group.start_soon(self._release_site, site)
-                await anyio.sleep(_RELEASE_GAP_S)
-
-    async def _release_site(self, site: backends_lib.WorkerSite) -> None:
-        if site.draining or self._active_faults.get(site.worker.name):
-            return
-        end_old = await self._backends.release(site)
-        await anyio.sleep(_DRAIN_S)
-        end_old()
-
-    async def _worker_faults(self, event: plan_lib.Event) -> None:
-        with self._record_fault_period(_SCOPE.ANSWERS):
-            fault = backends_lib.FAULTS[event.draw % len(backends_lib.FAULTS)]
-            worker = self._target_site(event).worker
-            worker.faults.extend([fault] * _FAULTY_ANSWERS)
-            await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
-            worker.faults.clear()
-
-    async def _drain(self, event: plan_lib.Event) -> None:
-        site = self._target_site(event)
-        if not self._active_faults.get(site.worker.name):
-            self._backends.drain(site)
-
     async def _configure(self, event: plan_lib.Event) -> None:
         self._backends.toggle_route(_EXTRA_ROUTE)
 
@@ -578,7 +514,7 @@
           requests: route, body and blocks of each request.
           copies: number of daemons that get the requests at once.
         """
-        with self._record_fault_period(_SCOPE.ANSWERS):
+        with self._observations.record_fault(_SCOPE.ANSWERS):
             async with (
                 httpx.AsyncClient(timeout=2.0) as client,
                 anyio.create_task_group() as group,
--- /dev/null
+++ b/soak/worker_events.py
@@ -0,0 +1,87 @@
+"""Plays the events of a soak that concern workers."""
+
+import time
+from typing import Final
+
+import anyio
+
+from soak import backends as backends_lib
+from soak import checks
+from soak import plan as plan_lib
+
+# Number of faulty answers of a worker, and the time until unused faults are
+# removed.
+_FAULTY_ANSWERS: Final = 4
+_FAULTY_ANSWERS_LIMIT_S: Final = 4.0
+_MODEL: Final = "model"
+_RENDER: Final = "render"
+# Time between two workers of a release, and for which each drains.
+_RELEASE_GAP_S: Final = 0.5
+_DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
+_SCOPE = checks.Scope
+
+
+class WorkerEvents:
+    """Crashes, drains and replaces workers, or lets them answer wrongly."""
+
+    def __init__(
+        self,
+        backends: backends_lib.Backends,
+        observations: checks.Observations,
+    ) -> None:
+        """Initializes the events for the workers of a soak."""
+        self._backends = backends
+        self._observations = observations
+        self._crashed: set[str] = set()
+
+    async def crash(self, event: plan_lib.Event) -> None:
+        """Crashes a worker; another one starts in its place."""
+        site = self._backends.choose_site(event.target)
+        if site.draining or site.worker.name in self._crashed:
+            return
+        self._crashed.add(site.worker.name)
+        with self._observations.record_fault(_SCOPE.ANSWERS):
+            self._backends.crash(site)
+            await anyio.sleep(event.for_s)
+            await self._backends.restart(site)
+
+    async def be_brittle(self, event: plan_lib.Event) -> None:
+        """Lets the workers of a service be brittle."""
+        since = time.monotonic()
+        self._backends.set_brittle(_RENDER, brittle=True)
+        await anyio.sleep(event.for_s)
+        self._observations.brittle_periods.append((since, time.monotonic()))
+        self._backends.set_brittle(_RENDER, brittle=False)
+
+    async def release(self, event: plan_lib.Event) -> None:
+        """Replaces model workers one by one by such of other software.
+
+        In half of the releases one worker keeps its software.
+        """
+        sites = [x for x in self._backends.sites if x.service == _MODEL]
+        async with anyio.create_task_group() as group:
+            for site in sites[event.draw % 2 :]:
+                group.start_soon(self._release_site, site)
+                await anyio.sleep(_RELEASE_GAP_S)
+
+    async def _release_site(self, site: backends_lib.WorkerSite) -> None:
+        if site.draining or site.worker.name in self._crashed:
+            return
+        end_old = await self._backends.release(site)
+        await anyio.sleep(_DRAIN_S)
+        end_old()
+
+    async def answer_wrongly(self, event: plan_lib.Event) -> None:
+        """Lets the next answers of a worker be faulty."""
+        with self._observations.record_fault(_SCOPE.ANSWERS):
+            fault = backends_lib.FAULTS[event.draw % len(backends_lib.FAULTS)]
+            worker = self._backends.choose_site(event.target).worker
+            worker.faults.extend([fault] * _FAULTY_ANSWERS)
+            await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
+            worker.faults.clear()
+
+    async def drain(self, event: plan_lib.Event) -> None:
+        """Drains a worker until the soak ends."""
+        site = self._backends.choose_site(event.target)
+        if site.worker.name not in self._crashed:
+            self._backends.drain(site)
