--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -42,8 +42,7 @@
 from figstream import scheduler as scheduler_lib
 from figstream import server_connector
 from figstream import server_reach
-from figstream import software_planner
-from figstream import stream_software_spread
+from figstream import stream_parts
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
@@ -144,7 +143,9 @@
         sources = gateway_sources.make_sources(
             context, feed, platform.kinds, change_s, drain_s
         )
-        plans = self._make_plan_follower()
+        plans = stream_parts.make_plan_follower(
+            context, platform.feed, platform.kinds.plans_kind, self.members
+        )
         followers = (sources.configuration_follower, sources.entries, plans)
         peers = feed_peers.make_feed_peers(
             context, followers, sources.configuration_feed, self.members
@@ -167,21 +168,11 @@
         )
         self._serving = self._make_serving(sources, crashes, reach.connector)
         self._roles: Sequence[daemon_context.Role] = (
-            limit_spread.make_limit_spread(
-                self._serving.announcements.limits, self.members, context.clock
-            ),
-            reach.make_probe(self._serving.backends.close_idle),
-            plans,
-            *self._make_stream_roles(sources, plans),
+            *self._make_serving_roles(sources, plans, reach),
             *self._make_roles(sources, peers, accounting, crashes),
         )
         self._app = self._serving.app
-        self._server = self._serve_at(
-            self._app.application,
-            options.front.host,
-            options.front.port,
-            _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s,
-        )
+        self._server = self._make_caller_server()
         self._page_servers = self._make_page_servers()
 
     async def run(self) -> None:
@@ -295,42 +286,6 @@
                 self._budget.set_live_daemons(live)
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
-    def _make_plan_follower(self) -> object_follower.ObjectFollower:
-        """Returns the follower of the plan of software versions."""
-        context = self.context
-        follow_s = software_planner.FOLLOW_S
-        feed = feed_relay.make_relayed_feed(
-            context, self._platform.feed, self.members, follow_s
-        )
-        kind = self._platform.kinds.plans_kind
-        return object_follower.ObjectFollower(
-            kind, feed, context.clock, context.metrics, follow_s
-        )
-
-    def _make_stream_roles(
-        self,
-        sources: gateway_sources.Sources,
-        plans: object_follower.ObjectFollower,
-    ) -> Sequence[daemon_context.Role]:
-        """Returns the roles that keep streams at their software version."""
-        streams = self._serving.streams
-        return (
-            software_planner.SoftwarePlanner(
-                plans,
-                sources.entries,
-                sources.directory,
-                streams,
-                self.members,
-                self.context,
-            ),
-            stream_software_spread.StreamSoftwareSpread(
-                streams,
-                self.members.notices,
-                self.context.clock,
-                lambda: len(self.members.live()),
-            ),
-        )
-
     def _make_serving(
         self,
         sources: gateway_sources.Sources,
@@ -353,6 +308,34 @@
         )
         return serving
 
+    def _make_serving_roles(
+        self,
+        sources: gateway_sources.Sources,
+        plans: object_follower.ObjectFollower,
+        reach: server_reach.ServerReach,
+    ) -> Sequence[daemon_context.Role]:
+        """Returns the roles that supply the processing of requests."""
+        context, serving = self.context, self._serving
+        return (
+            limit_spread.make_limit_spread(
+                serving.announcements.limits, self.members, context.clock
+            ),
+            reach.make_probe(serving.backends.close_idle),
+            *stream_parts.make_stream_roles(
+                context, sources, plans, serving.streams, self.members
+            ),
+        )
+
+    def _make_caller_server(self) -> http_server.HttpServer:
+        """Returns the server of callers."""
+        options = self._options
+        return self._serve_at(
+            self._app.application,
+            options.front.host,
+            options.front.port,
+            _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s,
+        )
+
     def _make_page_servers(self) -> Sequence[http_server.HttpServer]:
         """Returns the servers of the readiness and metrics pages."""
         options = self._options
--- /dev/null
+++ b/figstream/stream_parts.py
@@ -0,0 +1,68 @@
+"""Assembles what keeps streams at the software version that began them.
+
+The request path uses `stream_software`; the roles here keep the shared plan and
+tell other daemons what it leaves open.
+"""
+
+from collections.abc import Sequence
+
+from figstream import daemon_context
+from figstream import feed_relay
+from figstream import gateway_sources
+from figstream import membership
+from figstream import object_follower
+from figstream import platform_api
+from figstream import software_planner
+from figstream import stream_software
+from figstream import stream_software_spread
+
+
+def make_plan_follower(
+    context: daemon_context.DaemonContext,
+    store: platform_api.ObjectFeed,
+    kind: str,
+    members: membership.Membership,
+) -> object_follower.ObjectFollower:
+    """Creates the follower of the plan of software versions.
+
+    Args:
+      context: objects shared by the roles of the daemon.
+      store: feed of the platform's store.
+      kind: kind of the plan in the store.
+      members: the live daemons.
+    """
+    follow_s = software_planner.FOLLOW_S
+    feed = feed_relay.make_relayed_feed(context, store, members, follow_s)
+    return object_follower.ObjectFollower(
+        kind, feed, context.clock, context.metrics, follow_s
+    )
+
+
+def make_stream_roles(
+    context: daemon_context.DaemonContext,
+    sources: gateway_sources.Sources,
+    plans: object_follower.ObjectFollower,
+    streams: stream_software.StreamSoftware,
+    members: membership.Membership,
+) -> Sequence[daemon_context.Role]:
+    """Creates the roles that supply the streams of a daemon.
+
+    Args:
+      context: objects shared by the roles of the daemon.
+      sources: the backend servers.
+      plans: follower of the plan.
+      streams: the streams of the daemon.
+      members: the live daemons.
+    """
+    return (
+        plans,
+        software_planner.SoftwarePlanner(
+            plans, sources.entries, sources.directory, streams, members, context
+        ),
+        stream_software_spread.StreamSoftwareSpread(
+            streams,
+            members.notices,
+            context.clock,
+            lambda: len(members.live()),
+        ),
+    )
