--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,8 +31,7 @@
 _CANCEL_AFTER_S: Final = 0.08
 _BLOCK_TOKENS: Final = 400
 _EVENT_END: Final = b"\n\n"
-# Attempts to resume a broken stream, and the pause before each.
-_MAX_RESUMES: Final = 6
+# Pause before each attempt to resume a broken stream.
 _PAUSE_BEFORE_RESUME_S: Final = 0.4
 
 
@@ -50,6 +49,8 @@
       resumes: id of the request that began the stream, "" for a new one.
       after: number of events of the stream that the caller has.
       at: time of sending.
+      patient_until: time until which the caller waits, also for a resumed
+        stream.
       ended_at: time when the answer was complete or failed.
       status: status of the answer, 0 if none arrived.
       headers: headers of the answer.
@@ -68,6 +69,9 @@
     resumes: str = ""
     after: int = 0
     at: float = attrs.field(factory=time.monotonic)
+    patient_until: float = attrs.field(
+        factory=lambda: time.monotonic() + _DEADLINE_S
+    )
     ended_at: float = 0.0
     status: int = 0
     headers: dict[str, str] = attrs.field(factory=dict)
@@ -144,6 +148,7 @@
         if resumed:
             sent.resumes = resumed.resumes or resumed.request_id
             sent.after = resumed.events
+            sent.patient_until = resumed.patient_until
         self.sent.append(sent)
         cancels = self._random.random() < _CANCELLED_SHARE
         limit_s = _CANCEL_AFTER_S if cancels else _DEADLINE_S
@@ -157,18 +162,19 @@
         async with httpx.AsyncClient(timeout=_DEADLINE_S) as client:
             while not self.stopping:
                 route = self._random.choice(LASTING_ROUTES)
-                sent = await self.send_request(client, daemon, route)
-                if sent.broken:
-                    await self._resume(client, sent)
+                if route == STREAM_ROUTE:
+                    await self.send_stream(client, daemon)
+                else:
+                    await self.send_request(client, daemon, route)
                 await anyio.sleep(
                     _PAUSE_BETWEEN_REQUESTS_S * self._random.uniform(0.5, 1.5)
                 )
 
-    async def _resume(
-        self, client: httpx.AsyncClient, sent: SentRequest
-    ) -> None:
-        """Resumes a broken stream at other daemons until it is complete."""
-        for _ in range(_MAX_RESUMES):
+    async def send_stream(self, client: httpx.AsyncClient, daemon: int) -> None:
+        """Sends a stream; resumes it at other daemons while it is broken."""
+        sent = await self.send_request(client, daemon, STREAM_ROUTE)
+        last_at = sent.patient_until - _PAUSE_BEFORE_RESUME_S
+        while sent.broken and time.monotonic() < last_at:
             await anyio.sleep(_PAUSE_BEFORE_RESUME_S)
             again = await self.send_request(
                 client,
@@ -177,9 +183,7 @@
                 content=sent.content,
                 resumed=sent,
             )
-            if again.status == _OK and again.whole:
-                return
-            if again.status == _OK and again.broken:
+            if again.status == _OK:
                 sent = again
             else:
                 sent = attrs.evolve(sent, daemon=again.daemon)
@@ -191,7 +195,7 @@
             "host": standin_program.HOST,
             wire.REQUEST_ID.decode(): sent.request_id,
             wire.AUTHORIZATION.decode(): f"Bearer {sent.key}",
-            wire.REMAINING_MS.decode(): str(int(_DEADLINE_S * _MS_PER_S)),
+            wire.REMAINING_MS.decode(): str(_remaining_ms(sent)),
         }
         if sent.blocks:
             # The last block belongs to the request alone.
@@ -217,3 +221,9 @@
                 sent.whole = True
         except httpx.HTTPError as error:
             sent.fault = type(error).__name__
+
+
+def _remaining_ms(sent: SentRequest) -> int:
+    """Returns the milliseconds for which the caller still waits."""
+    left_s = sent.patient_until - time.monotonic()
+    return max(1, int(left_s * _MS_PER_S))
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -137,7 +137,7 @@
         new_file.replace(self._clock)
 
     def block(self, ports: Sequence[int], *, silent: bool) -> None:
-        """Lets new connections of the daemon to some ports fail.
+        """Cuts the daemon off from some ports.
 
         Args:
           ports: the ports; without any, all connections work again.
--- a/soak/launcher.py
+++ b/soak/launcher.py
@@ -2,7 +2,8 @@
 
 The wall clock is stepped; monotonic clocks are not affected, as on a VM whose
 wall clock is set. New connections to the ports that a file lists fail; open
-ones go on. `daemons` runs this file as the program of each daemon process.
+ones are reset when the daemon next sends on them. `daemons` runs this file as
+the program of each daemon process.
 """
 
 import os
@@ -19,24 +20,42 @@
 _blocked_file = _clock_step_file.with_suffix(".blocked")
 _true_time = time.time
 _true_connect = socket.socket.connect
+_true_send = socket.socket.send
 
 
 def _stepped_time() -> float:
     return _true_time() + float(_clock_step_file.read_text() or "0")
 
 
+def _blocked_ports() -> tuple[list[str], int]:
+    """Returns the blocked ports, and that to which connections hang or 0."""
+    if not _blocked_file.exists():
+        return [], 0
+    *ports, silent = _blocked_file.read_text().split()
+    return ports, int(silent)
+
+
 def _connect(self: socket.socket, address: Any) -> None:
-    if self.family == socket.AF_INET and _blocked_file.exists():
-        *blocked, silent = _blocked_file.read_text().split()
-        if str(address[1]) in blocked:
-            if silent == "0":
+    if self.family == socket.AF_INET:
+        ports, silent = _blocked_ports()
+        if str(address[1]) in ports:
+            if not silent:
                 raise ConnectionRefusedError
-            address = ("127.0.0.1", int(silent))
+            address = ("127.0.0.1", silent)
     _true_connect(self, address)
 
 
+def _send(self: socket.socket, data: Any, *more: Any) -> int:
+    if self.family == socket.AF_INET:
+        ports, _ = _blocked_ports()
+        if ports and str(self.getpeername()[1]) in ports:
+            raise ConnectionResetError
+    return _true_send(self, data, *more)
+
+
 time.time = _stepped_time
 socket.socket.connect = _connect  # type: ignore[method-assign, assignment]
+socket.socket.send = _send  # type: ignore[method-assign, assignment]
 # Runs the program with the import path of a direct start.
 sys.path[0] = str(_ROOT / "platform")
 runpy.run_path(str(_ROOT / "platform" / "start.py"), run_name="__main__")
--- a/soak/system.py
+++ b/soak/system.py
@@ -55,6 +55,10 @@
 _CRASHING_INTERVAL_S: Final = 0.4
 _CRASHED_S: Final = 4.0
 _SHARED_BLOCK: Final = "aa"
+# Streams under way when all daemons are killed, and the time from their begin
+# until then, in which they have some events.
+_KILLED_STREAMS: Final = 18
+_BEGUN_S: Final = 0.13
 _EXTRA_ROUTE: Final = "report"
 _OLD_KEY: Final = "old-key"
 _LINK_MODES: Final = (
@@ -296,13 +300,24 @@
             await self._start_daemon(number)
 
     async def _kill_all(self, event: plan_lib.Event) -> None:
-        with self._observations.record_fault(_SCOPE.ALL):
-            for daemon in self._daemons:
-                daemon.kill_and_wait()
-            await anyio.sleep(event.for_s)
-            async with anyio.create_task_group() as group:
-                for number in range(len(self._daemons)):
-                    group.start_soon(self._start_daemon, number)
+        """Kills all daemons while streams are under way."""
+        async with (
+            httpx.AsyncClient(timeout=None) as client,
+            anyio.create_task_group() as group,
+        ):
+            for number in range(_KILLED_STREAMS):
+                daemon_number = number % len(self._daemons)
+                group.start_soon(
+                    self._callers.send_stream, client, daemon_number
+                )
+            await anyio.sleep(_BEGUN_S)
+            with self._observations.record_fault(_SCOPE.ALL):
+                for daemon in self._daemons:
+                    daemon.kill_and_wait()
+                await anyio.sleep(event.for_s)
+                async with anyio.create_task_group() as starts:
+                    for number in range(len(self._daemons)):
+                        starts.start_soon(self._start_daemon, number)
 
     async def _terminate(self, event: plan_lib.Event) -> None:
         await self._stop_and_restart(self._target_daemon(event))
