Keep a configuration although one of its routes names no service

The route is kept now, so that no shorter prefix takes its requests, and these are refused as not run. The test failed before: no configuration, 503 for all routes.

--- a/figstream/gateway_route.py
+++ b/figstream/gateway_route.py
@@ -54,12 +54,14 @@
     open: bool = False
 
     def choose_service(self, name: str) -> str:
-        """Chooses a service by weight.
+        """Chooses a service by weight; returns "" if the route has none.
 
         Args:
           name: id of the request, or of the stream that it resumes. The same
             name leads to the same service.
         """
+        if not self.services:
+            return ""
         total = sum(item.weight for item in self.services)
         if len(self.services) == 1 or total <= 0:
             return self.services[0].service
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -419,3 +419,18 @@
     async with gateway_front.front(*_workers(fault)) as front:
         await front.send_request(route)
         assert front.usage.by_customer["studio"].requests == counted
+
+
+@pytest.mark.anyio
+async def test_a_route_without_a_service_does_not_stop_the_others() -> None:
+    """Fails if one incomplete route makes the configuration unreadable."""
+    async with gateway_front.front(_Worker()) as front:
+        value = gateway_front.manifest_value()
+        del value["routes"][1]["service"]
+        gateway_front.set_workers(
+            front.context, front.workers, version=8, routes=value["routes"]
+        )
+        assert (await front.send_request("status")).status_code == 200
+        refused = await front.send_request("order")
+        assert refused.status_code == 503
+        assert refused.json()["error"]["run_state"] == "not_run"
