Deal out the slots of brittle servers over a whole service

Parts went by a hash of each server's name, so that one daemon could own the slots of all servers at a time and another none. The slots of a service are numbered over its servers now, so that parts are equal; the new test fails before.

--- a/figstream/brittle_servers.py
+++ b/figstream/brittle_servers.py
@@ -4,18 +4,20 @@
 a second for want of room, and may then have little room for requests that
 wait. The daemons divide its slots by their rank, and each runs no more requests
 there than its part; the others wait in the daemon's own queue. Load reports are
-too old for that: all daemons would fill the same free slot. Where there are
-more daemons than slots, the parts rotate on the wall clock. After a refusal, a
+too old for that: all daemons would fill the same free slot. The slots of a
+service are dealt out in the order of the names of its servers, so that the
+parts of all daemons are equal over the servers. Where a server has fewer slots
+than there are daemons, the parts rotate on the wall clock. After a refusal, a
 daemon sends none for a time in which the refusals of all daemons stay below
 what the server bears, and then runs fewer there than it did.
 
 Placement asks which servers have room. Nothing here does input or output.
 """
 
+from collections.abc import Iterable
 from typing import Final
 
 import attrs
-import xxhash
 
 from figstream import backend_server
 from figstream import bounded_records
@@ -71,6 +73,8 @@
         """Initializes without brittle servers, as the only daemon."""
         self._services: dict[str, _Service] = {}
         self._refusals: dict[str, _Refusal] = {}
+        self._first_slots: dict[str, int] = {}
+        self._slots: dict[str, int] = {}
         self._rank = 0
         self._daemons = 1
         self._epoch = 0.0
@@ -80,6 +84,17 @@
         """Returns whether the servers of any service are brittle."""
         return bool(self._services)
 
+    def set_servers(
+        self, servers: Iterable[backend_server.BackendServer]
+    ) -> None:
+        """Numbers the slots of each service over the present servers."""
+        self._first_slots = {}
+        self._slots = {}
+        for server in sorted(servers, key=lambda item: item.name):
+            first = self._slots.get(server.service, 0)
+            self._first_slots[server.name] = first
+            self._slots[server.service] = first + server.slots
+
     def set_place(self, rank: int, daemons: int) -> None:
         """Applies this daemon's rank among all daemons, from 0."""
         self._rank = rank
@@ -163,8 +178,11 @@
 
     def _part(self, server: backend_server.BackendServer, now: float) -> int:
         """Returns how many of a server's slots are this daemon's."""
-        first = xxhash.xxh3_64_intdigest(server.name.encode())
+        first = self._first_slots.get(server.name, 0)
         if server.slots < self._daemons:
-            first += server.slots * int((now - self._epoch) / _TURN_S)
+            # With fewer slots than daemons, each turn goes to the next ones.
+            slots = self._slots.get(server.service, server.slots)
+            step = slots if slots < self._daemons else 1
+            first += step * int((now - self._epoch) / _TURN_S)
         place = (self._rank - first) % self._daemons
         return (server.slots - place - 1) // self._daemons + 1
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -96,6 +96,7 @@
         self._configuration = configuration
         self._index.set_configuration(configuration)
         self._limits.set_customers(configuration.customers, self._now)
+        self._book.brittle.set_servers(configuration.servers)
         self._book.evict_except(frozenset(configuration.servers_by_name))
         self._dispatcher.unblock_all()
 
--- a/tests/test_brittle_servers.py
+++ b/tests/test_brittle_servers.py
@@ -203,6 +203,31 @@
     assert max(parts) - min(parts) <= 1
 
 
+@pytest.mark.parametrize(
+    ("servers", "slots", "daemons"), [(3, 1, 3), (3, 6, 9), (9, 64, 60)]
+)
+def test_the_parts_of_a_daemon_over_all_servers_are_equal(
+    servers: int, slots: int, daemons: int
+) -> None:
+    """Fails if a daemon has no slot anywhere while others have several.
+
+    In the soak (seed 10114) a request waited for over 2 s for a turn.
+    """
+    entries = [_server(f"i-{number}", slots) for number in range(servers)]
+    for rank in range(daemons):
+        found = brittle_servers.BrittleServers()
+        found.set_servers(entries)
+        found.set_place(rank, daemons)
+        found.heard(_SERVICE, 5.0, 0.0, 0.0)
+        parts = [
+            found.has_room(server, x, 7.3)
+            for server in entries
+            for x in range(slots + 1)
+        ]
+        assert servers * slots // daemons <= sum(parts)
+        assert sum(parts) <= servers * slots // daemons + 1
+
+
 def test_every_daemon_gets_a_turn_where_slots_are_fewer() -> None:
     found = brittle_servers.BrittleServers()
     found.set_place(41, 60)
