--- a/figstream/server_paths.py
+++ b/figstream/server_paths.py
@@ -21,8 +21,7 @@
 
 # Failures at a single server are those of the server.
 _MIN_SERVERS: Final = 2
-# Failures count for this time. A callers' request meets the next server within
-# a second.
+# Failures count for this time. A request meets the next server within a second.
 _FAILURE_LIFETIME_S: Final = 2.0
 # A request without an answer for this time, while no server answers anything,
 # counts like a failure. Servers may need as long for an answer under load.
--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -136,7 +136,8 @@
         item = platform_api.StoredItem(_NAME, outcome.version, value)
         self._adopt(item)
         payload = serialization.to_json(object_follower.StoredItems((item,)))
-        self._notices.publish(_KIND, payload, _TTL_S)
+        if not self._notices.publish(_KIND, payload, _TTL_S):
+            logs.info("software_plan_notice_dropped", bytes=len(payload))
         return True
 
     def _apply_notice(self, payload: bytes) -> None:
