--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -151,6 +151,15 @@
     def pause_server(self, server: str, until: float) -> None:
         self.pauses[server] = until
 
+    def set_brittle(
+        self,
+        service: str,
+        refusals_per_s: float | None,
+        sent_at: float,
+        epoch: float,
+    ) -> bool:
+        return False
+
 
 def test_late_answers_of_an_earlier_run_and_long_pauses_are_bounded() -> None:
     recorded = _RecordingScheduler()
