--- a/figstream/software_plan.py
+++ b/figstream/software_plan.py
@@ -20,17 +20,18 @@
 
 # With a single server, each crash would leave the streams of a version without
 # one until the entry expires.
-_MIN_SERVERS: Final = 2
+_MIN_SERVERS_PER_VERSION: Final = 2
 # A difference between planned and present shares that changes the plan, and
 # the shortest time between two such changes.
-_LARGE_DIFFERENCE: Final = 0.1
+_LARGE_SHARE_DIFFERENCE: Final = 0.1
 _MIN_PERIOD_MS: Final = 1_000
 # The same for small differences, which a release resolves by itself.
-_SMALL_DIFFERENCE: Final = 0.03
+_SMALL_SHARE_DIFFERENCE: Final = 0.03
 _LONG_PERIOD_MS: Final = 10_000
 # Several times the longest time from the begin of a stream to its end.
 HISTORY_MS: Final = 60_000
-_HASHES: Final = 1 << 64
+# Number of values of a 64-bit hash.
+_HASH_VALUES: Final = 1 << 64
 
 
 @attrs.frozen
@@ -91,7 +92,7 @@
     several = {
         name: sum(item)
         for name, item in slots.items()
-        if len(item) >= _MIN_SERVERS
+        if len(item) >= _MIN_SERVERS_PER_VERSION
     }
     return several or {name: sum(item) for name, item in slots.items()}
 
@@ -151,9 +152,9 @@
         for name in planned.keys() | wanted.keys()
     )
     age_ms = now_ms - periods[-1].since_ms
-    return (difference > _LARGE_DIFFERENCE and age_ms >= _MIN_PERIOD_MS) or (
-        difference > _SMALL_DIFFERENCE and age_ms >= _LONG_PERIOD_MS
-    )
+    return (
+        difference > _LARGE_SHARE_DIFFERENCE and age_ms >= _MIN_PERIOD_MS
+    ) or (difference > _SMALL_SHARE_DIFFERENCE and age_ms >= _LONG_PERIOD_MS)
 
 
 def _extended(
@@ -174,4 +175,4 @@
 
 def _score(stream: str, version: str, weight: int) -> float:
     digest = xxhash.xxh3_64_intdigest(f"{version}\n{stream}".encode())
-    return weight / -math.log((digest + 0.5) / _HASHES)
+    return weight / -math.log((digest + 0.5) / _HASH_VALUES)
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -34,8 +34,9 @@
 _PATIENCE_RATIO: Final = 1.5
 # Streams whose versions are recorded; those that a large fleet begins within
 # half a minute.
-_MAX_KNOWN: Final = 65_536
-_MAX_PENDING: Final = 4_096
+_MAX_KNOWN_STREAMS: Final = 65_536
+# Streams whose versions wait for a notice; those of a minute of notices.
+_MAX_PENDING_STREAMS: Final = 4_096
 # A crashed server is back in about that time.
 _RETRY_AFTER_S: Final = 2.0
 _MS_PER_S: Final = 1000.0
@@ -227,7 +228,9 @@
         """Records that the caller has the first event of a stream."""
         if not stream.name:
             return
-        bounded_records.put(self._known, stream.key, software, _MAX_KNOWN)
+        bounded_records.put(
+            self._known, stream.key, software, _MAX_KNOWN_STREAMS
+        )
         self._relayed[stream.key] = stream, software
         self._tell_if_uncertain(stream, software)
 
@@ -239,7 +242,7 @@
         """Records the versions of streams that other daemons began."""
         for item in found:
             bounded_records.put(
-                self._known, item.key, item.software, _MAX_KNOWN
+                self._known, item.key, item.software, _MAX_KNOWN_STREAMS
             )
 
     def take_pending(self, limit: int) -> list[KnownStream]:
@@ -262,7 +265,9 @@
         oldest = attrs.evolve(stream, left_s=0.0)
         if self._certain(oldest) == software:
             return
-        bounded_records.put(self._pending, stream.key, software, _MAX_PENDING)
+        bounded_records.put(
+            self._pending, stream.key, software, _MAX_PENDING_STREAMS
+        )
         for listener in self._listeners:
             listener()
 
--- a/figstream/stream_software_spread.py
+++ b/figstream/stream_software_spread.py
@@ -26,7 +26,7 @@
 _INTERVAL_S: Final = 0.25
 # Notices a second of all daemons together.
 _FLEET_RATE_PER_S: Final = 60.0
-_KEY_DIGITS: Final = 16
+_KEY_HEX_DIGITS: Final = 16
 # Keys that fit into one notice beside the name of a version.
 _MAX_STREAMS: Final = 48
 
@@ -90,7 +90,7 @@
         taken = self._streams.take_pending(_MAX_STREAMS)
         if not taken:
             return False
-        keys = "".join(f"{item.key:0{_KEY_DIGITS}x}" for item in taken)
+        keys = "".join(f"{item.key:0{_KEY_HEX_DIGITS}x}" for item in taken)
         payload = serialization.to_json(BegunStreams(taken[0].software, keys))
         if not self._notices.publish(_KIND, payload, _TTL_S):
             logs.info("stream_software_dropped", streams=len(taken))
@@ -103,8 +103,8 @@
         try:
             begun = serialization.from_json(payload, BegunStreams)
             keys = [
-                int(begun.keys[at : at + _KEY_DIGITS], 16)
-                for at in range(0, len(begun.keys), _KEY_DIGITS)
+                int(begun.keys[at : at + _KEY_HEX_DIGITS], 16)
+                for at in range(0, len(begun.keys), _KEY_HEX_DIGITS)
             ]
         except (errors.ConfigurationError, ValueError) as error:
             logs.warning("stream_software_unreadable", detail=str(error))
