--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -62,14 +62,14 @@
     ) -> None:
         """Ignores the limit, since simulated servers name none."""
 
-    def set_brittle(
+    def set_refusal_limit(
         self,
         service: str,
         refusals_per_s: float | None,
         sent_at: float,
         epoch: float,
     ) -> bool:
-        """Ignores brittle servers, since simulated servers are none."""
+        """Ignores the limit, since simulated servers name none."""
         return False
 
     def offer(
--- a/figstream/path_probe.py
+++ b/figstream/path_probe.py
@@ -79,9 +79,9 @@
         if reached and self._paths.direct:
             self._paths.opened(reached[0])
         elif reached:
-            self._paths.regain(reached[0])
+            self._paths.mark_regained(reached[0])
         elif probed and self._paths.direct:
-            self._paths.lose([item.name for item in probed])
+            self._paths.mark_lost([item.name for item in probed])
             await self._on_lost()
 
     async def _connect(
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -210,7 +210,7 @@
             for item in group.servers
             if item.name not in paused
         ]
-        if self._book.brittle.any:
+        if self._book.refusals.any:
             servers = [x for x in servers if self._book.has_room(x, now)]
         untried = servers
         if request.tried:
--- a/figstream/refusal_limits.py
+++ b/figstream/refusal_limits.py
@@ -1,17 +1,18 @@
-"""Spares brittle backend servers requests that they would have to refuse.
-
-A brittle server falls over if it must turn away more than so many requests in
-a second for want of room, and may then have little room for requests that
-wait. The daemons divide its slots by their rank, and each runs no more requests
-there than its part; the others wait in the daemon's own queue. Load reports are
-too old for that: all daemons would fill the same free slot. The slots of a
-service are dealt out in the order of the names of its servers, so that the
-parts of all daemons are equal over the servers. Where a server has fewer slots
-than there are daemons, the parts rotate on the wall clock. After a refusal, a
-daemon sends none for a time in which the refusals of all daemons stay below
-what the server bears, and then runs fewer there than it did.
-
-Placement asks which servers have room. Nothing here does input or output.
+"""Keeps backend servers from refusing more requests than they can.
+
+A server may announce that it crashes if it must refuse more than so many
+requests in a second because it is full. It may then also queue fewer. The
+daemons divide its slots by their rank, and each runs no more requests there
+than its part; the others wait in the daemon's own queue. Load reports are too
+old for that: all daemons would use the same free slot. The slots of a service
+are numbered in the order of the names of its servers, so that the parts of all
+daemons are equal over the servers. Where a server has fewer slots than there
+are daemons, the parts rotate on the wall clock. After a refusal, a daemon sends
+no requests for a time in which the refusals of all daemons stay below the
+limit, and then runs fewer there than it did.
+
+Placement asks which servers have a free slot for this daemon. Nothing here does
+input or output.
 """
 
 from collections.abc import Iterable
@@ -22,20 +23,21 @@
 from figstream import backend_server
 from figstream import bounded_records
 
-# All daemons together may cause half of the refusals that a server bears.
-_SAFETY: Final = 2.0
+# All daemons together may cause half of the refusals that the limit allows,
+# since their views of the fleet differ for seconds.
+_SAFETY_FACTOR: Final = 2.0
 # Bounds of the time without requests after a refusal.
 _MIN_PAUSE_S: Final = 0.5
 _MAX_PAUSE_S: Final = 5.0
 # After a refusal, the part of the requests that run at a server which a daemon
 # runs there from then on, and for how long.
-_REDUCTION: Final = 0.5
+_REDUCTION_FACTOR: Final = 0.5
 _REDUCED_S: Final = 10.0
 # Many times the duration of a short request, so that the requests of two turns
 # rarely meet.
 _TURN_S: Final = 1.0
 # More servers than turn requests away within ten seconds.
-_MAX_REFUSALS: Final = 4_096
+_MAX_REFUSING_SERVERS: Final = 4_096
 
 
 @attrs.define
@@ -43,12 +45,13 @@
     """What the servers of a service last said.
 
     Attributes:
-      refusals_per_s: refusals a second that one of its servers bears.
-      heard_at: clock time of the request whose answer said so.
+      refusals_per_s: refusals a second above which one of its servers
+        crashes.
+      named_at: clock time of the request whose answer said so.
     """
 
     refusals_per_s: float
-    heard_at: float
+    named_at: float
 
 
 @attrs.frozen
@@ -66,11 +69,11 @@
     reduced_until: float
 
 
-class BrittleServers:
-    """The room that one daemon may use at brittle servers."""
+class RefusalLimits:
+    """The slots that one daemon may use at servers with a refusal limit."""
 
     def __init__(self) -> None:
-        """Initializes without brittle servers, as the only daemon."""
+        """Initializes without limits, as the only daemon."""
         self._services: dict[str, _Service] = {}
         self._refusals: dict[str, _Refusal] = {}
         self._first_slots: dict[str, int] = {}
@@ -81,7 +84,7 @@
 
     @property
     def any(self) -> bool:
-        """Returns whether the servers of any service are brittle."""
+        """Returns whether the servers of any service have a limit."""
         return bool(self._services)
 
     def set_servers(
@@ -100,7 +103,7 @@
         self._rank = rank
         self._daemons = max(1, daemons)
 
-    def heard(
+    def apply_limit(
         self,
         service: str,
         refusals_per_s: float | None,
@@ -110,17 +113,17 @@
         """Applies what an answer of one of a service's servers says.
 
         Args:
-          service: the service; all its servers are brittle at the same time.
-          refusals_per_s: refusals a second that a server bears, None if the
-            answer does not say that it is brittle.
+          service: the service; all its servers have the limit.
+          refusals_per_s: refusals a second above which a server crashes, None
+            if the answer names no limit.
           sent_at: clock time at which the request was sent.
           epoch: clock time of the Unix epoch.
 
         Returns:
-          Whether this begins or ends the time in which they are brittle.
+          Whether the service had no limit before, or has none now.
         """
         known = self._services.get(service)
-        if known and sent_at < known.heard_at:
+        if known and sent_at < known.named_at:
             return False
         if refusals_per_s is None:
             return self._services.pop(service, None) is not None
@@ -145,13 +148,15 @@
         if known is None:
             return
         shared = max(known.refusals_per_s, 1.0) / self._daemons
-        pause_s = min(max(_SAFETY / shared, _MIN_PAUSE_S), _MAX_PAUSE_S)
+        pause_s = min(max(_SAFETY_FACTOR / shared, _MIN_PAUSE_S), _MAX_PAUSE_S)
         refusal = _Refusal(
             now + pause_s,
-            max(1, int(own_requests * _REDUCTION)),
+            max(1, int(own_requests * _REDUCTION_FACTOR)),
             now + pause_s + _REDUCED_S,
         )
-        bounded_records.put(self._refusals, server.name, refusal, _MAX_REFUSALS)
+        bounded_records.put(
+            self._refusals, server.name, refusal, _MAX_REFUSING_SERVERS
+        )
 
     def has_room(
         self,
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -96,7 +96,7 @@
         self._configuration = configuration
         self._index.set_configuration(configuration)
         self._limits.set_customers(configuration.customers, self._now)
-        self._book.brittle.set_servers(configuration.servers)
+        self._book.refusals.set_servers(configuration.servers)
         self._book.evict_except(frozenset(configuration.servers_by_name))
         self._dispatcher.unblock_all()
 
@@ -109,7 +109,7 @@
         self._limits.set_live_daemons(in_fleet, self._now)
         self._dispatcher.set_live_daemons(in_zone)
         self._book.limits.set_place(rank, in_fleet)
-        self._book.brittle.set_place(rank, in_fleet)
+        self._book.refusals.set_place(rank, in_fleet)
 
     def set_leaving(self, servers: frozenset[str]) -> None:
         """Excludes the servers that the platform is reclaiming."""
@@ -131,15 +131,15 @@
         else:
             self._book.limits.set_limit(server, per_s, epoch, self._now)
 
-    def set_brittle(
+    def set_refusal_limit(
         self,
         service: str,
         refusals_per_s: float | None,
         sent_at: float,
         epoch: float,
     ) -> bool:
-        """Keeps requests from servers that would have to refuse them."""
-        changed = self._book.brittle.heard(
+        """Applies the refusals above which servers crash."""
+        changed = self._book.refusals.apply_limit(
             service, refusals_per_s, sent_at, epoch
         )
         if changed:
@@ -225,7 +225,7 @@
         self._book.finished(server.name, report.result, now)
         if report.result is _Result.REFUSED:
             own_requests = self._book.state(server.name).own_requests
-            self._book.brittle.refused(server, own_requests, now)
+            self._book.refusals.refused(server, own_requests, now)
         self._index.change_own_requests(server.name, -1)
         state = self._book.state(server.name)
         if state.reserved_for == request.request_id:
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -223,19 +223,19 @@
           epoch: clock time of the Unix epoch.
         """
 
-    def set_brittle(
+    def set_refusal_limit(
         self,
         service: str,
         refusals_per_s: float | None,
         sent_at: float,
         epoch: float,
     ) -> bool:
-        """Keeps requests from servers that would have to refuse them.
+        """Applies the refusals above which servers crash.
 
         Args:
           service: the service of the servers.
-          refusals_per_s: refusals a second that each of them bears, None if
-            they are not brittle.
+          refusals_per_s: refusals a second above which each of them crashes,
+            None for no limit.
           sent_at: clock time of the request whose answer says so.
           epoch: clock time of the Unix epoch.
 
--- a/figstream/server_announcements.py
+++ b/figstream/server_announcements.py
@@ -4,9 +4,9 @@
 read the head of the answer. A server that is leaving receives no further
 requests, whatever its entry in the platform's store says. A server that asks
 for a pause receives none until the pause ends. One that names a limit receives
-no more than that (`limit_announcements`). One that is brittle is spared
-requests that it would refuse (`brittle_servers`). An announcement holds for one
-run of a server: after a restart under the same name, the server starts anew.
+no more than that (`limit_announcements`). One that crashes if it refuses too
+many receives fewer (`refusal_limits`). An announcement holds for one run of a
+server: after a restart under the same name, the server starts anew.
 """
 
 from collections.abc import Iterable
@@ -38,15 +38,15 @@
       limit_per_s: requests a second that the server takes from all daemons
         together, None if it names no limit.
       limit_unreadable: whether the server names a limit that is no rate.
-      brittle_refusals_per_s: refusals a second beyond which the server falls
-        over, None if it is not brittle.
+      refusal_limit_per_s: refusals a second above which the server crashes,
+        None for no limit.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
     limit_unreadable: bool = False
-    brittle_refusals_per_s: float | None = None
+    refusal_limit_per_s: float | None = None
 
 
 class ServerAnnouncements:
@@ -88,14 +88,14 @@
             return
         if not announcement.limit_unreadable:
             self.limits.receive(server, announcement.limit_per_s, sent_at)
-        refusals_per_s = announcement.brittle_refusals_per_s
+        refusals_per_s = announcement.refusal_limit_per_s
         epoch = self._clock.now() - self._clock.wall()
-        if self._scheduler.set_brittle(
+        if self._scheduler.set_refusal_limit(
             server.service, refusals_per_s, sent_at, epoch
         ):
-            event = "servers_brittle"
+            event = "refusal_limit_named"
             if refusals_per_s is None:
-                event = "servers_brittle_ended"
+                event = "refusal_limit_ended"
             self._metrics.event(event)
             logs.info(
                 event,
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -16,7 +16,7 @@
 import attrs
 
 from figstream import backend_server
-from figstream import brittle_servers
+from figstream import refusal_limits
 from figstream import scheduler_api
 from figstream import server_limits
 
@@ -98,7 +98,7 @@
         )
         self._pauses: dict[str, float] = {}
         self.limits = server_limits.ServerLimits()
-        self.brittle = brittle_servers.BrittleServers()
+        self.refusals = refusal_limits.RefusalLimits()
 
     def state(self, server: str) -> ServerState:
         """Returns the load and failures of a server."""
@@ -137,9 +137,9 @@
     def has_room(
         self, server: backend_server.BackendServer, now: float
     ) -> bool:
-        """Returns whether this daemon may send to a server that is brittle."""
+        """Returns whether a server's refusal limit permits a request."""
         own_requests = self._states[server.name].own_requests
-        return self.brittle.has_room(server, own_requests, now)
+        return self.refusals.has_room(server, own_requests, now)
 
     def pause_end(self, servers: frozenset[str], now: float) -> float:
         """Returns the end of the first pause that one of the servers asked for.
--- a/figstream/server_paths.py
+++ b/figstream/server_paths.py
@@ -20,7 +20,7 @@
 from figstream import metrics as metrics_lib
 
 # Failures at a single server are those of the server.
-_MIN_SERVERS: Final = 2
+_MIN_FAILING_SERVERS: Final = 2
 # Failures count for this time. A request meets the next server within a second.
 _FAILURE_LIFETIME_S: Final = 2.0
 # A request without an answer for this time, while no server answers anything,
@@ -28,7 +28,7 @@
 _OVERDUE_S: Final = 0.5
 # One server of the own zone and two others: neither a partition between zones
 # nor a crash of a few servers makes all of them fail.
-PROBED_SERVERS: Final = 3
+MAX_PROBED_SERVERS: Final = 3
 
 
 class ServerPaths:
@@ -85,7 +85,7 @@
           server_count: number of backend servers that exist.
         """
         now = self._clock.now()
-        needed = min(_MIN_SERVERS, server_count)
+        needed = min(_MIN_FAILING_SERVERS, server_count)
         failing = {
             name
             for name, at in self._failed_at.items()
@@ -99,7 +99,7 @@
             )
         return 0 < needed <= len(failing)
 
-    def lose(self, tried: Sequence[str]) -> None:
+    def mark_lost(self, tried: Sequence[str]) -> None:
         """Records that probes of several servers failed."""
         self._change(direct=False)
         self._metrics.event("server_path_lost")
@@ -110,7 +110,7 @@
             waiting=len(self._waits),
         )
 
-    def regain(self, server: str) -> None:
+    def mark_regained(self, server: str) -> None:
         """Records that a probe succeeded."""
         lost_s = self._clock.now() - self._changed_at
         self._change(direct=True)
@@ -134,5 +134,5 @@
     near = [item for item in servers if item.zone == zone]
     first = [source.choice(near)] if near else []
     others = [item for item in servers if item not in first]
-    count = min(len(others), PROBED_SERVERS - len(first))
+    count = min(len(others), MAX_PROBED_SERVERS - len(first))
     return [*first, *source.sample(others, count)]
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -20,10 +20,10 @@
 SERVICES: Final = ("model", "render")
 ZONES: Final = ("a", "b", "c")
 _SLOTS: Final = 16
-# Slots of a brittle worker, fewer than requests run at once, and refusals in a
-# second that it bears.
-_BRITTLE_SLOTS: Final = 1
-_BRITTLE_TEXT: Final = "3"
+# Slots of a worker with a refusal limit, fewer than requests run at once, and
+# refusals in a second above which it crashes.
+_LIMITED_SLOTS: Final = 1
+_REFUSAL_LIMIT_TEXT: Final = "3"
 # Software version of the first workers; a release replaces it by the other.
 _SOFTWARE: Final = ("v1", "v2")
 # A block of prompts and a body that crash each backend server which begins to
@@ -137,18 +137,20 @@
 
         return end
 
-    def set_brittle(self, service: str, *, brittle: bool) -> None:
-        """Lets the workers of a service have few slots and bear few refusals.
+    def set_refusal_limit(self, service: str, *, limited: bool) -> None:
+        """Gives the workers of a service few slots and a refusal limit.
 
         Args:
           service: the service.
-          brittle: whether they do, or have their usual slots again.
+          limited: whether they do, or have their usual slots again.
         """
         for site in self.sites:
             if site.service == service:
-                site.slots = _BRITTLE_SLOTS if brittle else _SLOTS
-                site.worker.room = _BRITTLE_SLOTS
-                site.worker.brittle_text = _BRITTLE_TEXT if brittle else ""
+                site.slots = _LIMITED_SLOTS if limited else _SLOTS
+                site.worker.room = _LIMITED_SLOTS
+                site.worker.brittle_text = (
+                    _REFUSAL_LIMIT_TEXT if limited else ""
+                )
                 self._register(site)
 
     def drain(self, site: WorkerSite) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -47,8 +47,8 @@
 MAX_LATE_CRASHES: Final = 3
 # Requests from which the share that is served says something.
 _MIN_JUDGED: Final = 12
-# Falls of the brittle workers of a service.
-MAX_FALLS: Final = 2
+# Crashes of the workers of a service by refusals, in one period.
+MAX_REFUSAL_CRASHES: Final = 2
 _PROMPT_REFUSAL: Final = (
     reasons.RefusalReason.PROMPT_CRASHES_SERVERS.value.encode()
 )
@@ -100,8 +100,9 @@
       revoked: time when the removal of a key was stored, by key.
       partitions: daemon that could not open connections to workers, since when
         and until when.
-      brittle_periods: times from which and until which workers were brittle.
-      fell_at: times at which brittle workers fell over.
+      refusal_limit_periods: start and end of each period in which
+        workers had a refusal limit.
+      refusal_crashes_at: times at which refusals crashed a worker.
       software: software version of each worker, by its name.
       events: number of events in a complete stream.
       grace_exceeded: names of daemons that ran beyond their grace time.
@@ -117,8 +118,8 @@
     removed: list[tuple[str, float, float]] = attrs.field(factory=list)
     revoked: dict[str, float] = attrs.field(factory=dict)
     partitions: list[tuple[int, float, float]] = attrs.field(factory=list)
-    brittle_periods: list[tuple[float, float]] = attrs.field(factory=list)
-    fell_at: list[float] = attrs.field(factory=list)
+    refusal_limit_periods: list[tuple[float, float]] = attrs.field(factory=list)
+    refusal_crashes_at: list[float] = attrs.field(factory=list)
     software: dict[str, str] = attrs.field(factory=dict)
     events: int = 3
     grace_exceeded: list[str] = attrs.field(factory=list)
@@ -356,14 +357,16 @@
             yield f"daemon {daemon} without a path served {served}/{len(sent)}"
 
 
-def _brittle_workers_stand(observed: Observations) -> Iterable[str]:
-    for brittle_at, until in observed.brittle_periods:
-        since = brittle_at + SETTLING_TIME_S
-        if observed.any_affected(brittle_at, until):
+def _refusal_limits_kept(observed: Observations) -> Iterable[str]:
+    for limited_at, until in observed.refusal_limit_periods:
+        since = limited_at + SETTLING_TIME_S
+        if observed.any_affected(limited_at, until):
             continue
-        fell = sum(since <= at <= until for at in observed.fell_at)
-        if fell > MAX_FALLS:
-            yield f"brittle workers fell over {fell} times"
+        crashes = sum(
+            since <= at <= until for at in observed.refusal_crashes_at
+        )
+        if crashes > MAX_REFUSAL_CRASHES:
+            yield f"workers crashed {crashes} times by refusals"
 
 
 def _grace_time(observed: Observations) -> Iterable[str]:
@@ -426,7 +429,7 @@
     _crashing_requests_refused,
     _sound_prompts_served,
     _partitioned_daemons_serve,
-    _brittle_workers_stand,
+    _refusal_limits_kept,
     _grace_time,
     _recovery,
     _consistent_usage_counts,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,7 +50,7 @@
     REQUEST_CRASHES = "request_crashes"  # One request crashes servers.
     RELEASE = "release"  # Model workers are replaced by other software.
     PARTITION = "partition"  # A daemon can't open connections to workers.
-    BRITTLE = "brittle"  # Workers of a service bear few refusals.
+    REFUSAL_LIMIT = "refusal_limit"  # Workers crash if they refuse too many.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
 
 
@@ -67,7 +67,7 @@
         EventKind.RELEASE,
         EventKind.KILL_ALL,
         EventKind.PARTITION,
-        EventKind.BRITTLE,
+        EventKind.REFUSAL_LIMIT,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -86,8 +86,8 @@
 _KILL_ALL_SHARE: Final = 0.7
 _KILL_DURING_RELEASE_SHARE: Final = 0.5
 _RELEASE_LASTS_S: Final = 3.0
-# Share of the plans with a partitioned daemon, and of those with brittle
-# workers. Both last beyond the time in which a daemon may fail to cope; half of
+# Share of the plans with a partitioned daemon, and of those with refusal
+# limits. Both last beyond the time in which a daemon may fail to cope; half of
 # them come last, since faults excuse a daemon.
 _PARTITION_SHARE: Final = 0.4
 _LATE_SHARE: Final = 0.5
@@ -144,7 +144,7 @@
             events.append(attrs.evolve(event, for_s=_CRASHES_LAST_S))
     events += _draw_releases(random.Random(f"releases {seed}"))
     partitions = random.Random(f"partitions {seed}")
-    for kind in (EventKind.PARTITION, EventKind.BRITTLE):
+    for kind in (EventKind.PARTITION, EventKind.REFUSAL_LIMIT):
         if partitions.random() < _PARTITION_SHARE:
             event = _draw_event(partitions, kind)
             if partitions.random() < _LATE_SHARE:
--- a/soak/system.py
+++ b/soak/system.py
@@ -144,7 +144,7 @@
         observed.software = {
             item.name: item.software for item in self._backends.workers
         }
-        observed.fell_at = [
+        observed.refusal_crashes_at = [
             at for item in self._backends.workers for at in item.fell_at
         ]
         observed.duties = self._backends.store.duties
@@ -269,7 +269,7 @@
             _KIND.RELEASE: self._worker_events.release,
             _KIND.KILL_ALL: self._kill_all,
             _KIND.PARTITION: self._partition,
-            _KIND.BRITTLE: self._worker_events.be_brittle,
+            _KIND.REFUSAL_LIMIT: self._worker_events.limit_refusals,
         }
 
     def _target_daemon(self, event: plan_lib.Event) -> int:
--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -45,13 +45,15 @@
             await anyio.sleep(event.for_s)
             await self._backends.restart(site)
 
-    async def be_brittle(self, event: plan_lib.Event) -> None:
-        """Lets the workers of a service be brittle."""
+    async def limit_refusals(self, event: plan_lib.Event) -> None:
+        """Lets workers of a service crash if they refuse too many requests."""
         since = time.monotonic()
-        self._backends.set_brittle(_RENDER, brittle=True)
+        self._backends.set_refusal_limit(_RENDER, limited=True)
         await anyio.sleep(event.for_s)
-        self._observations.brittle_periods.append((since, time.monotonic()))
-        self._backends.set_brittle(_RENDER, brittle=False)
+        self._observations.refusal_limit_periods.append(
+            (since, time.monotonic())
+        )
+        self._backends.set_refusal_limit(_RENDER, limited=False)
 
     async def release(self, event: plan_lib.Event) -> None:
         """Replaces model workers one by one by such of other software.
--- a/tests/test_refusal_limits.py
+++ b/tests/test_refusal_limits.py
@@ -1,4 +1,4 @@
-"""Tests that servers which bear few refusals get few requests to refuse."""
+"""Tests that servers do not refuse more requests than their limit."""
 
 import heapq
 import itertools
@@ -8,9 +8,9 @@
 import pytest
 
 from figstream import backend_server
-from figstream import brittle_servers
 from figstream import configuration
 from figstream import placement
+from figstream import refusal_limits
 from figstream import request_class
 from figstream import scheduler
 from figstream import scheduler_api
@@ -137,7 +137,7 @@
 
     def _hear(self, item: scheduler_api.Scheduler, now: float) -> None:
         if self.known:
-            item.set_brittle(_SERVICE, 6.0, now, 0.0)
+            item.set_refusal_limit(_SERVICE, 6.0, now, 0.0)
 
     def _finish(
         self,
@@ -157,7 +157,7 @@
 
 
 @_LOADS
-def test_an_overload_makes_no_brittle_server_refuse_too_many(
+def test_an_overload_makes_no_server_exceed_its_refusal_limit(
     daemons: int, servers: int, slots: int, duration_s: float
 ) -> None:
     """Answers an overload of half as much again as the servers can run."""
@@ -176,12 +176,12 @@
     assert max(x.most_refusals(2.0) for x in fleet.servers.values()) > 6
 
 
-def test_servers_have_room_until_they_say_that_they_are_brittle() -> None:
-    found = brittle_servers.BrittleServers()
+def test_servers_have_room_until_they_name_a_refusal_limit() -> None:
+    found = refusal_limits.RefusalLimits()
     server = _server("i-1", 4)
     assert found.has_room(server, 9, 1.0)
-    assert found.heard(_SERVICE, 5.0, 1.0, 0.0)
-    assert not found.heard(_SERVICE, 5.0, 1.1, 0.0)
+    assert found.apply_limit(_SERVICE, 5.0, 1.0, 0.0)
+    assert not found.apply_limit(_SERVICE, 5.0, 1.1, 0.0)
     assert not found.has_room(server, 4, 1.2)
     assert found.has_room(server, 3, 1.2)
 
@@ -194,9 +194,9 @@
     server = _server("i-1", slots)
     parts = []
     for rank in range(daemons):
-        found = brittle_servers.BrittleServers()
+        found = refusal_limits.RefusalLimits()
         found.set_place(rank, daemons)
-        found.heard(_SERVICE, 5.0, 0.0, 0.0)
+        found.apply_limit(_SERVICE, 5.0, 0.0, 0.0)
         has_room = (found.has_room(server, x, 3.2) for x in range(slots + 1))
         parts.append(sum(has_room))
     assert sum(parts) == slots
@@ -215,10 +215,10 @@
     """
     entries = [_server(f"i-{number}", slots) for number in range(servers)]
     for rank in range(daemons):
-        found = brittle_servers.BrittleServers()
+        found = refusal_limits.RefusalLimits()
         found.set_servers(entries)
         found.set_place(rank, daemons)
-        found.heard(_SERVICE, 5.0, 0.0, 0.0)
+        found.apply_limit(_SERVICE, 5.0, 0.0, 0.0)
         parts = [
             found.has_room(server, x, 7.3)
             for server in entries
@@ -229,27 +229,27 @@
 
 
 def test_every_daemon_gets_a_turn_where_slots_are_fewer() -> None:
-    found = brittle_servers.BrittleServers()
+    found = refusal_limits.RefusalLimits()
     found.set_place(41, 60)
-    found.heard(_SERVICE, 5.0, 0.0, 0.0)
+    found.apply_limit(_SERVICE, 5.0, 0.0, 0.0)
     server = _server("i-1", 6)
     turns = [found.has_room(server, 0, float(at)) for at in range(20)]
     assert turns.count(True) == 2
 
 
 def test_only_a_request_sent_since_can_end_the_time() -> None:
-    found = brittle_servers.BrittleServers()
-    found.heard(_SERVICE, 5.0, 2.0, 0.0)
-    assert not found.heard(_SERVICE, None, 1.9, 0.0)
+    found = refusal_limits.RefusalLimits()
+    found.apply_limit(_SERVICE, 5.0, 2.0, 0.0)
+    assert not found.apply_limit(_SERVICE, None, 1.9, 0.0)
     assert found.any
-    assert found.heard(_SERVICE, None, 2.1, 0.0)
+    assert found.apply_limit(_SERVICE, None, 2.1, 0.0)
     assert not found.any
 
 
 def test_the_pause_after_a_refusal_grows_with_the_fleet() -> None:
-    found = brittle_servers.BrittleServers()
+    found = refusal_limits.RefusalLimits()
     found.set_place(0, 9)
-    found.heard(_SERVICE, 6.0, 0.0, 0.0)
+    found.apply_limit(_SERVICE, 6.0, 0.0, 0.0)
     server = _server("i-1", 100)
     found.refused(server, 8, 1.0)
     assert not found.has_room(server, 0, 3.9)
@@ -260,12 +260,12 @@
 
 @pytest.mark.anyio
 @pytest.mark.parametrize("text", ["2", "many"])
-async def test_answers_say_that_servers_are_brittle(text: str) -> None:
+async def test_answers_name_the_refusal_limit(text: str) -> None:
     worker = standin_worker.Worker("i-1", brittle_text=text)
     async with gateway_front.front(worker) as front:
         await front.send_request("status", "r1")
         worker.brittle_text = ""
         book = front.context.scheduler._book  # type: ignore[attr-defined]
-        assert book.brittle.any
+        assert book.refusals.any
         await front.send_request("status", "r2")
-        assert not book.brittle.any
+        assert not book.refusals.any
--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -151,7 +151,7 @@
     def pause_server(self, server: str, until: float) -> None:
         self.pauses[server] = until
 
-    def set_brittle(
+    def set_refusal_limit(
         self,
         service: str,
         refusals_per_s: float | None,
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -95,9 +95,9 @@
     found = _Paths()
     found.paths.failed("i-1")
     found.paths.failed("i-2")
-    found.paths.lose(["i-3"])
+    found.paths.mark_lost(["i-3"])
     assert not found.paths.direct
-    found.paths.regain("i-3")
+    found.paths.mark_regained("i-3")
     assert found.paths.direct
     assert not found.suspected()
 
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -157,10 +157,10 @@
 @pytest.mark.anyio
 async def test_a_peer_without_a_path_does_not_help() -> None:
     async with _peers() as peers:
-        peers.paths.lose(["i-1"])
+        peers.paths.mark_lost(["i-1"])
         with pytest.raises((httpcore.ConnectError, httpcore.ConnectTimeout)):
             await peers.tunnels.connect("i-1", 1.0)
-        peers.paths.regain("i-1")
+        peers.paths.mark_regained("i-1")
         stream = await peers.tunnels.connect("i-1", 2.0)
         await stream.aclose()
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -160,9 +160,12 @@
         "daemon 0 without a path served 0/12",
     ),
     (
-        "brittle workers that fall over",
-        {"brittle_periods": [(10.0, 17.0)], "fell_at": [14.0, 15.0, 16.0]},
-        "fell over 3 times",
+        "workers that refusals crash",
+        {
+            "refusal_limit_periods": [(10.0, 17.0)],
+            "refusal_crashes_at": [14.0, 15.0, 16.0],
+        },
+        "crashed 3 times by refusals",
     ),
     (
         "a request that no caller sent",
