Play sound workers that are silent for a second

A stand-in can send nothing until a time; the soak lets up to two sound workers be silent for 1.2 s, which excuses no daemon. The events come from a generator of their own.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,6 +51,7 @@
     RELEASE = "release"  # Model workers are replaced by other software.
     PARTITION = "partition"  # A daemon can't open connections to workers.
     REFUSAL_LIMIT = "refusal_limit"  # Workers crash if they refuse too many.
+    WORKER_SILENT = "worker_silent"  # A worker sends nothing for a while.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
 
 
@@ -68,6 +69,7 @@
         EventKind.KILL_ALL,
         EventKind.PARTITION,
         EventKind.REFUSAL_LIMIT,
+        EventKind.WORKER_SILENT,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -86,6 +88,9 @@
 _KILL_ALL_SHARE: Final = 0.7
 _KILL_DURING_RELEASE_SHARE: Final = 0.5
 _RELEASE_LASTS_S: Final = 3.0
+# Most sound workers of a plan that are silent for a moment, and for how long.
+_MAX_SILENT_WORKERS: Final = 2
+_SILENT_S: Final = 1.2
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
 # them come last, since faults excuse a daemon.
@@ -143,6 +148,10 @@
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_CRASHES_LAST_S))
     events += _draw_releases(random.Random(f"releases {seed}"))
+    silent_workers = random.Random(f"silent workers {seed}")
+    for _ in range(silent_workers.randint(0, _MAX_SILENT_WORKERS)):
+        event = _draw_event(silent_workers, EventKind.WORKER_SILENT)
+        events.append(attrs.evolve(event, for_s=_SILENT_S))
     partitions = random.Random(f"partitions {seed}")
     for kind in (EventKind.PARTITION, EventKind.REFUSAL_LIMIT):
         if partitions.random() < _PARTITION_SHARE:
--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -82,6 +82,12 @@
             await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
             worker.faults.clear()
 
+    async def fall_silent(self, event: plan_lib.Event) -> None:
+        """Lets a sound worker send nothing for a while; excuses nothing."""
+        worker = self._backends.choose_site(event.target).worker
+        worker.silent_until = time.monotonic() + event.for_s
+        await anyio.sleep(event.for_s)
+
     async def drain(self, event: plan_lib.Event) -> None:
         """Drains a worker until the soak ends."""
         site = self._backends.choose_site(event.target)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -1,5 +1,7 @@
 """Tests of requests through the gateway, with and without worker faults."""
 
+import time
+
 import anyio
 import httpx
 import pytest
@@ -434,3 +436,17 @@
         refused = await front.send_request("order")
         assert refused.status_code == 503
         assert refused.json()["error"]["run_state"] == "not_run"
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("route", ["status", "order", "rewrite", "caption"])
+async def test_a_server_that_is_silent_for_a_second_ends_no_answer(
+    route: str,
+) -> None:
+    """Fails if silence passes for the loss of a server."""
+    async with gateway_front.front(_Worker()) as front:
+        await front.send_request(route, "r1")
+        front.workers[0].silent_until = time.monotonic() + 1.2
+        answer = await front.send_request(route, "r2")
+        assert answer.status_code == 200
+        assert [run.request_id for run in front.runs] == ["r1", "r2"]
