End a period of software versions when daemons learn of its successor

Callers: a stream that was taken up at another daemon went on at a software version that had not begun it. Cause: a plan states that the period before ended when the plan was written. Change: a daemon ends a period when it learns of the next one. Where the plan states an end over a second too early, a daemon that used the period writes the later end, as daemons that start know only what is stored.

--- a/figstream/software_plan.py
+++ b/figstream/software_plan.py
@@ -131,6 +131,31 @@
     return SoftwarePlan({**plan.services, **changed}, era, complete_since_ms)
 
 
+def with_ends(
+    plan: SoftwarePlan, ends_ms: Mapping[str, Mapping[int, int]]
+) -> SoftwarePlan:
+    """Returns the plan with later ends of periods, `plan` itself if equal.
+
+    Args:
+      plan: the plan in use.
+      ends_ms: ends in Unix milliseconds, by service and begin of the period.
+    """
+    changed = {
+        service: tuple(
+            attrs.evolve(item, ended_ms=max(item.ended_ms, later))
+            if (later := ends_ms[service].get(item.since_ms, 0))
+            else item
+            for item in periods
+        )
+        for service, periods in plan.services.items()
+        if service in ends_ms
+    }
+    services = {**plan.services, **changed}
+    if services == plan.services:
+        return plan
+    return attrs.evolve(plan, services=services)
+
+
 def _is_due(
     periods: tuple[Shares, ...],
     wanted: Mapping[str, int],
--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -6,8 +6,13 @@
 are frozen or partitioned. The write is conditional. Its content also travels
 as a notice, since a daemon whose watch is not answered would go on with the
 old plan.
+
+A plan that daemons learn late states too early when they stopped using the one
+before. A daemon that notices it writes the later end, since daemons that start
+know only what is stored.
 """
 
+import random
 from typing import Final
 
 import anyio
@@ -40,6 +45,9 @@
 # Time by which each daemon waits longer than the one before it. A write takes
 # milliseconds, its notice a tenth of a second.
 _TURN_S: Final = 0.4
+# Time by which each live daemon extends the wait before a later end is written,
+# which many daemons may notice at once.
+_SPREAD_S: Final = 0.02
 _MS_PER_S: Final = 1000.0
 
 
@@ -76,6 +84,7 @@
         self._era: store_era.StoreEra = context.platform.era
         self._clock: clock_lib.Clock = context.clock
         self._metrics: metrics_lib.Metrics = context.metrics
+        self._random = random.Random()
         self._plan = software_plan.SoftwarePlan()
         self._changed = anyio.Event()
         directory.subscribe(self._update_servers)
@@ -90,7 +99,7 @@
             self._changed = anyio.Event()
             if self._due_plan() is None:
                 continue
-            await self._clock.sleep(_TURN_S * self._rank())
+            await self._clock.sleep(self._turn_s())
             plan = self._due_plan()
             if plan is not None and not await self._write(plan):
                 await self._clock.sleep(_TURN_S)
@@ -114,7 +123,7 @@
             for part in route.services
         }
         plan = software_plan.revised(
-            self._plan,
+            software_plan.with_ends(self._plan, self._streams.late_ends),
             self._directory.servers,
             services,
             self._now_ms(),
@@ -122,6 +131,14 @@
         )
         return None if plan is self._plan else plan
 
+    def _turn_s(self) -> float:
+        """Returns for how long this daemon waits before it writes a plan."""
+        planned_s = _TURN_S * self._rank()
+        if not any(self._streams.late_ends.values()):
+            return planned_s
+        spread_s = _SPREAD_S * len(self._members.live())
+        return min(planned_s, self._random.uniform(0.0, spread_s))
+
     async def _write(self, plan: software_plan.SoftwarePlan) -> bool:
         stored = self._follower.items.get(_NAME)
         version = stored.version if stored else platform_api.ABSENT_VERSION
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
+import math
 from typing import Final
 from typing import Protocol
 
@@ -37,6 +39,8 @@
 _MAX_KNOWN_STREAMS: Final = 65_536
 # Streams whose versions wait for a notice; those of a minute of notices.
 _MAX_PENDING_STREAMS: Final = 4_096
+# Learning a plan later than this after it was written is no usual delay.
+_LATE_MS: Final = 1_000
 # A crashed server is back in about that time.
 _RETRY_AFTER_S: Final = 2.0
 _MS_PER_S: Final = 1000.0
@@ -78,6 +82,19 @@
     software: str
 
 
+@attrs.define
+class _Period:
+    """Shares of the versions that daemons use or used.
+
+    Attributes:
+      weights: weight of each version.
+      ended_at: time until which a daemon may have used them, in clock seconds.
+    """
+
+    weights: Mapping[str, int]
+    ended_at: float = math.inf
+
+
 class StreamVersions(Protocol):
     """The software versions of streams, as the request path needs them."""
 
@@ -125,7 +142,10 @@
         self._metrics = metrics
         # Slots of the active servers, by service and version.
         self._active: dict[str, dict[str, int]] = {}
-        self._periods: dict[str, dict[int, software_plan.Shares]] = {}
+        # By service and begin of the period in Unix milliseconds.
+        self._periods: dict[str, dict[int, _Period]] = {}
+        # Ends of periods that the plan states too early.
+        self._late_ends: dict[str, dict[int, int]] = {}
         self._complete_since_ms = 0
         self._present: Mapping[str, tuple[software_plan.Shares, ...]] = {}
         self._known: dict[int, str] = {}
@@ -133,6 +153,15 @@
         self._pending: dict[int, str] = {}
         self._listeners: list[Callable[[], None]] = []
 
+    @property
+    def late_ends(self) -> Mapping[str, Mapping[int, int]]:
+        """Returns the ends of periods that the plan states too early.
+
+        They are in Unix milliseconds, by service and begin of the period. A
+        daemon that starts knows only what the plan states.
+        """
+        return self._late_ends
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener when versions wait for `take_pending`."""
         self._listeners.append(listener)
@@ -168,14 +197,7 @@
             self._complete_since_ms, complete_since_ms
         )
         for service, shares in plan.services.items():
-            periods = self._periods.setdefault(service, {})
-            for item in periods.values():
-                if not item.ended_ms:
-                    # A restore of the store may have lost the period.
-                    ended = attrs.evolve(item, ended_ms=now_ms)
-                    periods[item.since_ms] = ended
-            periods.update((item.since_ms, item) for item in shares)
-            self._discard_old(periods, now_ms)
+            self._apply_shares(service, shares)
         self._present = plan.services
         for stream, software in list(self._relayed.values()):
             self._tell_if_uncertain(stream, software)
@@ -277,24 +299,49 @@
         since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
         if since_ms < self._complete_since_ms:
             return None
-        recent = [
-            item.weights
-            for item in periods
-            if not item.ended_ms or item.ended_ms >= since_ms
-        ]
+        since = self._clock.now() - (stream.max_age_s + _SLACK_S)
+        recent = [x.weights for x in periods if x.ended_at >= since]
         if stream.name:
             found = {software_plan.assign(stream.name, x) for x in recent}
         else:
             found = {name for weights in recent for name in weights}
         return found.pop() if len(found) == 1 else None
 
-    def _discard_old(
-        self, periods: dict[int, software_plan.Shares], now_ms: int
+    def _apply_shares(
+        self, service: str, shares: Sequence[software_plan.Shares]
     ) -> None:
-        oldest_ms = now_ms - software_plan.HISTORY_MS
-        for since_ms, item in list(periods.items()):
-            if item.ended_ms and item.ended_ms < oldest_ms:
-                del periods[since_ms]
+        """Applies the periods of a service.
+
+        A plan says that a period ended when its successor was written. The
+        write may take effect later, so a period that was in use here until now
+        ends now.
+        """
+        now, now_ms = self._clock.now(), self._now_ms()
+        periods = self._periods.setdefault(service, {})
+        self._late_ends[service] = {
+            item.since_ms: now_ms
+            for item in shares
+            if item.since_ms in periods
+            and periods[item.since_ms].ended_at == math.inf
+            and 0 < item.ended_ms < now_ms - _LATE_MS
+        }
+        for period in periods.values():
+            # A restore of the store may have lost the period.
+            period.ended_at = min(period.ended_at, now)
+        for item in shares:
+            period = periods.setdefault(
+                item.since_ms, _Period(item.weights, -math.inf)
+            )
+            stated_at = now - (now_ms - item.ended_ms) / _MS_PER_S
+            period.ended_at = (
+                max(period.ended_at, stated_at) if item.ended_ms else math.inf
+            )
+        oldest = now - software_plan.HISTORY_MS / _MS_PER_S
+        self._periods[service] = {
+            since_ms: period
+            for since_ms, period in periods.items()
+            if period.ended_at >= oldest
+        }
 
     def _now_ms(self) -> int:
         return round(self._clock.wall() * _MS_PER_S)
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -202,6 +202,42 @@
     assert daemon.streams.for_resumed(_stream("r2", 3.0)) == "v1"
 
 
+def test_a_plan_written_late_does_not_end_the_one_before_in_the_past() -> None:
+    """Fails if a stream goes on at software that its daemon did not use yet."""
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    one, other = _Daemon(clock), _Daemon(clock)
+    for daemon in (one, other):
+        daemon.apply(plan, {"v1": 9})
+    clock.advance(10.0)
+    counts = {"v1": 9, "v2": 9}
+    late = _revised(plan, 1_010_000, **counts)
+    clock.advance(5.0)
+    names = [f"r{number}" for number in range(100)]
+    assert {one.streams.for_new(_stream(name)) for name in names} == {"v1"}
+    clock.advance(1.0)
+    other.apply(late, counts)
+    clock.advance(0.5)
+    corrected = software_plan.with_ends(late, other.streams.late_ends)
+    started = _Daemon(clock)
+    started.apply(corrected, counts)
+    for daemon in (other, started):
+        found = {daemon.streams.for_resumed(_stream(x, 4.5)) for x in names}
+        assert {x for x in found if isinstance(x, str)} == {"v1"}
+
+
+def test_a_plan_learned_in_time_is_not_written_again() -> None:
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    daemon = _Daemon(clock)
+    daemon.apply(plan, {"v1": 9})
+    clock.advance(10.0)
+    changed = _revised(plan, 1_009_500, v1=9, v2=9)
+    daemon.apply(changed, {"v1": 9, "v2": 9})
+    found = software_plan.with_ends(changed, daemon.streams.late_ends)
+    assert found is changed
+
+
 def test_all_streams_go_on_while_the_plan_stays() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     counts = {"v1": 4, "v2": 5}
