Do not rely on plans of software versions across lost contact

Callers: a stream that was taken up at another daemon went on at a software version that had not begun it (ORDER). Cause: daemons that are cut off during a release begin streams by the plan that they had; others believed that this plan had ended everywhere 3 s after its successor. A cut daemon in turn took up streams by its old plan. Change: plans that were in use when a daemon was heard last stay recent while it is not heard (`Membership.contact`, `PlanContact`). A daemon without the store that does not hear all others resumes only the streams of which it knows. Streams are told also after their end, while their caller may resume them. Silence of two heartbeats instead of three makes a neighbour suspect, so that lost contact is noticed before the 3 s have run out. Three of the tests in test_plan_contact fail without the change: streams at a cut daemon, take-ups by a cut daemon, streams told late.

--- a/figstream/member_table.py
+++ b/figstream/member_table.py
@@ -75,6 +75,8 @@
       version: number of the latest known status.
       state: latest known state.
       since: clock time in seconds at which the state was entered.
+      suspected_at: clock time at which the member was first suspected, None
+        while it is alive.
     """
 
     member: membership_api.Member
@@ -82,6 +84,7 @@
     version: int
     state: MemberState
     since: float
+    suspected_at: float | None = None
 
     @property
     def status(self) -> Status:
@@ -232,6 +235,8 @@
             member, generation=status.generation, leaving=status.leaving
         )
         entry = Entry(changed, run, status.version, state, now)
+        if state is not MemberState.ALIVE:
+            entry.suspected_at = now
         self._entries[run] = entry
         self._run_by_name[member.name] = run
         self._notify_listeners(run, new=True)
@@ -309,6 +314,8 @@
         """Delays every timeout by the time for which this daemon was paused."""
         for entry in self._entries.values():
             entry.since += seconds
+            if entry.suspected_at is not None:
+                entry.suspected_at += seconds
 
     def _merge_own_status(self, own: Entry, status: Status) -> MergeResult:
         if status.version > own.version or (
@@ -324,6 +331,10 @@
     def _set_state(self, entry: Entry, state: MemberState, now: float) -> None:
         entry.state = state
         entry.since = now
+        if state is MemberState.ALIVE:
+            entry.suspected_at = None
+        elif entry.suspected_at is None:
+            entry.suspected_at = now
         self._notify_listeners(entry.run)
 
     def _evict(self, entry: Entry) -> None:
--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -103,6 +103,11 @@
         """Returns the zones that can't be reached on any path."""
         return self._silence.unreachable_zones
 
+    @property
+    def contact(self) -> membership_api.Contact:
+        """Returns how far this daemon is in contact with the others."""
+        return self._silence.contact
+
     def this(self) -> membership_api.Member:
         """Returns this daemon."""
         entry = self._table.find(self._table.own_run)
--- a/figstream/membership_api.py
+++ b/figstream/membership_api.py
@@ -30,6 +30,21 @@
     leaving: bool = False
 
 
+@attrs.frozen
+class Contact:
+    """How far this daemon is in contact with the others.
+
+    Attributes:
+      unheard_since: since when a daemon that may still serve callers has not
+        been heard, in clock seconds, None if all are heard.
+      detection_s: seconds within which a daemon that is no longer heard is
+        noticed.
+    """
+
+    unheard_since: float | None = None
+    detection_s: float = 0.0
+
+
 class Members(Protocol):
     """The live daemons, including this daemon."""
 
--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -13,10 +13,11 @@
 from figstream import logs
 from figstream import member_rings
 from figstream import member_table
+from figstream import membership_api
 from figstream import membership_heartbeat
 
 # Heartbeat intervals of silence after which a neighbour is suspected.
-SILENCE_HEARTBEATS: Final = 3.0
+SILENCE_HEARTBEATS: Final = 2.0
 # Heartbeat intervals within which a suspected daemon must answer.
 SUSPICION_TIMEOUT_HEARTBEATS: Final = 3.0
 # Besides an unanswered suspicion, a death needs a second confirmation: within
@@ -25,6 +26,9 @@
 _DEFER_DEATH_HEARTBEATS: Final = 2.5
 # Heartbeat intervals without a tick after which a zone is unreachable.
 _UNREACHABLE_HEARTBEATS: Final = 5.0
+# A member that is dead for longer than this serves no callers any more, or
+# none who know it.
+_MAX_DEAD_S: Final = 60.0
 # If a check is late by more than this, this daemon itself was paused.
 _PAUSE_HEARTBEATS: Final = 2.0
 # Limits the backoff between two suspicions of the same neighbour.
@@ -103,6 +107,25 @@
         """Returns whether heartbeats from all neighbours have stopped."""
         return self._isolated
 
+    @property
+    def contact(self) -> membership_api.Contact:
+        """Returns how far this daemon is in contact with the others."""
+        now = self._shared.clock.now()
+        since = [
+            (entry.suspected_at or now) - self._silence_timeout_s
+            for entry in self._shared.table.entries
+            if self._may_serve_unheard(entry, now)
+        ]
+        silent_s = now - self._shared.last_received_at
+        if self._links and silent_s > self._silence_timeout_s:
+            since.append(self._shared.last_received_at)
+        # The last heartbeat may have been sent just before contact was lost.
+        heartbeat_s = self._shared.heartbeat_s
+        return membership_api.Contact(
+            min(since) - heartbeat_s if since else None,
+            self._silence_timeout_s + 2 * heartbeat_s,
+        )
+
     def can_reach(self, entry: member_table.Entry) -> bool:
         """Returns whether the member is believed to be reachable."""
         if entry.run == self._shared.table.own_run:
@@ -123,6 +146,15 @@
             logs.warning("member_died", member=entry.member.name)
         self._check_zones(now)
 
+    def _may_serve_unheard(self, entry: member_table.Entry, now: float) -> bool:
+        """Returns whether a member that is not heard may still serve."""
+        if entry.member.leaving:
+            return False
+        if entry.state is member_table.MemberState.DEAD:
+            return now - entry.since < _MAX_DEAD_S
+        suspected = entry.state is member_table.MemberState.SUSPECTED
+        return suspected or entry.member.zone in self._unreachable
+
     def _compensate_own_pause(self, now: float) -> None:
         # A paused daemon received no heartbeats, which does not show that its
         # neighbours were silent. All times are shifted by the pause.
--- a/figstream/stream_parts.py
+++ b/figstream/stream_parts.py
@@ -11,6 +11,7 @@
 from figstream import gateway_sources
 from figstream import membership
 from figstream import object_follower
+from figstream import plan_contact
 from figstream import platform_api
 from figstream import software_planner
 from figstream import stream_software
@@ -59,6 +60,9 @@
         software_planner.SoftwarePlanner(
             plans, sources.entries, sources.directory, streams, members, context
         ),
+        plan_contact.PlanContact(
+            streams, members, (sources.entries, plans), context.clock
+        ),
         stream_software_spread.StreamSoftwareSpread(
             streams,
             members.notices,
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import math
 from typing import Final
 from typing import Protocol
@@ -24,12 +25,13 @@
 from figstream import clock as clock_lib
 from figstream import errors
 from figstream import logs
+from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import reasons
 from figstream import software_plan
 
 # Differences between the clocks of daemons, and the time for a new plan to
-# reach all of them.
+# reach all daemons that are in contact.
 _SLACK_S: Final = 3.0
 # Callers may wait longer than the present time limit of their route, which
 # operators change.
@@ -37,6 +39,8 @@
 # Streams whose versions are recorded; those that a large fleet begins within
 # half a minute.
 _MAX_KNOWN_STREAMS: Final = 65_536
+# Streams that are told again when plans turn out to disagree about them.
+_MAX_RECENT_STREAMS: Final = 8_192
 # Streams whose versions wait for a notice; those of a minute of notices.
 _MAX_PENDING_STREAMS: Final = 4_096
 # Learning a plan later than this after it was written is no usual delay.
@@ -95,6 +99,21 @@
     ended_at: float = math.inf
 
 
+@attrs.define
+class _BegunStream:
+    """A stream that this daemon began.
+
+    Attributes:
+      stream: the stream.
+      software: the version that began it.
+      forget_at: clock time after which no caller resumes it.
+    """
+
+    stream: Stream
+    software: str
+    forget_at: float = math.inf
+
+
 class StreamVersions(Protocol):
     """The software versions of streams, as the request path needs them."""
 
@@ -149,7 +168,9 @@
         self._complete_since_ms = 0
         self._present: Mapping[str, tuple[software_plan.Shares, ...]] = {}
         self._known: dict[int, str] = {}
-        self._relayed: dict[int, tuple[Stream, str]] = {}
+        self._recent: dict[int, _BegunStream] = {}
+        self._contact = membership_api.Contact()
+        self._may_be_outdated = False
         self._pending: dict[int, str] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -199,8 +220,40 @@
         for service, shares in plan.services.items():
             self._apply_shares(service, shares)
         self._present = plan.services
-        for stream, software in list(self._relayed.values()):
-            self._tell_if_uncertain(stream, software)
+        self._tell_recent()
+
+    def apply_contact(
+        self, contact: membership_api.Contact, *, may_be_outdated: bool
+    ) -> None:
+        """Applies how far this daemon is in contact with the others.
+
+        Args:
+          contact: daemons that are not heard may go on with the plan that was
+            in use when they were heard last.
+          may_be_outdated: whether others may have a newer plan than this
+            daemon.
+        """
+        since = contact.unheard_since
+        now = self._clock.now()
+        for period in itertools.chain.from_iterable(
+            periods.values() for periods in self._periods.values()
+        ):
+            if since is not None and period.ended_at >= since:
+                period.ended_at = max(period.ended_at, now)
+        worse = may_be_outdated > self._may_be_outdated or (
+            since is not None
+            and since < (self._contact.unheard_since or math.inf)
+        )
+        if worse or (since is None) != (self._contact.unheard_since is None):
+            logs.info(
+                "plan_contact",
+                unheard_s=round(now - since, 1) if since is not None else 0,
+                outdated=may_be_outdated,
+            )
+        self._contact = contact
+        self._may_be_outdated = may_be_outdated
+        if worse:
+            self._tell_recent()
 
     def for_new(self, stream: Stream) -> str | None:
         """Returns the version at which a stream begins, None for any."""
@@ -253,12 +306,19 @@
         bounded_records.put(
             self._known, stream.key, software, _MAX_KNOWN_STREAMS
         )
-        self._relayed[stream.key] = stream, software
+        self._forget_old()
+        begun = _BegunStream(stream, software)
+        bounded_records.put(
+            self._recent, stream.key, begun, _MAX_RECENT_STREAMS
+        )
         self._tell_if_uncertain(stream, software)
 
     def ended(self, stream: Stream) -> None:
         """Records that this daemon no longer relays a stream."""
-        self._relayed.pop(stream.key, None)
+        begun = self._recent.get(stream.key)
+        if begun:
+            max_s = _PATIENCE_RATIO * stream.timeout_s
+            begun.forget_at = self._clock.now() + max_s
 
     def learn(self, found: Iterable[KnownStream]) -> None:
         """Records the versions of streams that other daemons began."""
@@ -282,6 +342,21 @@
             del self._pending[key]
         return [KnownStream(key, software) for key in taken]
 
+    def _forget_old(self) -> None:
+        """Forgets streams that ended, from the oldest on."""
+        now = self._clock.now()
+        while self._recent:
+            key, oldest = next(iter(self._recent.items()))
+            if oldest.forget_at > now:
+                return
+            del self._recent[key]
+
+    def _tell_recent(self) -> None:
+        now = self._clock.now()
+        for begun in list(self._recent.values()):
+            if begun.forget_at > now:
+                self._tell_if_uncertain(begun.stream, begun.software)
+
     def _tell_if_uncertain(self, stream: Stream, software: str) -> None:
         """Tells other daemons of a stream unless the plans are enough."""
         oldest = attrs.evolve(stream, left_s=0.0)
@@ -297,7 +372,7 @@
         """Returns the version to which all plans assign a stream, if known."""
         periods = self._periods.get(stream.service, {}).values()
         since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
-        if since_ms < self._complete_since_ms:
+        if self._may_be_outdated or since_ms < self._complete_since_ms:
             return None
         since = self._clock.now() - (stream.max_age_s + _SLACK_S)
         recent = [x.weights for x in periods if x.ended_at >= since]
--- /dev/null
+++ b/tests/test_plan_contact.py
@@ -0,0 +1,211 @@
+"""Tests of plans of software versions at daemons that are out of contact."""
+
+import pytest
+
+from bench import member_cluster
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import errors
+from figstream import membership_api
+from figstream import metrics
+from figstream import software_plan
+from figstream import stream_software
+
+_LLM = "llm"
+_TIMEOUT_S = 4.0
+_STREAMS = 100
+# Heartbeats between the loss of contact and its detection everywhere.
+_DETECTION_HEARTBEATS = 4
+
+
+def _servers(**counts: int) -> list[backend_server.BackendServer]:
+    return [
+        backend_server.BackendServer(
+            f"{software}-{number}",
+            "http://10.0.0.1:1",
+            "a",
+            kind=backend_server.ServerKind.SERVICE,
+            service=_LLM,
+            slots=10,
+            software=software,
+        )
+        for software, count in counts.items()
+        for number in range(count)
+    ]
+
+
+class _Fleet:
+    """Two daemons of which one goes out of contact before a new plan."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.ManualClock(1_000.0)
+        self.near, self.cut = (
+            stream_software.StreamSoftware(
+                self.clock, metrics.make_unexported_metrics()
+            )
+            for _ in range(2)
+        )
+        self.plan = software_plan.SoftwarePlan()
+        self.release([self.near, self.cut], v1=9)
+
+    def release(
+        self, daemons: list[stream_software.StreamSoftware], **counts: int
+    ) -> None:
+        """Changes the servers and tells some daemons."""
+        servers = _servers(**counts)
+        now_ms = round(self.clock.wall() * 1000)
+        self.plan = software_plan.revised(self.plan, servers, [_LLM], now_ms)
+        for daemon in daemons:
+            daemon.update_servers(servers)
+            daemon.apply_plan(self.plan)
+
+    def unheard(self, since: float) -> None:
+        """Applies that the daemons do not hear each other."""
+        contact = membership_api.Contact(since)
+        self.near.apply_contact(contact, may_be_outdated=False)
+        self.cut.apply_contact(contact, may_be_outdated=True)
+
+    def begin(
+        self, daemon: stream_software.StreamSoftware, word: str
+    ) -> dict[str, str]:
+        """Begins streams at a daemon; returns the version of each."""
+        names = [f"{word}{number}" for number in range(_STREAMS)]
+        begun = {}
+        for name in names:
+            stream = self.stream(name)
+            software = daemon.for_new(stream)
+            assert software
+            daemon.began(stream, software)
+            begun[name] = software
+        return begun
+
+    def stream(
+        self, name: str, left_s: float = _TIMEOUT_S
+    ) -> stream_software.Stream:
+        """Returns a stream."""
+        return stream_software.Stream(name, _LLM, _TIMEOUT_S, left_s)
+
+    def take_up(
+        self, daemon: stream_software.StreamSoftware, begun: dict[str, str]
+    ) -> int:
+        """Resumes streams; returns how many go on, all at their version."""
+        found = {
+            name: daemon.for_resumed(self.stream(name, _TIMEOUT_S - 0.5))
+            for name in begun
+        }
+        went_on = {
+            name: item
+            for name, item in found.items()
+            if not isinstance(item, errors.Refusal)
+        }
+        assert went_on == {name: begun[name] for name in went_on}
+        return len(went_on)
+
+
+def test_streams_of_a_cut_daemon_do_not_go_on_at_other_software() -> None:
+    """Fails if a plan counts as ended at daemons that can't have the next."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near], v1=9, v2=9)
+    for _ in range(20):
+        fleet.clock.advance(0.5)
+        fleet.unheard(1_000.0)
+    begun = fleet.begin(fleet.cut, "r")
+    fleet.clock.advance(0.5)
+    fleet.take_up(fleet.near, begun)
+
+
+def test_a_daemon_out_of_contact_does_not_trust_its_own_plan() -> None:
+    """Fails if a cut daemon resumes streams that newer plans began."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near], v1=9, v2=9)
+    fleet.clock.advance(8.0)
+    fleet.unheard(1_000.0)
+    begun = fleet.begin(fleet.near, "r")
+    fleet.clock.advance(0.5)
+    assert fleet.take_up(fleet.cut, begun) == 0
+
+
+def test_streams_begun_out_of_contact_are_told_once_contact_is_back() -> None:
+    """Fails if only streams that are still relayed are told."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near], v1=9, v2=9)
+    fleet.clock.advance(8.0)
+    begun = fleet.begin(fleet.cut, "r")
+    for name in begun:
+        fleet.cut.ended(fleet.stream(name))
+    fleet.cut.update_servers(_servers(v1=9, v2=9))
+    fleet.cut.apply_plan(fleet.plan)
+    fleet.near.learn(fleet.cut.take_pending(1_000))
+    fleet.clock.advance(0.5)
+    assert fleet.take_up(fleet.near, begun) == _STREAMS
+
+
+def test_contact_that_is_back_is_no_obstacle_to_later_streams() -> None:
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near], v1=9, v2=9)
+    fleet.clock.advance(8.0)
+    fleet.unheard(1_000.0)
+    fleet.cut.update_servers(_servers(v1=9, v2=9))
+    fleet.cut.apply_plan(fleet.plan)
+    for daemon in (fleet.near, fleet.cut):
+        daemon.apply_contact(membership_api.Contact(), may_be_outdated=False)
+    fleet.clock.advance(12.0)
+    begun = fleet.begin(fleet.cut, "r")
+    assert fleet.take_up(fleet.near, begun) == _STREAMS
+
+
+def test_a_lost_daemon_stops_no_take_up_while_the_plan_stays() -> None:
+    fleet = _Fleet()
+    contact = membership_api.Contact(999.0)
+    fleet.near.apply_contact(contact, may_be_outdated=False)
+    begun = fleet.begin(fleet.cut, "r")
+    assert fleet.take_up(fleet.near, begun) == _STREAMS
+
+
+def _cluster(count: int) -> member_cluster.Cluster:
+    cluster = member_cluster.Cluster()
+    for number in range(count):
+        cluster.add(f"vm-{number:03}", "abc"[number % 3])
+    cluster.run(8)
+    assert not any(
+        node.watch.contact.unheard_since for node in cluster.nodes.values()
+    )
+    return cluster
+
+
+@pytest.mark.parametrize("count", [2, 9, 60])
+def test_all_daemons_notice_that_one_is_out_of_contact(count: int) -> None:
+    cluster = _cluster(count)
+    name = "vm-001"
+    cut_at = cluster.clock.now()
+    cluster.cut = {
+        frozenset({name, other}) for other in cluster.nodes.keys() - {name}
+    }
+    cluster.run(_DETECTION_HEARTBEATS)
+    for node in cluster.nodes.values():
+        since = node.watch.contact.unheard_since
+        assert since is not None
+        assert since <= cut_at
+    cluster.cut = set()
+    cluster.run(12)
+    # Discovery contacts dead members again; the cluster has no discovery.
+    cluster.exchange_members(cluster.nodes[name], cluster.nodes["vm-000"])
+    cluster.run(6)
+    assert not any(
+        node.watch.contact.unheard_since for node in cluster.nodes.values()
+    )
+
+
+def test_all_daemons_notice_that_a_zone_is_out_of_contact() -> None:
+    cluster = _cluster(60)
+    cut_at = cluster.clock.now()
+    cluster.partition_zone("b")
+    cluster.run(_DETECTION_HEARTBEATS)
+    for node in cluster.nodes.values():
+        contact = node.watch.contact
+        assert contact.unheard_since is not None
+        assert contact.unheard_since <= cut_at
