--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -1,13 +1,19 @@
 """Tests of plans of software versions at daemons that are out of contact."""
 
+from typing import cast
+
+import anyio
 import pytest
 
 from bench import member_cluster
 from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import errors
+from figstream import membership
 from figstream import membership_api
 from figstream import metrics
+from figstream import object_follower
+from figstream import plan_contact
 from figstream import software_plan
 from figstream import stream_software
 
@@ -166,6 +172,56 @@
     assert fleet.take_up(fleet.near, begun) == _STREAMS
 
 
+class _Contact:
+    """Stands in for the membership and a follower of a daemon."""
+
+    def __init__(self) -> None:
+        self.contact = membership_api.Contact(detection_s=8.0)
+        self.failing = False
+
+
+async def _trusts_plan(
+    role: plan_contact.PlanContact, fleet: _Fleet, name: str
+) -> bool:
+    with anyio.move_on_after(0.01):
+        await role.run()
+    found = fleet.near.for_resumed(fleet.stream(name))
+    return isinstance(found, str)
+
+
+@pytest.mark.anyio
+async def test_a_plan_is_not_trusted_right_after_the_store_is_lost() -> None:
+    """Fails if a daemon that was just cut off resumes streams by its plan."""
+    fleet, state = _Fleet(), _Contact()
+    clock = fleet.clock
+    role = plan_contact.PlanContact(
+        fleet.near,
+        cast(membership.Membership, state),
+        (cast(object_follower.ObjectFollower, state),),
+        _SleeplessClock(clock),
+    )
+    assert await _trusts_plan(role, fleet, "before")
+    state.failing = True
+    assert not await _trusts_plan(role, fleet, "just lost")
+    clock.advance(9.0)
+    assert await _trusts_plan(role, fleet, "lost for all")
+    state.contact = membership_api.Contact(clock.now() - 1.0, 8.0)
+    assert not await _trusts_plan(role, fleet, "cut off")
+    state.failing = False
+    assert await _trusts_plan(role, fleet, "regained")
+
+
+class _SleeplessClock:
+    """The time of another clock, with real sleeps."""
+
+    def __init__(self, clock: clock_lib.ManualClock) -> None:
+        self.now, self.wall = clock.now, clock.wall
+
+    async def sleep(self, seconds: float) -> None:
+        """Waits without advancing the time."""
+        await anyio.sleep(seconds)
+
+
 def _cluster(count: int) -> member_cluster.Cluster:
     cluster = member_cluster.Cluster()
     for number in range(count):
