Let stand-in workers send an earlier refusal once more

Two faults send the last refusal of a connection, with or without its id, while the next request runs; a third refuses with 429. The soak draws its faults from the same list as before.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -32,12 +32,28 @@
 CRASHING_BODY: Final = b"crashes"
 # Pause before each event of a stream and before a plain answer.
 _ANSWER_DELAY_S: Final = 0.05
-# Faults that a worker may be given. A complete answer without a length is left
-# out: a caller can't distinguish it from a truncated answer.
+# Faults that need a refusal before them, and a refusal that goes with them.
+REPEATED_FAULTS: Final = (
+    standin_worker.Fault.REPEATED,
+    standin_worker.Fault.REPEATED_WITHOUT_ID,
+)
+REFUSALS: Final = (
+    standin_worker.Fault.MISDIRECTED,
+    standin_worker.Fault.SHED,
+    standin_worker.Fault.LIMITED,
+)
+# Other faults that a worker may be given. A complete answer without a length is
+# left out: a caller can't distinguish it from a truncated answer.
 FAULTS: Final = tuple(
     item
     for item in standin_worker.Fault
-    if item not in {standin_worker.Fault.NONE, standin_worker.Fault.UNFRAMED}
+    if item
+    not in {
+        standin_worker.Fault.NONE,
+        standin_worker.Fault.UNFRAMED,
+        standin_worker.Fault.LIMITED,
+        *REPEATED_FAULTS,
+    }
 )
 
 
