--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -48,10 +48,18 @@
 
 @attrs.frozen
 class Head:
-    """Status and headers of an answer; header names in lower case."""
+    """The head of an answer.
+
+    Attributes:
+      status: HTTP status code.
+      headers: the headers, names in lower case.
+      first: whether it is the first answer on its connection, so that it can't
+        belong to an earlier request.
+    """
 
     status: int
     headers: Headers
+    first: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
@@ -197,7 +205,7 @@
                     "server closed the connection without an answer"
                 )
         headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
-        head = Head(event.status_code, headers)
+        head = Head(event.status_code, headers, self._request_count == 1)
         match = _KEEP_ALIVE_PATTERN.search(head.get(b"keep-alive") or b"")
         if match:
             self._idle_timeout_s = float(match[1])
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -4,6 +4,8 @@
 is due, while that request runs.
 """
 
+import anyio
+import anyio.abc
 import pytest
 
 from figstream_platform import standin_worker
@@ -14,6 +16,30 @@
 _REFUSALS = [_Fault.SHED, _Fault.LIMITED, _Fault.MISDIRECTED]
 
 
+class _ScriptedWorker(standin_worker.Worker):
+    """A worker whose answers are given as bytes, one for each request."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        super().__init__()
+        self._answers = answers
+
+    async def serve(
+        self,
+        *,
+        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        listener = await self._listen()
+        task_status.started(self.port)
+        async with listener:
+            await listener.serve(self._answer)
+
+    async def _answer(self, stream: anyio.abc.SocketStream) -> None:
+        self.connections += 1
+        async with stream:
+            while self._answers and await stream.receive():
+                await stream.send(self._answers.pop(0))
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("refusal", _REFUSALS)
 async def test_a_refusal_of_an_earlier_request_is_not_taken_for_the_next_ones(
@@ -26,3 +52,27 @@
         second = await front.send_request("caption", "r2")
         assert (second.status_code, len(front.runs)) == (502, 1)
         assert worker.connections == 1
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("refusal", _REFUSALS)
+async def test_a_refusal_without_id_proves_nothing_on_a_used_connection(
+    refusal: standin_worker.Fault,
+) -> None:
+    worker = _Worker(faults=[refusal, _Fault.REPEATED_WITHOUT_ID])
+    async with gateway_front.front(worker) as front:
+        first = await front.send_request("caption", "r1")
+        assert (first.status_code, front.runs) == (503, [])
+        second = await front.send_request("caption", "r2")
+        assert (second.status_code, len(front.runs)) == (502, 1)
+        assert worker.connections == 1
+
+
+@pytest.mark.anyio
+async def test_a_refusal_without_id_counts_on_a_fresh_connection() -> None:
+    refusal = (
+        b"HTTP/1.1 503 x\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+    )
+    async with gateway_front.front(_ScriptedWorker([refusal])) as front:
+        answer = await front.send_request("caption", "r1")
+        assert answer.status_code == 503
