Send no request again on a connection that refused it

Callers saw a 503, "not run", for a request that its server was running: all servers had refused it, so it went to one of them again, on the same kept connection, and a faulty server sent its first refusal once more. Nothing distinguishes that from a refusal of the second attempt, which has the same id.

A connection now remembers the calls that were refused on it, and another attempt of such a call takes another connection. After 64 refusals a connection is not reused, which bounds the memory at the price of one new connection for 64 refusals.

On the code before, the three cases of test_a_request_is_not_sent_again_where_it_was_refused fail with (503, 1) instead of (200, 1); with the fix taken out again they fail in the same way.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -160,6 +160,7 @@
                 timeouts.connect_s,
                 max(timeouts.idle_s, timeouts.first_byte_s),
                 at_most_once=not attempt.call.idempotent,
+                call_id=attempt.call.caller_id,
             )
         if answer is None:
             return _failed(attempt, _R.FIRST_BYTE_TIMEOUT)
@@ -179,6 +180,8 @@
         if load := self._dialect.load(head):
             self._on_load(attempt.server.name, load)
         fault = self._dialect.fault(attempt, head)
+        if fault and fault.run_state is reasons.RunState.NOT_RUN:
+            answer.mark_refused(attempt.call.caller_id)
         announcement = self._dialect.announcement(head)
         if announcement and self._on_announcement:
             if fault and fault.reason is _R.ANSWER_CROSSED:
--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -24,6 +24,9 @@
 # Longest answer head; four times h11's own default.
 _MAX_HEAD_BYTES: Final = 65_536
 _KEEP_ALIVE_PATTERN: Final = re.compile(rb"timeout=(\d+)")
+# Refusals whose requests a connection remembers; after that many it is not
+# reused, which bounds its memory.
+_MAX_REFUSALS: Final = 64
 # Assumed idle timeout of a server that sends no Keep-Alive header. It is
 # below one second, the shortest timeout that the header can express.
 DEFAULT_IDLE_TIMEOUT_S: Final = 0.9
@@ -91,6 +94,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._closed = False
         self._request_count = 0
+        self._refused_calls: set[str] = set()
         self.read_timeout_s: float | None = None
 
     @property
@@ -102,6 +106,8 @@
         """
         if self._closed or self._unsent:
             return False
+        if len(self._refused_calls) >= _MAX_REFUSALS:
+            return False
         if self._h11.trailing_data[0]:
             return False
         done = h11.DONE
@@ -119,6 +125,18 @@
             return False
         return not self.stream.get_extra_info("is_readable")
 
+    def add_refusal(self, call_id: str) -> None:
+        """Records that the server refused a call on this connection."""
+        self._refused_calls.add(call_id)
+
+    def has_refused(self, call_id: str) -> bool:
+        """Returns whether the server refused a call on this connection.
+
+        If the server sends that refusal once more, nothing distinguishes it
+        from the answer to another attempt of the same call.
+        """
+        return call_id in self._refused_calls
+
     async def send(self, request: Request) -> Head:
         """Sends a request and returns the head of the answer.
 
--- a/figstream/backend_transport.py
+++ b/figstream/backend_transport.py
@@ -59,6 +59,10 @@
             else None
         )
 
+    def mark_refused(self, call_id: str) -> None:
+        """Keeps further attempts of a refused call off this connection."""
+        self._connection.add_refusal(call_id)
+
     def body(self) -> AsyncIterator[bytes]:
         """Yields the body in chunks as they arrive."""
         return self._connection.body()
@@ -89,6 +93,7 @@
         read_s: float | None = None,
         *,
         at_most_once: bool = False,
+        call_id: str = "",
     ) -> Answer:
         """Sends a request and returns its answer once the head has arrived.
 
@@ -98,6 +103,7 @@
           connect_s: timeout of a new connection.
           read_s: longest wait for the next bytes of the answer.
           at_most_once: whether the request may run at most once.
+          call_id: id of the call that the answer will carry, "" for none.
 
         Raises:
           httpcore.ConnectError: the connection failed; nothing was sent.
@@ -106,7 +112,7 @@
           httpcore.ProtocolError: the received bytes are not an answer.
         """
         connection = await self._acquire_idle(
-            address, at_most_once=at_most_once
+            address, call_id, at_most_once=at_most_once
         )
         if connection is None:
             stream = await self._connector.connect(address, connect_s)
@@ -164,18 +170,34 @@
                 self._idle.pop(address, None)
 
     async def _acquire_idle(
-        self, address: server_connector.ServerAddress, *, at_most_once: bool
+        self,
+        address: server_connector.ServerAddress,
+        call_id: str,
+        *,
+        at_most_once: bool,
     ) -> backend_connection.Connection | None:
         idle_fraction = (
             _AT_MOST_ONCE_IDLE_FRACTION
             if at_most_once
             else _RETRYABLE_IDLE_FRACTION
         )
-        idle = self._idle.get(address)
-        while idle:
-            # The last used connection is the most likely to be still open.
-            connection = idle.pop()
+        while connection := self._last_idle(address, call_id):
+            self._idle[address].remove(connection)
             if connection.usable_after_idle(idle_fraction):
                 return connection
             await connection.close()
         return None
+
+    def _last_idle(
+        self, address: server_connector.ServerAddress, call_id: str
+    ) -> backend_connection.Connection | None:
+        """Returns the last used connection that has not refused the call."""
+        # It is the most likely to be still open.
+        return next(
+            (
+                connection
+                for connection in reversed(self._idle.get(address, ()))
+                if not connection.has_refused(call_id)
+            ),
+            None,
+        )
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -76,3 +76,26 @@
     async with gateway_front.front(_ScriptedWorker([refusal])) as front:
         answer = await front.send_request("caption", "r1")
         assert answer.status_code == 503
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("refusal", _REFUSALS)
+async def test_a_request_is_not_sent_again_where_it_was_refused(
+    refusal: standin_worker.Fault,
+) -> None:
+    worker = _Worker(faults=[refusal, _Fault.REPEATED])
+    async with gateway_front.front(worker) as front:
+        answer = await front.send_request("order", "r1")
+        assert (answer.status_code, len(front.runs)) == (200, 1)
+        assert worker.connections == 2
+
+
+@pytest.mark.anyio
+async def test_a_connection_remembers_a_bounded_number_of_refusals() -> None:
+    worker = _Worker(faults=[_Fault.SHED] * 65)
+    async with gateway_front.front(worker) as front:
+        for number in range(64):
+            await front.send_request("caption", f"r{number}")
+        assert worker.connections == 1
+        await front.send_request("caption", "r64")
+        assert worker.connections == 2
