Apply no load and no pause of an answer to an earlier request

A server that was ready again was left out for another pause, or was chosen by an outdated load: a faulty server sent an earlier refusal once more on a kept connection, and the load, the Retry-After and the limits in its head were applied as if the server had just stated them.

Of an answer with another request's id, or with none on a used connection, only that the server is leaving is applied now, which does not change within a run.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -15,6 +15,7 @@
 
 from figstream import answer_buffers
 from figstream import attempt_outcome
+from figstream import backend_connection
 from figstream import backend_dialect
 from figstream import backend_server
 from figstream import backend_transport
@@ -177,17 +178,11 @@
         on_start: Callable[[], None] | None,
     ) -> attempt_outcome.AttemptOutcome:
         head = answer.head
-        if load := self._dialect.load(head):
-            self._on_load(attempt.server.name, load)
         fault = self._dialect.fault(attempt, head)
         if fault and fault.run_state is reasons.RunState.NOT_RUN:
             answer.mark_refused(attempt.call.caller_id)
-        announcement = self._dialect.announcement(head)
-        if announcement and self._on_announcement:
-            if fault and fault.reason is _R.ANSWER_CROSSED:
-                # The answer of an earlier request.
-                sent_at = -math.inf
-            self._on_announcement(attempt.server, announcement, sent_at)
+        crossed = fault is not None and fault.reason is _R.ANSWER_CROSSED
+        self._pass_on(attempt.server, head, -math.inf if crossed else sent_at)
         if on_start and _has_begun(attempt, fault):
             on_start()
         if fault and not self._dialect.passes_server_errors:
@@ -196,7 +191,7 @@
             return await self._receive_events(attempt, answer)
         if self._dialect.needs_framing and not head.framed:
             return _failed(attempt, _R.ANSWER_TRUNCATED, "answer not framed")
-        if fault and fault.reason is _R.ANSWER_CROSSED:
+        if fault and crossed:
             return fault
         body = await stream_relay.read_complete_body(answer, self._buffers)
         answered = attempt_outcome.Answered(
@@ -206,6 +201,35 @@
             return answered
         return dataclasses.replace(fault, answer=answered)
 
+    def _pass_on(
+        self,
+        server: backend_server.BackendServer,
+        head: backend_connection.Head,
+        sent_at: float,
+    ) -> None:
+        """Passes on what the head of an answer says about its server.
+
+        An answer to an earlier request, whose time is unknown, may be outdated.
+        Only that the server is leaving still holds.
+
+        Args:
+          server: the server that answered.
+          head: the head of its answer.
+          sent_at: clock time at which the request was sent, -inf if unknown.
+        """
+        current = sent_at > -math.inf
+        load = self._dialect.load(head)
+        if load and current:
+            self._on_load(server.name, load)
+        announcement = self._dialect.announcement(head)
+        if announcement is None or self._on_announcement is None:
+            return
+        if not current:
+            announcement = server_announcements.Announcement(
+                leaving=announcement.leaving
+            )
+        self._on_announcement(server, announcement, sent_at)
+
     async def _receive_events(
         self, attempt: backend_dialect.Attempt, answer: _Answer
     ) -> attempt_outcome.AttemptOutcome:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -8,6 +8,7 @@
 import anyio.abc
 import pytest
 
+from figstream import scheduler_api
 from figstream_platform import standin_worker
 from tests import gateway_front
 
@@ -128,3 +129,31 @@
         first = await front.send_request("caption", "r1")
         second = await front.send_request("caption", "r2")
         assert (first.status_code, second.status_code) == (200, 502)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("repeated", [_Fault.REPEATED, _Fault.CROSSED])
+async def test_an_answer_to_an_earlier_request_reports_no_load(
+    repeated: standin_worker.Fault,
+) -> None:
+    worker = _Worker(faults=[_Fault.SHED, repeated])
+    async with gateway_front.front(worker) as front:
+        loads: list[scheduler_api.ServerLoad] = []
+        front.context.scheduler.report_load = loads.append  # type: ignore[method-assign,assignment]
+        await front.send_request("caption", "r1")
+        assert len(loads) == 1
+        await front.send_request("order", "r2")
+        assert len(loads) == 1
+
+
+@pytest.mark.anyio
+async def test_a_refusal_of_an_earlier_request_asks_for_no_pause_again() -> (
+    None
+):
+    worker = _Worker(pause_text="0.2", faults=[_Fault.SHED, _Fault.REPEATED])
+    async with gateway_front.front(worker) as front:
+        await front.send_request("caption", "r1")
+        await anyio.sleep(0.25)
+        await front.send_request("caption", "r2")
+        answer = await front.send_request("caption", "r3")
+        assert (answer.status_code, len(front.runs)) == (200, 2)
