Compare the id of an engine's refusal before it counts as not run

Callers of the daemon's own front were told that a request had not run when the refusal that arrived was that of another request: "not run" was read before the id of the answer.

The id is compared first, and a refusal without id counts only as the first answer on its connection.

On the code before, test_a_refusal_of_another_request_proves_nothing fails, since the run state is not_run; with the fix taken out again it fails in the same way.

--- a/figstream/backend_dialect.py
+++ b/figstream/backend_dialect.py
@@ -181,15 +181,19 @@
         """Returns the failure that an answer's head indicates, None if none."""
         status = head.status
         answer_id = head.get(engine_protocol.ID_HEADER.encode())
+        expected_id = attempt.call.request_id.encode()
+        if answer_id is not None and answer_id != expected_id:
+            return may_have_run(attempt, _R.ANSWER_CROSSED)
         not_run = head.get(engine_protocol.NOT_RUN_HEADER.encode()) is not None
-        if status in _REFUSED_STATUSES and not_run:
+        matched = answer_id is not None or head.first
+        if status in _REFUSED_STATUSES and not_run and matched:
             return attempt_outcome.not_run(_R.REFUSED_BY_SERVER)
         is_engine = attempt.server.kind is backend_server.ServerKind.ENGINE
         if status >= 500 and (is_engine or answer_id is None):
             lost = answer_id is None
             reason = _R.CONNECTION_LOST if lost else _R.SERVER_ERROR
             return may_have_run(attempt, reason, f"status {status}")
-        if answer_id != attempt.call.request_id.encode():
+        if answer_id is None:
             return may_have_run(attempt, _R.ANSWER_CROSSED)
         return None
 
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -101,6 +101,13 @@
         assert answer.json()["error"]["run_state"] != "not_run"
 
 
+async def test_a_refusal_of_another_request_proves_nothing() -> None:
+    async with _one_engine() as (stack, engine):
+        engine.faults.refuse = engine.faults.wrong_id = True
+        answer = await _chat(stack, stream=False)
+        assert answer.json()["error"]["run_state"] != "not_run"
+
+
 async def test_refusing_server_is_a_true_not_run() -> None:
     async with _one_engine() as (stack, engine):
         engine.faults.refuse = True
