Play workers that send refusals once more in the soak

The worker refuses four requests with 503, 429 or 421 and repeats the last refusal of a connection while four others run, with its id or without.

--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -82,6 +82,19 @@
             await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
             worker.faults.clear()
 
+    async def repeat_refusals(self, event: plan_lib.Event) -> None:
+        """Lets a worker refuse requests, and later send the refusals again."""
+        refusals = backends_lib.REFUSALS
+        repeats = backends_lib.REPEATED_FAULTS
+        refusal = refusals[event.draw % len(refusals)]
+        repeat = repeats[event.draw // len(refusals) % len(repeats)]
+        with self._observations.record_fault(_SCOPE.ANSWERS):
+            worker = self._backends.choose_site(event.target).worker
+            faults = [refusal] * _FAULTY_ANSWERS + [repeat] * _FAULTY_ANSWERS
+            worker.faults.extend(faults)
+            await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
+            worker.faults.clear()
+
     async def fall_silent(self, event: plan_lib.Event) -> None:
         """Lets a sound worker send nothing for a while; excuses nothing."""
         worker = self._backends.choose_site(event.target).worker
