--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import re
 import time
 from typing import Final
@@ -24,6 +25,10 @@
 # Longest answer head; four times h11's own default.
 _MAX_HEAD_BYTES: Final = 65_536
 _KEEP_ALIVE_PATTERN: Final = re.compile(rb"timeout=(\d+)")
+_STATUS_LINE_PATTERN: Final = re.compile(rb"HTTP/1\.[01] \d{3}")
+# Refusals whose requests a connection remembers; after that many it is not
+# reused, which bounds its memory.
+_MAX_REFUSALS: Final = 64
 # Assumed idle timeout of a server that sends no Keep-Alive header. It is
 # below one second, the shortest timeout that the header can express.
 DEFAULT_IDLE_TIMEOUT_S: Final = 0.9
@@ -48,10 +53,18 @@
 
 @attrs.frozen
 class Head:
-    """Status and headers of an answer; header names in lower case."""
+    """The head of an answer.
+
+    Attributes:
+      status: HTTP status code.
+      headers: the headers, names in lower case.
+      first: whether it is the first answer on its connection, so that it can't
+        belong to an earlier request.
+    """
 
     status: int
     headers: Headers
+    first: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
@@ -83,6 +96,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._closed = False
         self._request_count = 0
+        self._refused_calls: set[str] = set()
         self.read_timeout_s: float | None = None
 
     @property
@@ -94,6 +108,8 @@
         """
         if self._closed or self._unsent:
             return False
+        if len(self._refused_calls) >= _MAX_REFUSALS:
+            return False
         if self._h11.trailing_data[0]:
             return False
         done = h11.DONE
@@ -111,6 +127,18 @@
             return False
         return not self.stream.get_extra_info("is_readable")
 
+    def add_refusal(self, call_id: str) -> None:
+        """Records that the server refused a call on this connection."""
+        self._refused_calls.add(call_id)
+
+    def has_refused(self, call_id: str) -> bool:
+        """Returns whether the server refused a call on this connection.
+
+        If the server sends that refusal once more, nothing distinguishes it
+        from the answer to another attempt of the same call.
+        """
+        return call_id in self._refused_calls
+
     async def send(self, request: Request) -> Head:
         """Sends a request and returns the head of the answer.
 
@@ -197,7 +225,13 @@
                     "server closed the connection without an answer"
                 )
         headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
-        head = Head(event.status_code, headers)
+        first = self._request_count == 1
+        values = (bytes(event.reason), *(value for _, value in headers))
+        if not first and _has_status_line(values):
+            raise httpcore.RemoteProtocolError(
+                "an answer begins within the head of another"
+            )
+        head = Head(event.status_code, headers, first)
         match = _KEEP_ALIVE_PATTERN.search(head.get(b"keep-alive") or b"")
         if match:
             self._idle_timeout_s = float(match[1])
@@ -218,3 +252,12 @@
                 raise httpcore.RemoteProtocolError(
                     "server sent data beyond the end of its answer"
                 )
+
+
+def _has_status_line(values: Iterable[bytes]) -> bool:
+    """Returns whether one of the values of a head contains a status line.
+
+    The head is then the start of an answer that broke off, such as an answer to
+    an earlier request that the server sent once more, and a whole answer.
+    """
+    return any(_STATUS_LINE_PATTERN.search(value) for value in values)
