Let the soak run daemons of two builds

A seed draws whether the fleet goes to the new build, back to the old one, some way and back, or stays mixed, beside its other faults; replaced daemons keep their addresses or move. Without the option nothing changes: the events of a seed are drawn as before.

The launcher runs the build of its working folder, and ends if figstream would be imported from elsewhere.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,7 +20,8 @@
     verdict = "broken" if result.broken else "kept"
     typer.echo(
         f"seed={result.seed} {verdict} sent={result.sent} "
-        f"served={result.served} events={len(result.events)}"
+        f"served={result.served} events={len(result.events)} "
+        f"builds={result.builds!r}"
     )
     if not result.broken:
         return
@@ -46,6 +47,15 @@
     first: Annotated[
         int | None, typer.Option(help="First of the consecutive seeds to play.")
     ] = None,
+    old_build: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            help="Folder with another commit; daemons go from it to this one.",
+            exists=True,
+            file_okay=False,
+            resolve_path=True,
+        ),
+    ] = None,
 ) -> None:
     """Plays the chosen seeds one after the other."""
     logs.configure("error")
@@ -58,7 +68,7 @@
     broken = 0
     for seed in chosen:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        result = anyio.run(system.play, seed, folder)
+        result = anyio.run(system.play, seed, folder, old_build)
         _print_result(result, folder)
         broken += bool(result.broken)
     typer.echo(f"{len(chosen)} seeds, {broken} with broken promises")
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -18,7 +18,8 @@
 from figstream_platform import program
 from figstream_platform import standin_program
 
-_ROOT: Final = pathlib.Path(__file__).parent.parent
+# Folder of the build that this soak belongs to.
+ROOT: Final = pathlib.Path(__file__).resolve().parent.parent
 _LAUNCHER: Final = pathlib.Path(__file__).parent / "launcher.py"
 # Environment variable with the path of the file that holds the clock step.
 CLOCK_VARIABLE: Final = "FIGSTREAM_SOAK_CLOCK"
@@ -94,12 +95,14 @@
       zone: availability zone of the daemon.
       ports: ports of the daemon.
       folder: folder of the settings, the log and the clock step.
+      tree: folder of the build that the next start runs.
     """
 
     name: str
     zone: str
     ports: standin_program.DaemonPorts
     folder: pathlib.Path
+    tree: pathlib.Path = ROOT
     _process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -162,10 +165,12 @@
                     **os.environ,
                     program.SETTINGS_VARIABLE: str(self._settings),
                     CLOCK_VARIABLE: str(self._clock),
+                    # Of no other build.
+                    "PYTHONPATH": str(self.tree),
                 },
                 stdout=log_file,
                 stderr=subprocess.STDOUT,
-                cwd=_ROOT,
+                cwd=self.tree,
             )
 
     async def listens(self) -> bool:
--- a/soak/launcher.py
+++ b/soak/launcher.py
@@ -6,6 +6,7 @@
 the program of each daemon process.
 """
 
+import importlib.util
 import os
 import pathlib
 import runpy
@@ -14,7 +15,8 @@
 import time
 from typing import Any
 
-_ROOT = pathlib.Path(__file__).parent.parent
+# Folder of the build to run.
+_ROOT = pathlib.Path.cwd()
 _clock_step_file = pathlib.Path(os.environ["FIGSTREAM_SOAK_CLOCK"])
 # The ports, then a port that accepts no connection; empty if none is blocked.
 _blocked_file = _clock_step_file.with_suffix(".blocked")
@@ -56,6 +58,9 @@
 time.time = _stepped_time
 socket.socket.connect = _connect  # type: ignore[method-assign, assignment]
 socket.socket.send = _send  # type: ignore[method-assign, assignment]
+_found = importlib.util.find_spec("figstream")
+if not _found or not pathlib.Path(_found.origin or "").is_relative_to(_ROOT):
+    raise SystemExit(f"{_found} is not of {_ROOT}; uninstall figstream")
 # Runs the program with the import path of a direct start.
 sys.path[0] = str(_ROOT / "platform")
 runpy.run_path(str(_ROOT / "platform" / "start.py"), run_name="__main__")
--- a/soak/links.py
+++ b/soak/links.py
@@ -62,6 +62,10 @@
         if mode is LinkMode.RESET:
             self._reset_open()
 
+    def forward_to(self, port: int) -> None:
+        """Forwards new connections to another port."""
+        self._target_port = port
+
     def stall_open(self) -> None:
         """Holds back all data of the open connections for good.
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -21,6 +21,7 @@
 from figstream import http_server
 from figstream_platform import standin_program
 from soak import backends as backends_lib
+from soak import builds
 from soak import callers as callers_lib
 from soak import checks
 from soak import daemons as daemons_lib
@@ -81,6 +82,7 @@
       broken: a message for each violation of a promise.
       sent: number of requests.
       served: number of requests with a complete answer of status 200.
+      builds: how daemons went from one build to the other.
     """
 
     seed: int
@@ -88,6 +90,7 @@
     broken: list[str]
     sent: int
     served: int
+    builds: str
 
 
 class Soak:
@@ -98,8 +101,10 @@
         group: anyio.abc.TaskGroup,
         seed: int,
         folder: pathlib.Path,
+        build_plan: builds.BuildPlan,
     ) -> None:
         """Initializes a soak; settings and logs are written to the folder."""
+        self._build_plan = build_plan
         self._group = group
         self._seed = seed
         self._folder = folder
@@ -128,6 +133,7 @@
                 async with anyio.create_task_group() as faults:
                     for event in events:
                         faults.start_soon(self._play_event, event)
+                    faults.start_soon(self._build_plan.play, self._replace)
                 await self._check_recovery()
                 self._callers.stopping = True
         finally:
@@ -155,7 +161,16 @@
             item.whole and item.status == 200 for item in observed.sent
         )
         broken = checks.broken_promises(observed)
-        return Result(self._seed, events, broken, len(observed.sent), served)
+        if len(self._build_plan.trees) > 1:
+            broken += builds.unread(self._folder)
+        return Result(
+            self._seed,
+            events,
+            broken,
+            len(observed.sent),
+            served,
+            self._build_plan.name,
+        )
 
     async def _start(self) -> None:
         await self._backends.start()
@@ -177,6 +192,7 @@
                 backends_lib.ZONES[number % len(backends_lib.ZONES)],
                 daemon_ports,
                 self._folder,
+                self._build_plan.first[number],
             )
             daemon.write_settings(store_link.port, [x.peers for x in ports])
             daemon.start()
@@ -359,6 +375,24 @@
             while daemon.running and not await daemon.listens():
                 await anyio.sleep(0.05)
 
+    async def _replace(self, replacement: builds.Replacement) -> None:
+        """Ends a daemon and starts one of another build in its place."""
+        number = replacement.daemon
+        daemon = self._daemons[number]
+        with self._observations.record_fault(
+            _SCOPE.STOP, number
+        ) as fault_period:
+            # Other events that restart the daemon take the build too.
+            daemon.tree = replacement.tree
+            await self._terminate_within_grace(number, fault_period.since)
+            if replacement.moves and not daemon.running:
+                daemon.name = f"moved-{daemon.name}"
+                daemon.ports = daemons_lib.make_ports()
+                seeds = [item.ports.peers for item in self._daemons]
+                daemon.write_settings(self._store_links[number].port, seeds)
+                self._caller_links[number].forward_to(daemon.ports.front)
+            await self._start_daemon(number)
+
     async def _pause(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
 
@@ -557,10 +591,19 @@
         self._backends.revoke(_OLD_KEY)
 
 
-async def play(seed: int, folder: pathlib.Path) -> Result:
-    """Plays one seed; settings and logs are written to the folder."""
+async def play(
+    seed: int, folder: pathlib.Path, old_build: pathlib.Path | None = None
+) -> Result:
+    """Plays one seed; settings and logs are written to the folder.
+
+    Args:
+      seed: the seed.
+      folder: the folder.
+      old_build: folder of another build that some daemons run.
+    """
     async with anyio.create_task_group() as group:
-        soak = Soak(group, seed, folder)
+        build_plan = builds.make_build_plan(seed, old_build)
+        soak = Soak(group, seed, folder, build_plan)
         result = await soak.run(plan_lib.make_plan(seed))
         group.cancel_scope.cancel()
     return result
