Seal on when the daemon hands over meanwhile

Callers and the platform saw nothing: the window was stored, and the next daemon went on with it.

Cause: the hand-over discards the drafts while the write is under way, and the seal then took the figures of a draft that was gone; had it not, the next step would have read the first of no drafts. The seal now keeps its draft, and stops after the write if the daemon has handed over.

The test hands over before each platform call of a step; with the fix taken out it fails with the same AttributeError.

--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -153,11 +153,12 @@
         if self._chain.unreported >= MAX_UNREPORTED_WINDOWS:
             self._metrics.event("usage_seal_waits_for_reports")
             return False
-        self._draft_being_sealed, following = self._drafts
+        sealed, following = self._drafts
+        self._draft_being_sealed = sealed
         self._drafts = [following, self._draft_after(following.end_ms)]
         window = usage_window.seal(
             tail,
-            self._draft_being_sealed,
+            sealed,
             round(defaults.USAGE_RETENTION_S * _MS_PER_S),
             secrets.token_hex(_RANDOM_ID_BYTES),
         )
@@ -167,13 +168,17 @@
             self._metrics.event("usage_seal_unconfirmed")
             self._reset()
             return False
-        sealed, self._draft_being_sealed = self._draft_being_sealed, None
         self._metrics.event("usage_window_sealed")
         logs.info(
             "usage_window_sealed",
             window=window.name,
             requests=sum(item.requests for item in sealed.figures),
         )
+        if self._draft_being_sealed is not sealed:
+            # This daemon handed over meanwhile and has no drafts.
+            self._reset()
+            return False
+        self._draft_being_sealed = None
         return True
 
     async def _report_oldest(self) -> bool:
--- a/tests/test_usage_sealing.py
+++ b/tests/test_usage_sealing.py
@@ -271,6 +271,29 @@
     assert stop_at > 5
 
 
+def test_holder_that_hands_over_while_it_seals_does_not_fail() -> None:
+    """Guards against a seal that goes on with drafts that were discarded."""
+    calls = itertools.count(1)
+    while True:
+        system = _System()
+        holder = system.holder()
+        _run_to_end(holder.step())
+        system.count()
+        system.deliver(holder)
+        system.clock.advance(2 * _WINDOW_S)
+        step = holder.step()
+        stop_at = next(calls)
+        try:
+            for _ in range(stop_at):
+                step.send(None)
+        except StopIteration:
+            break
+        _run_to_end(holder.hand_over())
+        _run_to_end(step)
+        system.recover_and_check()
+    assert stop_at > 5
+
+
 def test_late_items_are_listed_apart() -> None:
     system = _System()
     _scenario(system, _Gate())
