--- a/soak/builds.py
+++ b/soak/builds.py
@@ -27,7 +27,8 @@
 # Events that a daemon logs when it can't read what another one stored or sent.
 _UNREAD: Final = re.compile(
     r" event=(?:\w+_unreadable|\w+_malformed|vm_entry_skipped"
-    r"|store_object_skipped|role_restarted|role_stopped|settings_\w+)\b"
+    r"|store_object_skipped|role_stopped .* reason=ConfigurationError"
+    r"|settings_invalid|settings_refused)\b"
 )
 
 
--- a/tests/test_soak_builds.py
+++ b/tests/test_soak_builds.py
@@ -47,6 +47,7 @@
         "time=1 level=INFO event=feed_changed kind=config\n"
         "time=2 level=WARNING event=limit_notice_unreadable detail=odd\n"
         "time=3 level=INFO event=suspect_refused kind=request\n"
+        "time=4 level=INFO event=settings_read changed=none\n"
     )
     (found,) = builds.unread(tmp_path)
     assert "entry-1 could not read: time=2" in found
