Read the store's lists and watches beside unreadable entries

What callers saw: with one odd entry among those of the workers (very deeply nested, a number too large, bytes that are no text), no daemon followed the list any more. Workers that were gone went on getting requests. An object of our own that was unreadable could never be replaced.

Cause: the answer of a list or a watch was decoded as one JSON text, so one entry that orjson refuses made the whole answer a failed call, again and again. Entries that orjson reads but no other step bears (from 255 levels on they can't be encoded for another daemon, near 1,000 not be compared or logged) ended the step that met them instead.

Fix: an answer that is no JSON is divided at its brackets and quotes, and each object is decoded alone. A value that can't be read, or is nested deeper than 64 levels, becomes None, which no decoder of entries accepts: its name is no server to use, and it travels on to other daemons. A watch that can't be divided either is followed by a list, and a list by the usual pauses; what is known is kept.

--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 
 from figstream import clock as clock_lib
 from figstream import http_server
+from figstream import object_follower
 from figstream import platform_api
 from figstream import platform_http
 from figstream import serialization
@@ -16,6 +17,7 @@
 from figstream_platform import duties
 from figstream_platform import standin_store
 from figstream_platform import store as store_lib
+from tests import odd_values
 
 
 class _Adapter:
@@ -207,3 +209,85 @@
     assert isinstance(cut, platform_api.Unavailable)
     gone = await adapter.feed.changes("config", before.position, 0.0)
     assert gone == platform_api.HistoryGone()
+
+
+@pytest.mark.parametrize(
+    "value", odd_values.UNREADABLE.values(), ids=odd_values.UNREADABLE
+)
+@pytest.mark.anyio
+async def test_an_unreadable_entry_hides_no_other_entry_of_a_list(
+    adapter: _Adapter, value: bytes
+) -> None:
+    for number in range(600):
+        adapter.store.put("servers", f"i-{number:04}", {"n": number})
+    for number in (0, 300, 499, 599):
+        adapter.store.put_bytes("servers", f"i-{number:04}", value)
+    found = await adapter.feed.snapshot("servers")
+    assert isinstance(found, platform_api.Snapshot)
+    values = [item.value for item in found.items]
+    assert values == [
+        None if number in {0, 300, 499, 599} else {"n": number}
+        for number in range(600)
+    ]
+    assert found.position == store_era.version_of(1, adapter.store.revision)
+
+
+@pytest.mark.parametrize(
+    "value", odd_values.UNREADABLE.values(), ids=odd_values.UNREADABLE
+)
+@pytest.mark.anyio
+async def test_an_unreadable_entry_hides_no_other_change(
+    adapter: _Adapter, value: bytes
+) -> None:
+    """Fails also if the entry stays as it was, or can't be passed on."""
+    adapter.store.put("servers", "i-1", {"n": 1})
+    listed = await adapter.feed.snapshot("servers")
+    assert isinstance(listed, platform_api.Snapshot)
+    adapter.store.put("servers", "i-0", {"n": 0})
+    revision = adapter.store.put_bytes("servers", "i-1", value)
+    adapter.store.put("servers", "i-2", {"n": 2})
+    adapter.store.remove("servers", "i-0")
+    found = await adapter.feed.changes("servers", listed.position, 1.0)
+    assert isinstance(found, platform_api.FeedChanges)
+    assert found.deleted == ("i-0",)
+    odd, sound = sorted(found.changed, key=lambda item: item.name)
+    version = store_era.version_of(1, revision)
+    assert odd == platform_api.StoredItem("i-1", version, None)
+    assert (sound.name, sound.value) == ("i-2", {"n": 2})
+    passed_on = serialization.to_json(
+        object_follower.StoredItems(found.changed)
+    )
+    assert (
+        serialization.from_json(passed_on, object_follower.StoredItems).items
+        == found.changed
+    )
+
+
+@pytest.mark.anyio
+async def test_an_unreadable_object_can_be_replaced(adapter: _Adapter) -> None:
+    name = "daemons/entry-1"
+    adapter.store.put_bytes("figstream-daemons", "entry-1", b"[" * 5_000)
+    adapter.store.put_bytes("figstream-daemons", "entry-1", b"1e999")
+    found = await adapter.objects.read(name)
+    assert isinstance(found, platform_api.Found)
+    assert found.body == b"null"
+    refused = await adapter.objects.write(name, b"{}", 0)
+    assert refused == platform_api.Conflict(found.version)
+    written = await adapter.objects.write(name, b"{}", found.version)
+    assert isinstance(written, platform_api.Written)
+
+
+@pytest.mark.parametrize("spec", [b'"', b"[", b"[[]]]", b'{"a', b"}"])
+@pytest.mark.anyio
+async def test_an_answer_that_cannot_be_divided_is_a_failed_call(
+    adapter: _Adapter, spec: bytes
+) -> None:
+    adapter.store.put("servers", "i-1", {"n": 1})
+    listed = await adapter.feed.snapshot("servers")
+    assert isinstance(listed, platform_api.Snapshot)
+    adapter.store.put_bytes("servers", "i-0", spec)
+    found = await adapter.feed.snapshot("servers")
+    assert isinstance(found, platform_api.Unavailable)
+    # The next call is a list, which is readable once the object is gone.
+    gone = await adapter.feed.changes("servers", listed.position, 0.0)
+    assert gone == platform_api.HistoryGone()
