Reject server entries with values beyond what a server has

What callers saw: an entry with a port of 5,000 digits ended the role that follows the list ("role_stopped role=ObjectFollower reason=ValueError") at both daemons of a fleet; what came after it in the same step did not learn of the change. An entry with 2**64 - 1 slots ended the software planner of both daemons every second ("role=SoftwarePlanner reason=TypeError"), so that no shares of software versions were planned.

Cause: int() refuses more than 4,300 digits with an error that is not that of an invalid entry; numbers of slots had no bound, and their sums are stored as numbers of 64 bits. Addresses of IPv6 were accepted without brackets, of which no URL can be made, and with any text as their scope. Messages about an entry held the whole of its value.

Evidence: with the decoder as before, 21 new cases of test_platform_wire failed (such as "DID NOT RAISE ConfigurationError"), and test_daemons_follow_their_list_beside_odd_entries failed since requests went to removed workers.

--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -1,12 +1,10 @@
-"""Values of stored objects that no JSON decoder reads, for tests."""
+"""Values of stored objects that other writers may leave, for tests."""
 
 import json
 import pathlib
 from typing import Any
 
-_FILE = (
-    pathlib.Path(__file__).parent.parent / "test-data/unreadable_values.json"
-)
+_FOLDER = pathlib.Path(__file__).parent.parent / "test-data"
 
 
 def _encode(case: dict[str, Any]) -> bytes:
@@ -16,7 +14,22 @@
     return text.encode(str(case.get("encoding", "utf-8")))
 
 
+def unusable_entries(service: str) -> list[bytes]:
+    """Returns entries of servers of a service that must not be used."""
+    cases = json.loads((_FOLDER / "server_entries.json").read_text())
+    values = [case["value"] for case in cases if not case["usable"]]
+    return [
+        json.dumps(
+            {**item, "service": service}
+            if isinstance(item, dict) and item.get("service") == "s"
+            else item
+        ).encode()
+        for item in values
+    ]
+
+
 # By the name of the case.
 UNREADABLE = {
-    item["case"]: _encode(item) for item in json.loads(_FILE.read_text())
+    item["case"]: _encode(item)
+    for item in json.loads((_FOLDER / "unreadable_values.json").read_text())
 }
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,7 +9,10 @@
 from tests import daemon_fleet
 from tests import odd_values
 
-_ODD = tuple(odd_values.UNREADABLE.values())
+_ODD = (
+    *odd_values.UNREADABLE.values(),
+    *odd_values.unusable_entries("llm"),
+)
 # Time within which a change must become active.
 _CHANGE_S = 2.0
 
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -26,8 +26,9 @@
 def test_unusable_server_entries_are_rejected(case: dict[str, Any]) -> None:
     item = platform_api.StoredItem("i-1", 3, case["value"])
     if not case["usable"]:
-        with pytest.raises(errors.ConfigurationError):
+        with pytest.raises(errors.ConfigurationError) as found:
             workers.decode_entry(item)
+        assert len(str(found.value)) < 400
         return
     server = workers.decode_entry(item)
     assert (server.name, server.url) == ("i-1", "http://10.0.0.9:8080")
@@ -36,6 +37,13 @@
     assert (server.state is backend_server.ServerState.DRAINING) == draining
 
 
+@pytest.mark.parametrize("name", ["i\r\nx: y", "i\x00", "\u0131", "i" * 201])
+def test_a_server_whose_name_no_header_holds_is_rejected(name: str) -> None:
+    [value, *_] = [case["value"] for case in _ENTRIES if case["usable"]]
+    with pytest.raises(errors.ConfigurationError):
+        workers.decode_entry(platform_api.StoredItem(name, 3, value))
+
+
 def test_a_manifest_becomes_routes_of_three_kinds() -> None:
     found = gateway_front.decode_manifest()
     routes = {route.name: route for route in found.gateway_routes}
