Do not keep a server whose entry was replaced by an unreadable one

What callers saw: after an outage of the store, a server whose entry another writer had replaced by an odd one went on getting requests until 2.3 s past the outage.

Cause: entries that are missing after an outage may have expired and come back, so their servers stay in use for that time. An entry that is there but can't be read counted as missing.

Fix: only servers without any entry are kept, and one that was kept is dropped once an odd entry stands under its name.

Evidence: test_an_unreadable_entry_is_no_lapsed_one_after_an_outage failed before, {'three', 'one', 'two'} instead of {'one', 'three'}.

--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -113,11 +113,12 @@
     def _apply_items(self, items: object_follower.Items) -> None:
         before = self._servers
         self._note_restore(items)
-        decoded = [
-            self._decode_cached(item)
-            for item in items.values()
-            if self._outdated_versions.get(item.name) != item.version
-        ]
+        present = {
+            name: item
+            for name, item in items.items()
+            if self._outdated_versions.get(name) != item.version
+        }
+        decoded = [self._decode_cached(item) for item in present.values()]
         self._decoded = {
             name: found
             for name, found in self._decoded.items()
@@ -131,11 +132,10 @@
         self._record_departed(before)
         if not self._follower.settled:
             for name, server in before.items():
-                if name not in self._servers:
+                if name not in present:
                     self._missing[name] = server
-        for name in list(self._missing):
-            if name in self._servers:
-                del self._missing[name]
+        for name in self._missing.keys() & present.keys():
+            del self._missing[name]
         if self._missing:
             self._wake.set()
         self._log_difference(before)
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -75,6 +75,28 @@
     assert directory.names == {"one"}
 
 
+@pytest.mark.anyio
+async def test_an_unreadable_entry_is_no_lapsed_one_after_an_outage() -> None:
+    directory = gateway_parts.DirectoryFixture()
+    await directory.run_follower(
+        _list(5, _item("one"), _item("two"), _item("three")), _DOWN
+    )
+
+    def return_of_store() -> platform_api.FeedChanges:
+        directory.clock.advance(4.0)
+        odd = (_item("two", 6, None),)
+        return platform_api.FeedChanges(odd, ("three",), 6)
+
+    await directory.run_follower(return_of_store)
+    assert directory.names == {"one", "three"}
+    late = platform_api.FeedChanges((_item("three", 7, None),), (), 7)
+    await directory.run_follower(late)
+    assert directory.names == {"one"}
+    written = platform_api.FeedChanges((_item("two", 8),), (), 8)
+    await directory.run_follower(written)
+    assert directory.names == {"one", "two"}
+
+
 @pytest.mark.anyio
 async def test_a_settled_peer_is_believed_that_a_server_is_gone() -> None:
     directory = gateway_parts.DirectoryFixture()
