Reject a stored software plan that nothing can be computed with

What callers would see: a plan that another writer has left in the store ended the software planner of every daemon each second, and what else follows it, so that shares of software versions were not planned again.

Cause: a list or a text in place of an object raised AttributeError, which no reader of stored objects expects, instead of the error for invalid objects. And weights of 0, of negative numbers or beyond 64 bits were accepted: their sum divides by zero or can't be stored.

Fix: the decoder reports the first as an invalid object, and a plan checks its weights, times and era, so that an odd one is logged and not used.

Evidence: 10 of 17 cases of test_an_odd_plan_in_the_store_is_an_error_not_a_crash failed before ("DID NOT RAISE ConfigurationError", "AttributeError: 'list' object has no attribute 'keys'").

--- a/figstream/serialization.py
+++ b/figstream/serialization.py
@@ -50,7 +50,13 @@
     """
     try:
         return _converter.structure(value, target_class)
-    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+    except (
+        cattrs.BaseValidationError,
+        ValueError,
+        TypeError,
+        # A list or a text in place of an object has no keys.
+        AttributeError,
+    ) as error:
         found = "; ".join(_reasons(error))
         raise errors.ConfigurationError(
             f"not a valid {target_class.__name__}: {found}; "
--- a/figstream/software_plan.py
+++ b/figstream/software_plan.py
@@ -30,10 +30,30 @@
 _LONG_PERIOD_MS: Final = 10_000
 # Several times the longest time from the begin of a stream to its end.
 HISTORY_MS: Final = 60_000
+# Sums of a few weights stay within numbers of 64 bits.
+_MAX_WEIGHT: Final = 1 << 53
+_MAX_NUMBER: Final = (1 << 63) - 1
 # Number of values of a 64-bit hash.
 _HASH_VALUES: Final = 1 << 64
 
 
+def _check_weights(
+    owner: object, _: object, weights: Mapping[str, int]
+) -> None:
+    # The plan is read from the store, to which other programs write too.
+    if not weights or not all(
+        0 < item <= _MAX_WEIGHT for item in weights.values()
+    ):
+        raise ValueError(
+            f"weights must be numbers from 1 to {_MAX_WEIGHT}, one at least"
+        )
+
+
+def _check_range(owner: object, _: object, number: int) -> None:
+    if not 0 <= number <= _MAX_NUMBER:
+        raise ValueError(f"times and eras must be from 0 to {_MAX_NUMBER}")
+
+
 @attrs.frozen
 class Shares:
     """The shares of the software versions of a service, in one period.
@@ -44,9 +64,9 @@
       ended_ms: end of the period, Unix milliseconds, 0 for the present one.
     """
 
-    since_ms: int
-    weights: Mapping[str, int]
-    ended_ms: int = 0
+    since_ms: int = attrs.field(validator=_check_range)
+    weights: Mapping[str, int] = attrs.field(validator=_check_weights)
+    ended_ms: int = attrs.field(default=0, validator=_check_range)
 
 
 @attrs.frozen
@@ -62,8 +82,8 @@
     """
 
     services: Mapping[str, tuple[Shares, ...]] = {}
-    era: int = 0
-    complete_since_ms: int = 0
+    era: int = attrs.field(default=0, validator=_check_range)
+    complete_since_ms: int = attrs.field(default=0, validator=_check_range)
 
 
 def assign(stream: str, weights: Mapping[str, int]) -> str | None:
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -1,6 +1,7 @@
 """Tests of the plan of software versions and of what follows from it."""
 
 import random
+from typing import Any
 
 import attrs
 import hypothesis
@@ -92,6 +93,40 @@
     assert serialization.to_value(decoded) == value
 
 
+_ODD_WEIGHTS: tuple[Any, ...] = (
+    {},
+    {"v1": 0},
+    {"v1": -1, "v2": 1},
+    {"v1": 2**63},
+    {"v1": 1e300},
+    {"v1": float("inf")},
+    {"v1": "9" * 5_000},
+    [],
+    None,
+)
+_ODD_PLANS: tuple[Any, ...] = (
+    None,
+    [],
+    "text",
+    1,
+    {"services": None},
+    {"services": {}, "era": 1e300},
+    {"services": {}, "complete_since_ms": 2**63},
+    {"services": {_LLM: [{"since_ms": -1, "weights": {"v1": 1}}]}},
+    *(
+        {"services": {_LLM: [{"since_ms": 1, "weights": item}]}}
+        for item in _ODD_WEIGHTS
+    ),
+)
+
+
+@pytest.mark.parametrize("value", _ODD_PLANS)
+def test_an_odd_plan_in_the_store_is_an_error_not_a_crash(value: Any) -> None:
+    """Fails if the plan is used: a sum of 0 ended the planner every second."""
+    with pytest.raises(errors.ConfigurationError):
+        serialization.from_value(value, software_plan.SoftwarePlan)
+
+
 def test_streams_are_divided_by_weight() -> None:
     weights = {"v1": 90, "v2": 30}
     found = [software_plan.assign(f"r{x}", weights) for x in range(4_000)]
