Leave odd entries among those of the workers in the soak

Up to three entries in a plan, drawn by a generator of their own, so that the other events of a seed stay as they were: nested too deeply, a number too large, a port out of range, no text. Half of them stay to the end. They excuse nothing.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,7 @@
     REFUSAL_LIMIT = "refusal_limit"  # Workers crash if they refuse too many.
     WORKER_SILENT = "worker_silent"  # A worker sends nothing for a while.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
+    ODD_ENTRY = "odd_entry"  # Another writer leaves an entry with the workers.
 
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
@@ -70,6 +71,7 @@
         EventKind.PARTITION,
         EventKind.REFUSAL_LIMIT,
         EventKind.WORKER_SILENT,
+        EventKind.ODD_ENTRY,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -91,6 +93,8 @@
 # Most sound workers of a plan that are silent for a moment, and for how long.
 _MAX_SILENT_WORKERS: Final = 2
 _SILENT_S: Final = 1.2
+# Most entries that another writer leaves in a plan.
+_MAX_ODD_ENTRIES: Final = 3
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
 # them come last, since faults excuse a daemon.
@@ -152,6 +156,11 @@
     for _ in range(silent_workers.randint(0, _MAX_SILENT_WORKERS)):
         event = _draw_event(silent_workers, EventKind.WORKER_SILENT)
         events.append(attrs.evolve(event, for_s=_SILENT_S))
+    odd_entries = random.Random(f"odd entries {seed}")
+    events += [
+        _draw_event(odd_entries, EventKind.ODD_ENTRY)
+        for _ in range(odd_entries.randint(0, _MAX_ODD_ENTRIES))
+    ]
     partitions = random.Random(f"partitions {seed}")
     for kind in (EventKind.PARTITION, EventKind.REFUSAL_LIMIT):
         if partitions.random() < _PARTITION_SHARE:
--- a/soak/system.py
+++ b/soak/system.py
@@ -269,6 +269,7 @@
             _KIND.RELEASE: self._worker_events.release,
             _KIND.KILL_ALL: self._kill_all,
             _KIND.WORKER_SILENT: self._worker_events.fall_silent,
+            _KIND.ODD_ENTRY: self._worker_events.leave_odd_entry,
             _KIND.PARTITION: self._partition,
             _KIND.REFUSAL_LIMIT: self._worker_events.limit_refusals,
         }
--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -18,6 +18,17 @@
 # Time between two workers of a release, and for which each drains.
 _RELEASE_GAP_S: Final = 0.5
 _DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
+# Entries that name no worker to use, as another writer may leave them.
+_ODD_ENTRIES: Final = (
+    b"[" * 20_000 + b"]" * 20_000,
+    b'{"a":' * 300 + b"1" + b"}" * 300,
+    b'{"service":"model","slots":1e400,"state":"ready"}',
+    b'{"service":"model","zone":"a","address":"127.0.0.1:9","version":"v1",'
+    b'"slots":18446744073709551615,"state":"ready"}',
+    b'{"service":"model","zone":"a","address":"127.0.0.1:%b","slots":16,'
+    b'"state":"ready"}' % (b"9" * 5_000),
+    b'{"service":"render","zone":"\xff\xfe"}',
+)
 _SCOPE = checks.Scope
 
 
@@ -88,6 +99,15 @@
         worker.silent_until = time.monotonic() + event.for_s
         await anyio.sleep(event.for_s)
 
+    async def leave_odd_entry(self, event: plan_lib.Event) -> None:
+        """Writes an entry that nobody can use; half of them stay."""
+        value = _ODD_ENTRIES[event.draw % len(_ODD_ENTRIES)]
+        name = f"odd-{event.target}"
+        self._backends.store.put_bytes("servers", name, value)
+        await anyio.sleep(event.for_s)
+        if event.target % 2:
+            self._backends.store.remove("servers", name)
+
     async def drain(self, event: plan_lib.Event) -> None:
         """Drains a worker until the soak ends."""
         site = self._backends.choose_site(event.target)
