--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from figstream import backend_connection
 from figstream import backend_server
+from figstream import engine_protocol
 from figstream import errors
 from figstream import gateway_dialect
 from figstream import platform_api
@@ -44,6 +46,25 @@
         workers.decode_entry(platform_api.StoredItem(name, 3, value))
 
 
+@pytest.mark.parametrize(
+    ("value", "report"),
+    [
+        (b"3,0,8", engine_protocol.LoadReport(3, 0)),
+        (b"999999999,0,8", engine_protocol.LoadReport(999_999_999, 0)),
+        (b"1000000000,0,8", None),
+        (b"%b,0,8" % (b"9" * 400), None),
+        (b"0,%b,8" % (b"9" * 5_000), None),
+        (b"-1,0,8", None),
+        (b"3,0", None),
+    ],
+)
+def test_a_load_too_large_to_compute_with_is_no_report(
+    value: bytes, report: engine_protocol.LoadReport | None
+) -> None:
+    head = backend_connection.Head(200, ((workers.LOAD, value),))
+    assert workers.WorkerDialect().load(head) == report
+
+
 def test_a_manifest_becomes_routes_of_three_kinds() -> None:
     found = gateway_front.decode_manifest()
     routes = {route.name: route for route in found.gateway_routes}
