--- a/soak/plan.py
+++ b/soak/plan.py
@@ -54,6 +54,7 @@
     WORKER_SILENT = "worker_silent"  # A worker sends nothing for a while.
     WORKER_REPEATS = "worker_repeats"  # A worker sends refusals once more.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
+    ODD_ENTRY = "odd_entry"  # Another writer leaves an entry with the workers.
 
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
@@ -72,6 +73,7 @@
         EventKind.REFUSAL_LIMIT,
         EventKind.WORKER_SILENT,
         EventKind.WORKER_REPEATS,
+        EventKind.ODD_ENTRY,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -93,8 +95,12 @@
 # Most sound workers of a plan that are silent for a moment, and for how long.
 _MAX_SILENT_WORKERS: Final = 2
 _SILENT_S: Final = 1.2
-# Most workers of a plan that send refusals once more.
-_MAX_REPEATING_WORKERS: Final = 2
+# Most events of a plan of some kinds. Each kind is drawn by a generator of its
+# own, so that the other events of a seed stay as they are.
+_OWN_DRAWS: Final = {
+    EventKind.WORKER_REPEATS: 2,
+    EventKind.ODD_ENTRY: 3,
+}
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
 # them come last, since faults excuse a daemon.
@@ -156,11 +162,12 @@
     for _ in range(silent_workers.randint(0, _MAX_SILENT_WORKERS)):
         event = _draw_event(silent_workers, EventKind.WORKER_SILENT)
         events.append(attrs.evolve(event, for_s=_SILENT_S))
-    repeats = random.Random(f"repeats {seed}")
-    events += [
-        _draw_event(repeats, EventKind.WORKER_REPEATS)
-        for _ in range(repeats.randint(0, _MAX_REPEATING_WORKERS))
-    ]
+    for kind, most in _OWN_DRAWS.items():
+        generator = random.Random(f"{kind.value} {seed}")
+        events += [
+            _draw_event(generator, kind)
+            for _ in range(generator.randint(0, most))
+        ]
     partitions = random.Random(f"partitions {seed}")
     for kind in (EventKind.PARTITION, EventKind.REFUSAL_LIMIT):
         if partitions.random() < _PARTITION_SHARE:
--- a/tests/test_platform_wire.py
+++ b/tests/test_platform_wire.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from figstream import backend_connection
 from figstream import backend_server
+from figstream import engine_protocol
 from figstream import errors
 from figstream import gateway_dialect
 from figstream import platform_api
@@ -26,8 +28,9 @@
 def test_unusable_server_entries_are_rejected(case: dict[str, Any]) -> None:
     item = platform_api.StoredItem("i-1", 3, case["value"])
     if not case["usable"]:
-        with pytest.raises(errors.ConfigurationError):
+        with pytest.raises(errors.ConfigurationError) as found:
             workers.decode_entry(item)
+        assert len(str(found.value)) < 400
         return
     server = workers.decode_entry(item)
     assert (server.name, server.url) == ("i-1", "http://10.0.0.9:8080")
@@ -36,6 +39,32 @@
     assert (server.state is backend_server.ServerState.DRAINING) == draining
 
 
+@pytest.mark.parametrize("name", ["i\r\nx: y", "i\x00", "\u0131", "i" * 201])
+def test_a_server_whose_name_no_header_holds_is_rejected(name: str) -> None:
+    [value, *_] = [case["value"] for case in _ENTRIES if case["usable"]]
+    with pytest.raises(errors.ConfigurationError):
+        workers.decode_entry(platform_api.StoredItem(name, 3, value))
+
+
+@pytest.mark.parametrize(
+    ("value", "report"),
+    [
+        (b"3,0,8", engine_protocol.LoadReport(3, 0)),
+        (b"999999999,0,8", engine_protocol.LoadReport(999_999_999, 0)),
+        (b"1000000000,0,8", None),
+        (b"%b,0,8" % (b"9" * 400), None),
+        (b"0,%b,8" % (b"9" * 5_000), None),
+        (b"-1,0,8", None),
+        (b"3,0", None),
+    ],
+)
+def test_a_load_too_large_to_compute_with_is_no_report(
+    value: bytes, report: engine_protocol.LoadReport | None
+) -> None:
+    head = backend_connection.Head(200, ((workers.LOAD, value),))
+    assert workers.WorkerDialect().load(head) == report
+
+
 def test_a_manifest_becomes_routes_of_three_kinds() -> None:
     found = gateway_front.decode_manifest()
     routes = {route.name: route for route in found.gateway_routes}
