Retry a stream whose rest is answered with something else

Callers saw a stream end as complete after some of its events: it had broken off at its first server, and the next one answered the request for the rest with 400, 404, 409, 429 (not marked as not run), 2xx with JSON or text, 204, 302 or 304. In front of engines such a stream ended without its terminator and without the error event.

Cause: `BackendClient._receive` took every answer that is no stream of events for the answer to the request, and `RequestPath.serve` ends a begun answer in order whatever was answered.

After relayed events only a stream of events counts now. Another answer is a failed attempt, which is retried within attempts, budget and time at a server of the same software; at the end the caller's connection is broken off, so that the caller can take the stream up elsewhere. A caller that itself takes a stream up still gets the error answer of the server, since nothing was sent to it before.

Evidence: with the change in `backend_client` taken out, 20 of the 27 new cases of test_resumed_streams.py fail ("assert not True" for the completeness, "['id: 1', 'id: 2'] == [..., 'id: 3']" with a third server), and test_a_stream_its_engine_forgot_ends_in_an_error_event. The seven others guard what was right before: 500, 503, events without length, and the error answer to a stream that a caller takes up. With it all pass.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -191,6 +191,9 @@
             return fault
         if fault is None and stream_relay.is_event_stream(head):
             return await self._receive_events(attempt, answer)
+        if fault is None and attempt.relay.events_relayed:
+            detail = f"status {head.status} for the rest of a stream"
+            return _failed(attempt, _R.SERVER_ERROR, detail)
         if self._dialect.needs_framing and not head.framed:
             return _failed(attempt, _R.ANSWER_TRUNCATED, "answer not framed")
         if fault and fault.reason is _R.ANSWER_CROSSED:
--- a/figstream/standin_engine.py
+++ b/figstream/standin_engine.py
@@ -61,6 +61,7 @@
       wrong_id: answers with another request's id.
       omit_terminator: ends streams without the terminator.
       refuse: refuses every request before running it.
+      forget: answers 404 to requests that resume a stream.
     """
 
     slowdown: float = 1.0
@@ -69,6 +70,7 @@
     wrong_id: bool = False
     omit_terminator: bool = False
     refuse: bool = False
+    forget: bool = False
 
 
 class EngineCrashError(Exception):
@@ -171,6 +173,10 @@
         if skip and request_id not in self._requests_by_id:
             await self._refuse(send, request_id)
             return
+        if skip and self.faults.forget:
+            not_found = self._answer_headers(request_id)
+            await asgi.send_complete(send, 404, not_found, b"{}")
+            return
         request = self._create_request(headers, scope["path"], body)
         if not skip:
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -91,6 +91,17 @@
         assert 'kind="wasted"' in metrics
 
 
+async def test_a_stream_its_engine_forgot_ends_in_an_error_event() -> None:
+    """Fails if an error answer to the rest of a stream ends the stream."""
+    async with _one_engine() as (stack, engine):
+        engine.faults.break_after_events = 5
+        engine.faults.breaks_left = 1
+        engine.faults.forget = True
+        answer = await _chat(stack)
+        assert len(_words(answer)) == 5
+        assert "event: error" in answer.text
+
+
 async def test_crossed_answer_never_reaches_the_caller() -> None:
     """Fails if `fault` doesn't compare the request ids."""
     async with _one_engine() as (stack, engine):
--- /dev/null
+++ b/tests/test_resumed_streams.py
@@ -0,0 +1,109 @@
+"""Tests of what may add to a stream that a caller has begun to receive."""
+
+import httpx
+import pytest
+
+from figstream_platform import standin_answers
+from figstream_platform import standin_worker
+from tests import gateway_front
+
+_Fault = standin_worker.Fault
+_Worker = standin_worker.Worker
+_WRONG = standin_answers.RESUMED_ANSWERS
+# The first worker's stream breaks off after two of its events.
+_EVENTS = 3
+_BEGUN = 2
+
+
+def _workers(
+    count: int, *wrong: standin_answers.ResumedAnswer
+) -> list[standin_worker.Worker]:
+    """Returns workers that share their faults: the first stream breaks off.
+
+    Those asked for the rest of the stream give the wrong answers first.
+    """
+    faults = [_Fault.CUT]
+    answers = list(wrong)
+    return [
+        _Worker(
+            f"i-{number}",
+            events=_EVENTS,
+            pause_s=0.02,
+            faults=faults,
+            resumed_answers=answers,
+        )
+        for number in range(count)
+    ]
+
+
+async def _receive(front: gateway_front.Front) -> tuple[int, str, bool]:
+    """Returns status and body of a stream, and whether it was complete."""
+    body = b""
+    headers = front.headers("r1", accept="text/event-stream")
+    url = f"{front.url}/rewrite/x"
+    async with front.client.stream("POST", url, headers=headers) as answer:
+        try:
+            async for chunk in answer.aiter_raw():
+                body += chunk
+        except httpx.RemoteProtocolError:
+            return answer.status_code, body.decode(), False
+    return answer.status_code, body.decode(), True
+
+
+def _ids(body: str) -> list[str]:
+    assert body.endswith("\n\n")
+    return [event.split("\n")[0] for event in body.split("\n\n")[:-1]]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("kind", _WRONG)
+async def test_no_wrong_answer_adds_to_a_begun_stream(kind: str) -> None:
+    """Fails if an answer to the rest of a stream ends it as complete."""
+    wrong = _WRONG[kind]
+    async with gateway_front.front(*_workers(2, wrong)) as front:
+        status, body, complete = await _receive(front)
+        assert status == 200
+        assert _ids(body) == [f"id: {x + 1}" for x in range(_BEGUN)]
+        assert not complete
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("kind", _WRONG)
+async def test_a_stream_goes_on_at_a_third_server(kind: str) -> None:
+    """Fails if a wrong answer to the rest of a stream isn't retried."""
+    wrong = _WRONG[kind]
+    async with gateway_front.front(*_workers(3, wrong)) as front:
+        _allow_attempts(front, 3)
+        status, body, complete = await _receive(front)
+        assert (status, complete) == (200, True)
+        assert _ids(body) == [f"id: {x + 1}" for x in range(_EVENTS)]
+        asked = [run.headers["x-expect-instance"] for run in front.runs]
+        assert len(set(asked)) == len(asked) == 3
+
+
+@pytest.mark.anyio
+async def test_a_caller_gets_the_error_answer_to_a_stream_it_takes_up() -> None:
+    """Fails if errors are hidden from a caller that has no answer yet."""
+    worker = _Worker(resumed_answers=[_WRONG["not found"]])
+    async with gateway_front.front(worker) as front:
+        await _begin(front, "r0")
+        answer = await front.send_request(
+            "rewrite", last_event_id="2", resumes="r0"
+        )
+        assert answer.status_code == 404
+        assert answer.headers["x-server-signature"] == "signed by i-1"
+
+
+async def _begin(front: gateway_front.Front, request_id: str) -> None:
+    """Lets the daemon learn the software version of a stream."""
+    servers = [gateway_front.server_of(item, "llm") for item in front.workers]
+    front.serving.streams.update_servers(servers)
+    await front.send_request("rewrite", request_id)
+
+
+def _allow_attempts(front: gateway_front.Front, limit: int) -> None:
+    routes = gateway_front.manifest_value()["routes"]
+    allowed = [{**route, "maxAttempts": limit} for route in routes]
+    gateway_front.set_workers(
+        front.context, front.workers, version=8, routes=allowed
+    )
