Keep the events of error answers out of streams

Callers found an error event in the middle of their stream, or as its last event, and the stream then ended as complete: the server asked for the rest had answered 400, 404 or 409 with a body of text/event-stream. And an error answer of events that broke off went on, under its status 404, with the events of the next server.

Cause: the relay looked at the media type of an answer alone, and at its status only for the head of the first one.

Only an answer with a 2xx status is relayed as a stream of events now. An error is read as a whole: a caller that has no answer yet gets it unchanged, and to a begun stream it adds nothing (the attempt failed and is retried).

--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -24,7 +24,7 @@
 # of an event are none.
 MAX_EVENT_BYTES: Final = 1_000_000
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
-
+_SUCCESS: Final = range(200, 300)
 
 FirstEventListener = Callable[[], None]
 
@@ -162,8 +162,14 @@
 
 
 def is_event_stream(head: backend_connection.Head) -> bool:
-    """Returns whether an answer is a stream of events."""
-    return (head.get(b"content-type") or b"").startswith(asgi.EVENT_STREAM)
+    """Returns whether an answer is a stream of events.
+
+    An error is none, whatever its media type: it is never part of a stream.
+    """
+    content_type = head.get(b"content-type") or b""
+    return head.status in _SUCCESS and content_type.startswith(
+        asgi.EVENT_STREAM
+    )
 
 
 def _last_id(events: bytes) -> bytes:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -94,6 +94,27 @@
         assert answer.headers["x-server-signature"] == "signed by i-1"
 
 
+@pytest.mark.anyio
+async def test_events_are_never_added_to_an_error_answer() -> None:
+    """Fails if an error answer that broke off goes on as a stream."""
+    broken = standin_answers.ResumedAnswer(
+        404,
+        ((b"content-type", b"text/event-stream"), (b"content-length", b"99")),
+        "id: {next}\ndata: no such stream\n\n",
+        framed=False,
+    )
+    answers: list[standin_answers.ResumedAnswer] = []
+    workers = [_Worker(x, resumed_answers=answers) for x in ("i-1", "i-2")]
+    async with gateway_front.front(*workers) as front:
+        await _begin(front, "r0")
+        answers.append(broken)
+        answer = await front.send_request(
+            "rewrite", last_event_id="2", resumes="r0"
+        )
+        assert answer.status_code == 200
+        assert _ids(answer.text) == ["id: 3"]
+
+
 async def _begin(front: gateway_front.Front, request_id: str) -> None:
     """Lets the daemon learn the software version of a stream."""
     servers = [gateway_front.server_of(item, "llm") for item in front.workers]
