Relay no event twice when a server begins a stream anew

Callers got events twice in one stream: it had broken off, and the next server did not go on after the last event but began with the first one, or sent the last one once more. The text of an error that a server wrapped into a successful stream of events came in the middle of the stream as well.

Cause: the relay passed on whatever events the answer to the rest of a stream held.

The relay now compares ids where a stream is taken up, be it by the daemon or by the caller: each event must have an id, and ids must rise (numbers by their value, other text must differ). Otherwise nothing of the events read is relayed, and the attempt has failed. Ids may rise by more than one, since an event may hold several tokens; comments and the line before an id are allowed. Streams without ids, those of engines, are resumed by the count of events and not compared.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -93,6 +93,8 @@
             outcome = _failed(attempt, _R.IDLE_TIMEOUT)
         except answer_buffers.AnswerTooLongError:
             outcome = _failed(attempt, _R.SERVER_ERROR, "answer too long")
+        except stream_relay.EventsRepeatedError as error:
+            outcome = _failed(attempt, _R.SERVER_ERROR, str(error))
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             detail = f"{type(error).__name__} {error}".strip()
             return _failed(attempt, _R.CONNECTION_LOST, detail)
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -205,5 +205,6 @@
                 head.prompt,
                 self._holder.current.generation,
                 head.resumed_stream,
+                head.resumed_after,
             ),
         )
--- a/figstream/gateway_dialect.py
+++ b/figstream/gateway_dialect.py
@@ -34,6 +34,8 @@
       resumed_stream: id of the caller's attempt that brought the first event
         of the stream that the request resumes, "" if the caller does not name
         it, None if the request resumes none.
+      resumed_after: id of the last event that the caller has of that stream,
+        b"" for none.
     """
 
     request_id: str
@@ -47,6 +49,7 @@
     passed: Headers
     size_bytes: int
     resumed_stream: str | None = None
+    resumed_after: bytes = b""
 
 
 class CallerDialect(Protocol):
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -91,6 +91,8 @@
       resumed_stream: id of the caller's attempt that brought the first event
         of the stream that the request resumes, "" if the caller does not name
         it, None if the request resumes none.
+      resumed_after: id of the last event that the caller has of that stream,
+        b"" for none.
     """
 
     route: gateway_route.GatewayRoute
@@ -98,6 +100,7 @@
     prompt: Prompt = Prompt()
     generation: int = 0
     resumed_stream: str | None = None
+    resumed_after: bytes = b""
 
 
 @attrs.frozen
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -94,6 +94,7 @@
             lambda: self._note_first_event(progress),
             rules.terminator,
             rules.read_interval_s,
+            _resumed_after(call),
         )
         progress = request_attempts.RequestProgress(
             call,
@@ -309,6 +310,17 @@
     )
 
 
+def _resumed_after(call: inbound.Call) -> bytes:
+    """Returns the id of the event after which a call takes up a stream.
+
+    Returns b"" for other calls, and where servers may begin anew.
+    """
+    passed = call.passed
+    if passed is None or not passed.route.resumable:
+        return b""
+    return passed.resumed_after
+
+
 def _with_run_state(
     refusal: errors.Refusal, progress: request_attempts.RequestProgress
 ) -> errors.Refusal:
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -24,11 +24,18 @@
 # of an event are none.
 MAX_EVENT_BYTES: Final = 1_000_000
 _EVENT_ID: Final = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
+_COMMENT: Final = b":"
 _SUCCESS: Final = range(200, 300)
+# Longest part of an id in a log.
+_SHOWN_BYTES: Final = 40
 
 FirstEventListener = Callable[[], None]
 
 
+class EventsRepeatedError(Exception):
+    """Raised when a server does not go on after the last event of a stream."""
+
+
 class StreamRelay:
     """Relays the answer of one request over all its attempts."""
 
@@ -38,6 +45,7 @@
         on_first_event: FirstEventListener,
         terminator: bytes = engine_protocol.TERMINATOR,
         read_interval_s: float = READ_INTERVAL_S,
+        resumed_after: bytes = b"",
     ) -> None:
         """Initializes the relay to one caller.
 
@@ -46,6 +54,8 @@
           on_first_event: called when the first event is relayed.
           terminator: bytes that end a complete stream, b"" for none.
           read_interval_s: minimum interval between two reads.
+          resumed_after: id of the last event that the caller has of a stream
+            that it takes up, b"" for none.
         """
         self._answer = answer
         self._on_first_event = on_first_event
@@ -55,7 +65,8 @@
         self._head = backend_connection.Head(0, ())
         self._ended = False
         self._events_before = 0
-        self._last_event_id = b""
+        self._last_event_id = resumed_after
+        self._resumed = False
         self.monitor = stream_monitor.StreamMonitor(streamed=True)
         self.first_byte_at = 0.0
         self.last_byte_at = 0.0
@@ -94,11 +105,15 @@
 
         Raises:
           answer_buffers.AnswerTooLongError: an event does not end.
+          EventsRepeatedError: the events do not go on after those that the
+            caller has; nothing is relayed of them.
           httpcore.ReadTimeout: nothing arrived for the idle timeout.
           httpcore.NetworkError: the connection broke.
         """
         self._head = answer.head
         self._events_before = self.monitor.events
+        # Events of servers that give no ids can't be compared.
+        self._resumed = bool(self._last_event_id)
         self._buffer.clear()
         paced = answer.stream
         if paced:
@@ -124,6 +139,8 @@
             return
         end += len(engine_protocol.EVENT_END)
         ready = bytes(self._buffer[:end])
+        if self._resumed:
+            _check_order(self._last_event_id, ready)
         del self._buffer[:end]
         if not self.first_byte_at:
             self.first_byte_at = time.monotonic()
@@ -172,6 +189,38 @@
     )
 
 
+def _check_order(last_id: bytes, events: bytes) -> None:
+    """Checks that events go on after an event.
+
+    Args:
+      last_id: id of the event.
+      events: complete events.
+
+    Raises:
+      EventsRepeatedError: an event has no id, or its id does not rise.
+    """
+    for event in events.split(engine_protocol.EVENT_END):
+        lines = [line for line in event.split(b"\n") if line]
+        if all(line.startswith(_COMMENT) for line in lines):
+            continue
+        event_id = _last_id(event)
+        if not event_id or not _rises(last_id, event_id):
+            raise EventsRepeatedError(
+                f"event id {event_id[:_SHOWN_BYTES]!r}"
+                f" after {last_id[:_SHOWN_BYTES]!r}"
+            )
+        last_id = event_id
+
+
+def _rises(last_id: bytes, event_id: bytes) -> bool:
+    """Returns whether an id may follow another; both may be any text."""
+    if not last_id.isdigit() or not event_id.isdigit():
+        return event_id != last_id
+    # Both may have more digits than Python converts.
+    old, new = last_id.lstrip(b"0"), event_id.lstrip(b"0")
+    return (len(new), new) > (len(old), old)
+
+
 def _last_id(events: bytes) -> bytes:
     """Returns the id of the last event that has one, or b""."""
     found = _EVENT_ID.findall(events)
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -12,6 +12,7 @@
 _WRONG = standin_answers.RESUMED_ANSWERS
 # The first worker's stream breaks off after two of its events.
 _EVENTS = 3
+_EVENT_HEADERS = ((b"content-type", b"text/event-stream"),)
 _BEGUN = 2
 
 
@@ -99,7 +100,7 @@
     """Fails if an error answer that broke off goes on as a stream."""
     broken = standin_answers.ResumedAnswer(
         404,
-        ((b"content-type", b"text/event-stream"), (b"content-length", b"99")),
+        (*_EVENT_HEADERS, (b"content-length", b"99")),
         "id: {next}\ndata: no such stream\n\n",
         framed=False,
     )
@@ -115,6 +116,37 @@
         assert _ids(answer.text) == ["id: 3"]
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    "kind", ["events from the first on", "last event once more"]
+)
+async def test_a_caller_gets_no_event_again_of_a_stream_it_takes_up(
+    kind: str,
+) -> None:
+    """Fails if only streams that a daemon itself resumes are checked."""
+    answers: list[standin_answers.ResumedAnswer] = []
+    workers = [_Worker(x, resumed_answers=answers) for x in ("i-1", "i-2")]
+    async with gateway_front.front(*workers) as front:
+        await _begin(front, "r0")
+        answers.append(_WRONG[kind])
+        answer = await front.send_request(
+            "rewrite", last_event_id="2", resumes="r0"
+        )
+        assert answer.status_code == 200
+        assert _ids(answer.text) == ["id: 3"]
+
+
+@pytest.mark.anyio
+async def test_events_may_rise_by_more_than_one_and_have_comments() -> None:
+    """Fails if a sound rest of a stream counts as repeated events."""
+    rest = "id: 9\ndata: x\n\n: comment\n\nx-weight-versions: 2\nid: 10\n\n"
+    sound = standin_answers.ResumedAnswer(200, _EVENT_HEADERS, rest)
+    async with gateway_front.front(*_workers(2, sound)) as front:
+        status, body, complete = await _receive(front)
+        assert (status, complete) == (200, True)
+        assert body.endswith(rest)
+
+
 async def _begin(front: gateway_front.Front, request_id: str) -> None:
     """Lets the daemon learn the software version of a stream."""
     servers = [gateway_front.server_of(item, "llm") for item in front.workers]
