Break off a stream without ids instead of beginning it anew

Callers got the first events of a stream twice, and the stream ended as complete: its events had no ids, it had broken off, and the next server was asked to go on after an empty id, which began the stream again.

Without an id nothing can say where a stream goes on, so the caller's connection is broken off now.

Evidence: without the change the new test fails ("(200, True) == (200, False)"), with it it passes.

--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -167,6 +167,8 @@
             progress.pending.tried.add(server)
             return None
         if self._services.rules.resumes_anywhere:
+            if not progress.relay.last_event_id:
+                return _incomplete_answer("the events have no ids")
             progress.pending.tried.add(server)
             progress.resume = True
             return None
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -136,6 +136,19 @@
         assert _ids(answer.text) == ["id: 3"]
 
 
+@pytest.mark.anyio
+async def test_a_stream_without_ids_is_not_begun_anew() -> None:
+    """Fails if a stream is resumed after an event that has no id."""
+    workers = _workers(2)
+    for worker in workers:
+        worker.event_ids = False
+    async with gateway_front.front(*workers) as front:
+        status, body, complete = await _receive(front)
+        assert (status, complete) == (200, False)
+        assert body.count("data: ") == _BEGUN
+        assert len(front.runs) == 1
+
+
 @pytest.mark.anyio
 async def test_events_may_rise_by_more_than_one_and_have_comments() -> None:
     """Fails if a sound rest of a stream counts as repeated events."""
