Relay events that come through a peer as they arrive

Callers of a daemon that reached its backend servers through peers got no event of a stream before it had ended, so that its first event came late or after they had left; a stream that broke off had to run again from its first event, and one longer than 1 MB was given up.

Cause: `StreamRelay` relayed events only before each paced read, and connections through peers are not paced.

The relay now writes complete events after each chunk of such connections.

Evidence: without the change the new test fails ("bytearray(b'') == b'id: 1\n\n'" 0.3 s after the first event), with it it passes.

--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -125,6 +125,8 @@
                     if len(self._buffer) > MAX_EVENT_BYTES:
                         raise answer_buffers.AnswerTooLongError
                     self._buffer += chunk
+                    if paced is None:
+                        await self.flush()
                     buffer.resize(len(self._buffer))
         finally:
             if paced:
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+from typing import Any
 
 import anyio
 import anyio.abc
@@ -10,15 +11,21 @@
 import httpcore
 import pytest
 
+from figstream import answer_buffers
+from figstream import backend_connection
 from figstream import backend_server
+from figstream import backend_transport
 from figstream import clock as clock_lib
+from figstream import gateway_answer
 from figstream import membership_api
 from figstream import metrics
 from figstream import peer_server
 from figstream import peer_tunnels
 from figstream import server_connector
 from figstream import server_paths
+from figstream import stream_relay
 from figstream import tunnel_server
+from figstream_platform import callers
 from figstream_platform import standin_worker
 from soak import daemons
 
@@ -183,3 +190,49 @@
         assert await connector.accepts(refused, 1.0)
         crashed = attrs.evolve(refused, server="i-2")
         assert not await connector.accepts(crashed, 1.0)
+
+
+@pytest.mark.anyio
+async def test_events_come_through_a_peer_as_they_arrive() -> None:
+    """Fails if a stream through a peer is relayed only when it has ended."""
+    body = bytearray()
+
+    async def send(message: dict[str, Any]) -> None:
+        body.extend(message.get("body", b""))
+
+    answer = gateway_answer.GatewayAnswer(
+        send, callers.PlatformCallers(), "r1", lambda: False
+    )
+    async with _peers() as peers, anyio.create_task_group() as group:
+        paths = server_paths.ServerPaths(
+            clock_lib.SystemClock(), metrics.make_unexported_metrics()
+        )
+        paths.mark_lost(["i-1"])
+        connector = server_connector.PathConnector(
+            server_connector.DirectConnector(), paths, peers.tunnels
+        )
+
+        async def relay() -> None:
+            received = await backend_transport.BackendTransport(connector).send(
+                server_connector.ServerAddress("127.0.0.1", 1, "i-1"),
+                backend_connection.Request(
+                    b"GET", b"/", ((b"host", b"x"),), b""
+                ),
+                1.0,
+                5.0,
+            )
+            buffers = answer_buffers.AnswerBuffers()
+            stream = stream_relay.StreamRelay(answer, lambda: None, b"")
+            await stream.relay_events(received, 5.0, buffers)
+            await received.close()
+
+        group.start_soon(relay)
+        while not peers.connections:
+            await anyio.sleep(0.01)
+        [connection] = peers.connections
+        await connection.send(b"HTTP/1.1 200 OK\r\n\r\nid: 1\n\nid: 2\nda")
+        await anyio.sleep(0.3)
+        assert body == b"id: 1\n\n"
+        await connection.send(b"ta: x\n\n")
+        await connection.aclose()
+    assert body == b"id: 1\n\nid: 2\ndata: x\n\n"
