Take an answer without a body for complete without a length

Callers of the daemon's own front got 502 for calls that a service had answered 204, and at-most-once calls counted as possibly lost: an answer had to have a length or be chunked, which 204 and 304 must not and answers to HEAD need not.

Cause: `Head.framed` knew headers only. It now knows from status and method that there is no body. A 204 that names the media type of events is no stream of events either, and ends none.

Evidence: without the change the two cases of 204 fail ("502 == 204"), with it they pass; the case of HEAD with 200 passed before.

--- a/figstream/asgi.py
+++ b/figstream/asgi.py
@@ -19,6 +19,7 @@
 
 JSON: Final = b"application/json"
 EVENT_STREAM: Final = b"text/event-stream"
+NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
 class CallerGoneError(Exception):
--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -17,6 +17,8 @@
 import h11
 import httpcore
 
+from figstream import asgi
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # The kernel's usual receive buffer.
@@ -48,10 +50,17 @@
 
 @attrs.frozen
 class Head:
-    """Status and headers of an answer; header names in lower case."""
+    """Status and headers of an answer; header names in lower case.
+
+    Attributes:
+      status: HTTP status code.
+      headers: names and values.
+      has_body: whether the answer may have a body.
+    """
 
     status: int
     headers: Headers
+    has_body: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
@@ -59,7 +68,9 @@
 
     @property
     def framed(self) -> bool:
-        """Returns whether headers determine where the answer ends."""
+        """Returns whether its head determines where the answer ends."""
+        if not self.has_body:
+            return True
         names = {name for name, _ in self.headers}
         return bool({b"content-length", b"transfer-encoding"} & names)
 
@@ -83,6 +94,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._closed = False
         self._request_count = 0
+        self._method = b""
         self.read_timeout_s: float | None = None
 
     @property
@@ -121,6 +133,7 @@
         if self._request_count:
             self._h11.start_next_cycle()
         self._request_count += 1
+        self._method = request.method
         self._unsent = self._encode(request)
         if len(self._unsent) <= _READ_BYTES:
             await self._write()
@@ -197,7 +210,11 @@
                     "server closed the connection without an answer"
                 )
         headers = tuple((bytes(k), bytes(v)) for k, v in event.headers)
-        head = Head(event.status_code, headers)
+        status = event.status_code
+        has_body = (
+            self._method != b"HEAD" and status not in asgi.NO_BODY_STATUSES
+        )
+        head = Head(status, headers, has_body)
         match = _KEEP_ALIVE_PATTERN.search(head.get(b"keep-alive") or b"")
         if match:
             self._idle_timeout_s = float(match[1])
--- a/figstream/gateway_answer.py
+++ b/figstream/gateway_answer.py
@@ -35,7 +35,6 @@
         _R.INVALID_HEADER,
     }
 )
-_NO_BODY_STATUSES: Final = frozenset({204, 304})
 
 
 class GatewayAnswer:
@@ -90,7 +89,7 @@
         passed_headers = self._with_close_header(
             self._dialect.answer_headers(answered.headers)
         )
-        if answered.status in _NO_BODY_STATUSES:
+        if answered.status in asgi.NO_BODY_STATUSES:
             await asgi.send_start(self._send, answered.status, passed_headers)
             await self.end()
             return
--- a/figstream/standin_service.py
+++ b/figstream/standin_service.py
@@ -26,11 +26,13 @@
       delay_s: duration of a call.
       deaths_left: how many of the next calls take effect but get no answer.
       refuse: refuses every call before running it.
+      no_content: answers 204, which has neither body nor length.
     """
 
     delay_s: float = 0.0
     deaths_left: int = 0
     refuse: bool = False
+    no_content: bool = False
 
 
 @attrs.frozen
@@ -121,6 +123,10 @@
         if self.faults.deaths_left > 0:
             self.faults.deaths_left -= 1
             raise ServiceDeathError("the service crashed after the effect")
+        if self.faults.no_content:
+            await asgi.send_start(send, 204, answer_headers)
+            await asgi.send_body(send, b"", more=False)
+            return
         answer = orjson.dumps(
             {"service": self.name, "effect": len(self.effects)}
         )
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -185,10 +185,10 @@
 
     An error is none, whatever its media type: it is never part of a stream.
     """
+    if head.status not in _SUCCESS or not head.has_body:
+        return False
     content_type = head.get(b"content-type") or b""
-    return head.status in _SUCCESS and content_type.startswith(
-        asgi.EVENT_STREAM
-    )
+    return content_type.startswith(asgi.EVENT_STREAM)
 
 
 def _check_order(last_id: bytes, events: bytes) -> None:
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -267,3 +267,21 @@
             metrics
         )
         assert "figstream_first_token_seconds_bucket" in metrics
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("POST", 204), ("HEAD", 204), ("HEAD", 200)]
+)
+async def test_an_answer_that_has_no_body_needs_no_length(
+    method: str, status: int
+) -> None:
+    """Fails if an answer without a body counts as incomplete."""
+    async with _one_engine() as (stack, _):
+        stack.service.faults.no_content = status == 204
+        async with httpx.AsyncClient() as client:
+            answer = await client.request(
+                method, stack.url(0) + "/bookings/x", headers=_headers(stack)
+            )
+        assert answer.status_code == status
+        assert not answer.content
+        assert len(stack.service.effects) == 1
