Do not take the end of a killed server for that of its answer

Callers got a part of an answer or a stream that ended as complete: it had no length, and its server was killed after whole events (or anywhere in a plain answer). The kernel ends the connections of a killed process in order, so that this looks like the end of the answer.

After an answer without a length the daemon now asks whether the server still accepts connections. If not, the answer is incomplete: a stream goes on at another server, a request that may be repeated is repeated, and for others the caller's connection is broken off or gets 502.

The check after a broken connection, which tells crashes from other ends, waits as well.

What this can't see: a server that is back within 20 ms, and one whose end shows as no refusal (a proxy in between). A server that ends in order within 20 ms after a complete answer passes for killed. It costs a connection for each answer without a length.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -15,6 +15,7 @@
 
 from figstream import answer_buffers
 from figstream import attempt_outcome
+from figstream import backend_connection
 from figstream import backend_dialect
 from figstream import backend_server
 from figstream import backend_transport
@@ -31,6 +32,9 @@
 # A failed request waits at most this long for the check whether its server
 # has crashed.
 _CRASH_CHECK_TIMEOUT_S: Final = 0.1
+# A process that ends may close its connections before the socket that accepts
+# new ones; both close within milliseconds.
+_CRASH_CHECK_DELAY_S: Final = 0.02
 _R = reasons.RetryReason
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
@@ -137,7 +141,12 @@
         return None
 
     async def listens(self, server: backend_server.BackendServer) -> bool:
-        """Returns whether a server accepts connections, or may accept them."""
+        """Returns whether a server accepts connections, or may accept them.
+
+        Called when a connection has ended; waits until a process that ends has
+        closed all its sockets.
+        """
+        await anyio.sleep(_CRASH_CHECK_DELAY_S)
         return await self._connector.accepts(
             server_connector.address_of(server), _CRASH_CHECK_TIMEOUT_S
         )
@@ -201,6 +210,8 @@
         if fault and fault.reason is _R.ANSWER_CROSSED:
             return fault
         body = await stream_relay.read_complete_body(answer, self._buffers)
+        if await self._ended_with_server(attempt, head):
+            return _failed(attempt, _R.ANSWER_TRUNCATED, "server gone")
         answered = attempt_outcome.Answered(
             head.status, head.headers, body, head.framed
         )
@@ -215,12 +226,26 @@
         await attempt.relay.relay_events(answer, idle_s, self._buffers)
         if not attempt.relay.whole:
             return _failed(attempt, _R.ANSWER_TRUNCATED)
+        if await self._ended_with_server(attempt, answer.head):
+            return _failed(attempt, _R.ANSWER_TRUNCATED, "server gone")
         return attempt_outcome.Answered(
             answer.head.status,
             answer.head.headers,
             framed=answer.head.framed,
         )
 
+    async def _ended_with_server(
+        self, attempt: backend_dialect.Attempt, head: backend_connection.Head
+    ) -> bool:
+        """Returns whether an answer without a length may be cut short.
+
+        The kernel ends the connections of a killed process in order, but no
+        longer accepts any for it.
+        """
+        if head.framed or self._dialect.needs_framing:
+            return False
+        return not await self.listens(attempt.server)
+
     async def _cancel(self, attempt: backend_dialect.Attempt) -> None:
         request = self._dialect.cancel_request(attempt.call)
         if request is None:
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -1,5 +1,12 @@
 """Tests of what may add to a stream that a caller has begun to receive."""
 
+from collections.abc import Iterator
+import contextlib
+import subprocess
+import sys
+
+import anyio
+import anyio.to_thread
 import httpx
 import pytest
 
@@ -16,6 +23,55 @@
 _BEGUN = 2
 
 
+# A server that sends the head of an answer without a length and a whole event,
+# then waits until it is killed.
+_SERVER = """
+import socket, sys, time
+listener = socket.create_server(("127.0.0.1", 0))
+print(listener.getsockname()[1], flush=True)
+connection, _ = listener.accept()
+head = connection.recv(65536).decode()
+name = "x-request-id: "
+lines = [x for x in head.split("\\r\\n") if x.lower().startswith(name)]
+lines += ["x-server-signature: s", "content-type: " + sys.argv[1]]
+answer = "HTTP/1.1 200 OK\\r\\n" + "\\r\\n".join(lines) + "\\r\\n\\r\\n"
+connection.sendall(answer.encode() + b"id: 1\\ndata: i-1\\n\\n")
+print("sent", flush=True)
+time.sleep(60)
+"""
+
+
+@contextlib.contextmanager
+def _server_process(
+    content_type: str,
+) -> Iterator[tuple[subprocess.Popen[str], standin_worker.Worker]]:
+    """Runs a server of `_SERVER`; yields it and how it is registered."""
+    command = [sys.executable, "-c", _SERVER, content_type]
+    with subprocess.Popen(
+        command, stdout=subprocess.PIPE, text=True
+    ) as process:
+        assert process.stdout
+        port = int(process.stdout.readline())
+        try:
+            yield process, _Worker("i-1", port=port)
+        finally:
+            process.kill()
+
+
+async def _replace_and_kill(
+    front: gateway_front.Front,
+    process: subprocess.Popen[str],
+    workers: list[standin_worker.Worker],
+) -> None:
+    """Registers other servers, then kills one that has begun to answer."""
+    assert process.stdout
+    await anyio.to_thread.run_sync(process.stdout.readline)
+    # Until the daemon has read what was sent.
+    await anyio.sleep(0.1)
+    gateway_front.set_workers(front.context, workers, version=9)
+    process.kill()
+
+
 def _workers(
     count: int, *wrong: standin_answers.ResumedAnswer
 ) -> list[standin_worker.Worker]:
@@ -37,11 +93,13 @@
     ]
 
 
-async def _receive(front: gateway_front.Front) -> tuple[int, str, bool]:
+async def _receive(
+    front: gateway_front.Front, route: str = "rewrite"
+) -> tuple[int, str, bool]:
     """Returns status and body of a stream, and whether it was complete."""
     body = b""
     headers = front.headers("r1", accept="text/event-stream")
-    url = f"{front.url}/rewrite/x"
+    url = f"{front.url}/{route}/x"
     async with front.client.stream("POST", url, headers=headers) as answer:
         try:
             async for chunk in answer.aiter_raw():
@@ -160,6 +218,50 @@
         assert body.endswith(rest)
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("route", "events", "complete"),
+    [("rewrite", _EVENTS, True), ("caption", 1, False)],
+)
+async def test_a_stream_of_a_killed_server_is_not_complete(
+    route: str, events: int, *, complete: bool
+) -> None:
+    """Fails if the end of a process passes for that of its stream."""
+    other = _Worker("i-2", events=_EVENTS)
+    with _server_process("text/event-stream") as (process, killed):
+        async with gateway_front.front(other) as front:
+            gateway_front.set_workers(front.context, [killed], version=8)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    _replace_and_kill, front, process, [killed, other]
+                )
+                status, body, ended = await _receive(front, route)
+        assert (status, ended) == (200, complete)
+        assert _ids(body) == [f"id: {x + 1}" for x in range(events)]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("route", "expected"), [("order", 502), ("status", 200)]
+)
+async def test_an_answer_of_a_killed_server_is_not_complete(
+    route: str, expected: int
+) -> None:
+    """Fails if the end of a process passes for that of its answer."""
+    other = _Worker("i-2")
+    with _server_process("text/plain") as (process, killed):
+        async with gateway_front.front(other) as front:
+            gateway_front.set_workers(front.context, [killed], version=8)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    _replace_and_kill, front, process, [killed, other]
+                )
+                answer = await front.send_request(route)
+            assert answer.status_code == expected
+            if expected == 200:
+                assert answer.text == "answer i-2"
+
+
 async def _begin(front: gateway_front.Front, request_id: str) -> None:
     """Lets the daemon learn the software version of a stream."""
     servers = [gateway_front.server_of(item, "llm") for item in front.workers]
