--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -18,6 +18,8 @@
 import h11
 import httpcore
 
+from figstream import asgi
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 # The kernel's usual receive buffer.
@@ -60,11 +62,13 @@
       headers: the headers, names in lower case.
       first: whether it is the first answer on its connection, so that it can't
         belong to an earlier request.
+      has_body: whether the answer may have a body.
     """
 
     status: int
     headers: Headers
     first: bool = True
+    has_body: bool = True
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header."""
@@ -72,7 +76,9 @@
 
     @property
     def framed(self) -> bool:
-        """Returns whether headers determine where the answer ends."""
+        """Returns whether its head determines where the answer ends."""
+        if not self.has_body:
+            return True
         names = {name for name, _ in self.headers}
         return bool({b"content-length", b"transfer-encoding"} & names)
 
@@ -97,6 +103,7 @@
         self._closed = False
         self._request_count = 0
         self._refused_calls: set[str] = set()
+        self._method = b""
         self.read_timeout_s: float | None = None
 
     @property
@@ -149,6 +156,7 @@
         if self._request_count:
             self._h11.start_next_cycle()
         self._request_count += 1
+        self._method = request.method
         self._unsent = self._encode(request)
         if len(self._unsent) <= _READ_BYTES:
             await self._write()
@@ -231,7 +239,11 @@
             raise httpcore.RemoteProtocolError(
                 "an answer begins within the head of another"
             )
-        head = Head(event.status_code, headers, first)
+        status = event.status_code
+        has_body = (
+            self._method != b"HEAD" and status not in asgi.NO_BODY_STATUSES
+        )
+        head = Head(status, headers, first, has_body)
         match = _KEEP_ALIVE_PATTERN.search(head.get(b"keep-alive") or b"")
         if match:
             self._idle_timeout_s = float(match[1])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -95,11 +95,11 @@
 # Most sound workers of a plan that are silent for a moment, and for how long.
 _MAX_SILENT_WORKERS: Final = 2
 _SILENT_S: Final = 1.2
-# Most events of a plan of some kinds. Each kind is drawn by a generator of its
-# own, so that the other events of a seed stay as they are.
+# Kinds drawn by a generator of their own, so that the other events of a seed
+# stay as they are: the name of the generator, and the most events of a plan.
 _OWN_DRAWS: Final = {
-    EventKind.WORKER_REPEATS: 2,
-    EventKind.ODD_ENTRY: 3,
+    EventKind.WORKER_REPEATS: ("repeats", 2),
+    EventKind.ODD_ENTRY: ("odd entries", 3),
 }
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
@@ -162,8 +162,8 @@
     for _ in range(silent_workers.randint(0, _MAX_SILENT_WORKERS)):
         event = _draw_event(silent_workers, EventKind.WORKER_SILENT)
         events.append(attrs.evolve(event, for_s=_SILENT_S))
-    for kind, most in _OWN_DRAWS.items():
-        generator = random.Random(f"{kind.value} {seed}")
+    for kind, (name, most) in _OWN_DRAWS.items():
+        generator = random.Random(f"{name} {seed}")
         events += [
             _draw_event(generator, kind)
             for _ in range(generator.randint(0, most))
--- a/tests/test_data_path_faults.py
+++ b/tests/test_data_path_faults.py
@@ -91,6 +91,17 @@
         assert 'kind="wasted"' in metrics
 
 
+async def test_a_stream_its_engine_forgot_ends_in_an_error_event() -> None:
+    """Fails if an error answer to the rest of a stream ends the stream."""
+    async with _one_engine() as (stack, engine):
+        engine.faults.break_after_events = 5
+        engine.faults.breaks_left = 1
+        engine.faults.forget = True
+        answer = await _chat(stack)
+        assert len(_words(answer)) == 5
+        assert "event: error" in answer.text
+
+
 async def test_crossed_answer_never_reaches_the_caller() -> None:
     """Fails if `fault` doesn't compare the request ids."""
     async with _one_engine() as (stack, engine):
@@ -263,3 +274,21 @@
             metrics
         )
         assert "figstream_first_token_seconds_bucket" in metrics
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("POST", 204), ("HEAD", 204), ("HEAD", 200)]
+)
+async def test_an_answer_that_has_no_body_needs_no_length(
+    method: str, status: int
+) -> None:
+    """Fails if an answer without a body counts as incomplete."""
+    async with _one_engine() as (stack, _):
+        stack.service.faults.no_content = status == 204
+        async with httpx.AsyncClient() as client:
+            answer = await client.request(
+                method, stack.url(0) + "/bookings/x", headers=_headers(stack)
+            )
+        assert answer.status_code == status
+        assert not answer.content
+        assert len(stack.service.effects) == 1
