Write the latest of several late ends of a software plan

Callers: a stream that was taken up again went on at a software version that had not begun it (ORDER), at a daemon that started and knows only what is stored. Cause: each daemon that learns a plan late wants to write when it stopped using the period before. The first write made the others forget theirs, since the period is no longer in use there, also where they had used it for seconds longer. Daemons whose cuts heal one after another are such. Change: a late end is remembered until the plan states one that is within the usual delay of it. Evidence: on the code before, streams of the new test go on at v2 that v1 began (AssertionError: {'v1', 'v2'} == {'v1'}); with the change none.

--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -393,12 +393,20 @@
         """
         now, now_ms = self._clock.now(), self._now_ms()
         periods = self._periods.setdefault(service, {})
-        self._late_ends[service] = {
+        noticed = {
             item.since_ms: now_ms
             for item in shares
             if item.since_ms in periods
             and periods[item.since_ms].ended_at == math.inf
-            and 0 < item.ended_ms < now_ms - _LATE_MS
+            and item.ended_ms
+        }
+        # Another daemon that stopped sooner may have written its own end.
+        late_ends = {**self._late_ends.get(service, {}), **noticed}
+        self._late_ends[service] = {
+            item.since_ms: late_ends[item.since_ms]
+            for item in shares
+            if item.since_ms in late_ends
+            and 0 < item.ended_ms < late_ends[item.since_ms] - _LATE_MS
         }
         for period in periods.values():
             # A restore of the store may have lost the period.
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -226,6 +226,33 @@
         assert {x for x in found if isinstance(x, str)} == {"v1"}
 
 
+def test_the_latest_of_several_late_ends_is_written() -> None:
+    """Fails if the first writer decides when all daemons stopped."""
+    clock = clock_lib.ManualClock(1_000.0)
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    first, last, started = _Daemon(clock), _Daemon(clock), _Daemon(clock)
+    for daemon in (first, last):
+        daemon.apply(plan, {"v1": 9})
+    counts = {"v1": 9, "v2": 9}
+    late = _revised(plan, 1_010_000, **counts)
+    clock.advance(12.0)
+    first.apply(late, counts)
+    written = software_plan.with_ends(late, first.streams.late_ends)
+    clock.advance(7.0)
+    names = [f"r{number}" for number in range(100)]
+    assert {last.streams.for_new(_stream(name)) for name in names} == {"v1"}
+    last.apply(late, counts)
+    last.apply(written, counts)
+    corrected = software_plan.with_ends(written, last.streams.late_ends)
+    clock.advance(0.5)
+    started.apply(corrected, counts)
+    found = {started.streams.for_resumed(_stream(x, 4.5)) for x in names}
+    assert {x for x in found if isinstance(x, str)} == {"v1"}
+    last.apply(corrected, counts)
+    again = software_plan.with_ends(corrected, last.streams.late_ends)
+    assert again is corrected
+
+
 def test_a_plan_learned_in_time_is_not_written_again() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
