Keep rare notices when frequent ones fill the queues

Cause: 256 notices are kept for daemons whose contact is back, and 256 wait for a silent neighbour, of all kinds, and the oldest go first. Daemons publish up to 60 notices of streams a second together, so after about four seconds the notice of a plan is gone. A daemon whose cut lasted longer is heard again but keeps the old plan until its watch answers, which takes up to 16 s. Small fleets do not publish enough to show it. Change: the oldest notice of the commonest kind is discarded, and rare kinds are sent first to a daemon that is heard again. Evidence: both new tests fail on the code before, the plan is neither kept nor queued after 12 s of 60 notices a second; both pass with the change.

--- a/figstream/membership_heartbeat.py
+++ b/figstream/membership_heartbeat.py
@@ -115,12 +115,13 @@
         self._queue_event.set()
 
     def add_notice(self, notice: notices_lib.Notice) -> None:
-        """Queues a notice for the neighbour; discards the oldest if full."""
+        """Queues a notice for the neighbour; discards another one if full."""
         if notice.zone and notice.zone != self._peer_zone:
             return
         self._queued_notices[notice] = None
         if len(self._queued_notices) > MAX_NOTICES_QUEUED:
-            del self._queued_notices[next(iter(self._queued_notices))]
+            expendable = notices_lib.most_expendable(self._queued_notices)
+            del self._queued_notices[expendable]
         self._queue_event.set()
 
     async def send(self, write: Write) -> None:
--- a/figstream/notices.py
+++ b/figstream/notices.py
@@ -8,6 +8,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import itertools
 from typing import Final
 
@@ -55,6 +56,20 @@
     zone: str = ""
 
 
+def most_expendable(queued: Iterable[Notice]) -> Notice:
+    """Returns the oldest notice of the commonest kind.
+
+    Otherwise frequent kinds would displace a rare one, such as a plan.
+
+    Args:
+      queued: the notices, the oldest first; at least one.
+    """
+    items = list(queued)
+    counts = collections.Counter(item.kind for item in items)
+    kind, _ = counts.most_common(1)[0]
+    return next(item for item in items if item.kind == kind)
+
+
 class Notices:
     """Publishes, forwards and delivers notices on one daemon."""
 
@@ -73,18 +88,21 @@
         self._sequence = itertools.count(1)
         self._subscribers: dict[str, list[LastingCallback]] = {}
         self._seen: dict[tuple[int, int], None] = {}
-        self._recent: collections.deque[Notice] = collections.deque(
-            maxlen=MAX_RECENT_NOTICES
-        )
+        self._recent: dict[str, collections.deque[Notice]] = {}
         self._forward: Callable[[Notice], None] | None = None
         self._allowance = PUBLISHED_BURST
         self._allowed_at = clock.now()
 
     @property
     def kept(self) -> list[Notice]:
-        """Returns the recent notices to send to a new neighbour."""
+        """Returns the recent notices to send to a new neighbour.
+
+        Those of rare kinds come first.
+        """
         now = self._clock.now()
-        return [item for item in self._recent if item.expires_at > now]
+        by_kind = sorted(self._recent.values(), key=len)
+        found = itertools.chain.from_iterable(by_kind)
+        return [item for item in found if item.expires_at > now]
 
     def set_forward(self, forward: Callable[[Notice], None]) -> None:
         """Sets the function that forwards a notice to the neighbours."""
@@ -152,10 +170,17 @@
         self._seen[(notice.origin, notice.sequence)] = None
         if len(self._seen) > MAX_SEEN_IDS:
             del self._seen[next(iter(self._seen))]
-        self._recent.append(notice)
+        self._keep(notice)
         if self._forward:
             self._forward(notice)
 
+    def _keep(self, notice: Notice) -> None:
+        """Keeps a recent notice; discards the oldest of the commonest kind."""
+        of_kind = self._recent.setdefault(notice.kind, collections.deque())
+        of_kind.append(notice)
+        if sum(map(len, self._recent.values())) > MAX_RECENT_NOTICES:
+            max(self._recent.values(), key=len).popleft()
+
     def _allow(self) -> bool:
         now = self._clock.now()
         gained = (now - self._allowed_at) * PUBLISHED_PER_S
--- a/tests/test_late_notices.py
+++ b/tests/test_late_notices.py
@@ -3,6 +3,10 @@
 from figstream import clock as clock_lib
 from figstream import demand
 from figstream import leaving_servers
+from figstream import member_table
+from figstream import member_zones
+from figstream import membership_api
+from figstream import membership_heartbeat
 from figstream import metrics
 from figstream import notices as notices_lib
 from figstream import scheduler
@@ -45,6 +49,54 @@
     assert listeners[0].leaving == listeners[1].leaving == frozenset()
 
 
+def _fill(
+    notices: notices_lib.Notices, clock: clock_lib.ManualClock, count: int
+) -> None:
+    for number in range(count):
+        clock.advance(1 / 60)
+        notices.receive(
+            notices_lib.Notice(
+                9, number, "stream_software", b"x", clock.now() + 30.0
+            )
+        )
+
+
+def test_a_rare_notice_reaches_a_daemon_whose_contact_was_lost() -> None:
+    """Fails if frequent notices displace the plan of software versions."""
+    clock = clock_lib.ManualClock(100.0)
+    first, late = _notices(1, clock), _notices(2, clock)
+    received: list[bytes] = []
+    late.subscribe("software_plan", received.append)
+    first.publish("software_plan", b"plan", 60.0)
+    _fill(first, clock, 12 * 60)
+    assert len(first.kept) == notices_lib.MAX_RECENT_NOTICES
+    assert first.kept[0].payload == b"plan"
+    _join(late, first)
+    assert received == [b"plan"]
+
+
+def test_a_rare_notice_stays_queued_for_a_neighbour_that_is_silent() -> None:
+    """Fails if frequent notices displace the plan of software versions."""
+    clock = clock_lib.ManualClock(100.0)
+    notices = _notices(1, clock)
+    this = membership_api.Member("vm-1", "z", "r", "10.0.0.1:1", 1, 1)
+    session = membership_heartbeat.HeartbeatSession(
+        membership_heartbeat.HeartbeatState(
+            member_table.MemberTable(this, 6.0, clock.now()),
+            member_zones.ZoneTicks("z", clock.now()),
+            notices,
+            clock,
+            metrics.make_unexported_metrics(),
+            2.0,
+        )
+    )
+    notices.set_forward(session.add_notice)
+    notices.publish("software_plan", b"plan", 60.0)
+    _fill(notices, clock, 12 * 60)
+    sent = session.next_message().notices
+    assert b"plan" in {item.payload for item in sent}
+
+
 def test_demand_expires_at_a_daemon_that_joins_as_at_others() -> None:
     clock = clock_lib.ManualClock(100.0)
     first, late = _notices(1, clock), _notices(2, clock)
