Play wrong answers to the rest of a stream in the soak

Model workers break off streams and answer the requests for their rest with errors, with events that the caller has already, or with an error as an event, in two fifths of the plans. Other events of a seed stay as they were.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -52,6 +52,7 @@
     PARTITION = "partition"  # A daemon can't open connections to workers.
     REFUSAL_LIMIT = "refusal_limit"  # Workers crash if they refuse too many.
     WORKER_SILENT = "worker_silent"  # A worker sends nothing for a while.
+    RESUMES_FAIL = "resumes_fail"  # Rests of streams are answered wrongly.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
 
 
@@ -70,6 +71,7 @@
         EventKind.PARTITION,
         EventKind.REFUSAL_LIMIT,
         EventKind.WORKER_SILENT,
+        EventKind.RESUMES_FAIL,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -97,6 +99,8 @@
 _PARTITION_SHARE: Final = 0.4
 _LATE_SHARE: Final = 0.5
 _PARTITION_LASTS_S: Final = 7.0
+# Share of the plans in which workers answer wrongly to what resumes a stream.
+_RESUMES_FAIL_SHARE: Final = 0.4
 # Share of the plans with a restore of the store; some have two.
 _RESTORE_SHARES: Final = (0.5, 0.25)
 
@@ -159,6 +163,9 @@
             if partitions.random() < _LATE_SHARE:
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_PARTITION_LASTS_S))
+    resumes = random.Random(f"resumes {seed}")
+    if resumes.random() < _RESUMES_FAIL_SHARE:
+        events.append(_draw_event(resumes, EventKind.RESUMES_FAIL))
     return sorted(events, key=lambda item: item.at_s)
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -268,6 +268,7 @@
             _KIND.REQUEST_CRASHES: self._request_crashes,
             _KIND.RELEASE: self._worker_events.release,
             _KIND.KILL_ALL: self._kill_all,
+            _KIND.RESUMES_FAIL: self._worker_events.answer_resumes_wrongly,
             _KIND.WORKER_SILENT: self._worker_events.fall_silent,
             _KIND.PARTITION: self._partition,
             _KIND.REFUSAL_LIMIT: self._worker_events.limit_refusals,
--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -1,10 +1,13 @@
 """Plays the events of a soak that concern workers."""
 
+import itertools
 import time
 from typing import Final
 
 import anyio
 
+from figstream_platform import standin_answers
+from figstream_platform import standin_worker
 from soak import backends as backends_lib
 from soak import checks
 from soak import plan as plan_lib
@@ -13,6 +16,15 @@
 # removed.
 _FAULTY_ANSWERS: Final = 4
 _FAULTY_ANSWERS_LIMIT_S: Final = 4.0
+# Streams that each worker breaks off, and wrong answers to requests for the
+# rest of a stream. Success without events is left out: it is passed on to a
+# caller that takes up a stream, and looks like a complete one.
+_BROKEN_STREAMS: Final = 3
+_WRONG_RESTS: Final = tuple(
+    item
+    for name, item in standin_answers.RESUMED_ANSWERS.items()
+    if not name.startswith("JSON")
+)
 _MODEL: Final = "model"
 _RENDER: Final = "render"
 # Time between two workers of a release, and for which each drains.
@@ -82,6 +94,25 @@
             await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
             worker.faults.clear()
 
+    async def answer_resumes_wrongly(self, event: plan_lib.Event) -> None:
+        """Lets workers break streams off and answer wrongly for their rest."""
+        workers = [
+            x.worker for x in self._backends.sites if x.service == _MODEL
+        ]
+        wrong = itertools.cycle(_WRONG_RESTS)
+        rests = itertools.islice(wrong, event.draw % len(_WRONG_RESTS), None)
+        with self._observations.record_fault(_SCOPE.ANSWERS):
+            for worker in workers:
+                cuts = [standin_worker.Fault.CUT] * _BROKEN_STREAMS
+                worker.faults.extend(cuts)
+                worker.resumed_answers.extend(
+                    itertools.islice(rests, _FAULTY_ANSWERS)
+                )
+            await anyio.sleep(_FAULTY_ANSWERS_LIMIT_S)
+            for worker in workers:
+                worker.faults.clear()
+                worker.resumed_answers.clear()
+
     async def fall_silent(self, event: plan_lib.Event) -> None:
         """Lets a sound worker send nothing for a while; excuses nothing."""
         worker = self._backends.choose_site(event.target).worker
