--- a/soak/plan.py
+++ b/soak/plan.py
@@ -53,6 +53,7 @@
     REFUSAL_LIMIT = "refusal_limit"  # Workers crash if they refuse too many.
     WORKER_SILENT = "worker_silent"  # A worker sends nothing for a while.
     WORKER_REPEATS = "worker_repeats"  # A worker sends refusals once more.
+    RESUMES_FAIL = "resumes_fail"  # Rests of streams are answered wrongly.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
     ODD_ENTRY = "odd_entry"  # Another writer leaves an entry with the workers.
 
@@ -74,6 +75,7 @@
         EventKind.WORKER_SILENT,
         EventKind.WORKER_REPEATS,
         EventKind.ODD_ENTRY,
+        EventKind.RESUMES_FAIL,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -107,6 +109,8 @@
 _PARTITION_SHARE: Final = 0.4
 _LATE_SHARE: Final = 0.5
 _PARTITION_LASTS_S: Final = 7.0
+# Share of the plans in which workers answer wrongly to what resumes a stream.
+_RESUMES_FAIL_SHARE: Final = 0.4
 # Share of the plans with a restore of the store; some have two.
 _RESTORE_SHARES: Final = (0.5, 0.25)
 
@@ -175,6 +179,9 @@
             if partitions.random() < _LATE_SHARE:
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_PARTITION_LASTS_S))
+    resumes = random.Random(f"resumes {seed}")
+    if resumes.random() < _RESUMES_FAIL_SHARE:
+        events.append(_draw_event(resumes, EventKind.RESUMES_FAIL))
     return sorted(events, key=lambda item: item.at_s)
 
 
--- a/soak/system.py
+++ b/soak/system.py
@@ -285,6 +285,7 @@
             _KIND.RELEASE: self._worker_events.release,
             _KIND.KILL_ALL: self._kill_all,
             _KIND.WORKER_REPEATS: self._worker_events.repeat_refusals,
+            _KIND.RESUMES_FAIL: self._worker_events.answer_resumes_wrongly,
             _KIND.WORKER_SILENT: self._worker_events.fall_silent,
             _KIND.ODD_ENTRY: self._worker_events.leave_odd_entry,
             _KIND.PARTITION: self._partition,
