Call for the plan again once the store is reached

Cause: the plan is watched for 12 s and 4 s more. A watch that waits while the daemon is cut off may be answered late or never, and does not count as failed until then. `PlanContact` trusted the plan as soon as the short watch of the servers was answered. Change: when the store is reached again, a watch of the plan that waited meanwhile is replaced by a call, at most one in 5 s, and the plan counts as possibly outdated until it is answered, as for a lost store. Price: one call of each daemon after an outage, which was not measured.

--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -103,6 +103,7 @@
         self._position = 0
         self._listed = False
         self._failures = 0
+        self._watch: anyio.CancelScope | None = None
         self._lost_at = _NEVER
         self._confirmed_at = _NEVER
         self._confirm_listeners: list[ConfirmListener] = []
@@ -204,6 +205,14 @@
             self._notify_listeners("peer")
         return changed
 
+    def call_again(self) -> None:
+        """Replaces a watch that may never be answered with a new call.
+
+        The follower counts as failing until the call is answered.
+        """
+        if self._watch:
+            self._watch.cancel()
+
     async def run(self) -> None:
         """Lists and watches the objects until cancelled."""
         while True:
@@ -254,8 +263,15 @@
         feed = self._feed
         if self._failures:
             return await feed.changes(self._kind, self._position, 0.0)
-        with anyio.move_on_after(self._watch_s + self._answer_s):
-            return await feed.changes(self._kind, self._position, self._watch_s)
+        try:
+            with anyio.move_on_after(
+                self._watch_s + self._answer_s
+            ) as self._watch:
+                return await feed.changes(
+                    self._kind, self._position, self._watch_s
+                )
+        finally:
+            self._watch = None
         self._metrics.event("feed_watch_unanswered")
         return platform_api.Unavailable("the watch was not answered")
 
--- a/figstream/plan_contact.py
+++ b/figstream/plan_contact.py
@@ -7,6 +7,7 @@
 hear a daemon that may reach it.
 """
 
+import math
 from typing import Final
 
 from figstream import clock as clock_lib
@@ -17,6 +18,9 @@
 
 # Well below the time that a plan may take to reach all daemons.
 _INTERVAL_S: Final = 0.25
+# Shortest time between two calls that replace a watch of the plan. Each one is
+# paid, and a store that refuses some calls is lost and regained many times.
+_MIN_CALL_INTERVAL_S: Final = 5.0
 
 
 class PlanContact:
@@ -26,7 +30,8 @@
         self,
         streams: stream_software.StreamSoftware,
         members: membership.Membership,
-        followers: tuple[object_follower.ObjectFollower, ...],
+        entries: object_follower.ObjectFollower,
+        plans: object_follower.ObjectFollower,
         clock: clock_lib.Clock,
     ) -> None:
         """Initializes the role.
@@ -34,14 +39,20 @@
         Args:
           streams: the streams of this daemon.
           members: the live daemons.
-          followers: followers whose calls show whether the store is reached.
+          entries: follows the backend servers; its watches are short, so it
+            shows soon whether the store is reached.
+          plans: follows the plan.
           clock: time source.
         """
         self._streams = streams
         self._members = members
-        self._followers = followers
+        self._entries = entries
+        self._plans = plans
         self._clock = clock
         self._store_lost_at: float | None = None
+        # Whether a watch of the plan waited while the store was not reached.
+        self._watched = False
+        self._called_at = -math.inf
 
     async def run(self) -> None:
         """Applies the present contact repeatedly, until cancelled."""
@@ -61,11 +72,26 @@
         While the store is lost for all daemons, nobody writes a new plan. Only
         after the time of detection is it certain that all are heard.
         """
-        if not any(item.failing for item in self._followers):
-            self._store_lost_at = None
-            return False
         now = self._clock.now()
+        if not self._entries.failing and not self._plans.failing:
+            lost = self._store_lost_at is not None
+            self._store_lost_at = None
+            return lost and self._replace_watch(now)
         if self._store_lost_at is None:
             self._store_lost_at = now
+        self._watched = not self._plans.failing
         all_heard = contact.unheard_since is None
         return not all_heard or now - self._store_lost_at < contact.detection_s
+
+    def _replace_watch(self, now: float) -> bool:
+        """Calls for the plan again if its watch may be lost; returns whether.
+
+        A watch that waited while the store was not reached may be answered
+        never, or long after the next plan.
+        """
+        recently = now - self._called_at < _MIN_CALL_INTERVAL_S
+        if not self._watched or recently:
+            return False
+        self._called_at = now
+        self._plans.call_again()
+        return True
--- a/figstream/stream_parts.py
+++ b/figstream/stream_parts.py
@@ -61,7 +61,7 @@
             plans, sources.entries, sources.directory, streams, members, context
         ),
         plan_contact.PlanContact(
-            streams, members, (sources.entries, plans), context.clock
+            streams, members, sources.entries, plans, context.clock
         ),
         stream_software_spread.StreamSoftwareSpread(
             streams,
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -1,15 +1,23 @@
 """Tests of plans of software versions at daemons that are out of contact."""
 
+from typing import cast
+
+import anyio
 import pytest
 
 from bench import member_cluster
 from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import errors
+from figstream import membership
 from figstream import membership_api
 from figstream import metrics
+from figstream import object_follower
+from figstream import plan_contact
+from figstream import platform_api
 from figstream import software_plan
 from figstream import stream_software
+from tests import gateway_parts
 
 _LLM = "llm"
 _TIMEOUT_S = 4.0
@@ -209,3 +217,54 @@
         contact = node.watch.contact
         assert contact.unheard_since is not None
         assert contact.unheard_since <= cut_at
+
+
+class _Members:
+    """Daemons that all hear each other."""
+
+    contact = membership_api.Contact(detection_s=8.0)
+
+
+def _follower(
+    feed: gateway_parts.ScriptedFeed,
+) -> object_follower.ObjectFollower:
+    return object_follower.ObjectFollower(
+        "kind",
+        feed,
+        clock_lib.SystemClock(),
+        metrics.make_unexported_metrics(),
+        change_s=20.0,
+    )
+
+
+@pytest.mark.anyio
+async def test_a_plan_watched_during_an_outage_is_called_for_again() -> None:
+    """Fails if an old plan is trusted since other watches are answered."""
+    clock = clock_lib.SystemClock()
+    streams = stream_software.StreamSoftware(
+        clock, metrics.make_unexported_metrics()
+    )
+    entries, plans = gateway_parts.ScriptedFeed(), gateway_parts.ScriptedFeed()
+    listed = platform_api.Snapshot((), 5)
+    answers: list[object] = [platform_api.Unavailable("cut")]
+    entries.answers = [listed, *[lambda: answers[-1]] * 40]
+    plans.answers = [listed]
+    followers = _follower(entries), _follower(plans)
+    contact = plan_contact.PlanContact(
+        streams,
+        cast(membership.Membership, _Members()),
+        *followers,
+        clock,
+    )
+    async with anyio.create_task_group() as group:
+        for role in (*followers, contact):
+            group.start_soon(role.run)
+        await anyio.sleep(0.6)
+        assert streams._may_be_outdated
+        assert plans.call_timeouts == [None, 12.0]
+        answers.append(platform_api.FeedChanges((), (), 5))
+        await anyio.sleep(1.5)
+        assert not followers[0].failing
+        assert plans.call_timeouts == [None, 12.0, 0.0]
+        assert streams._may_be_outdated
+        group.cancel_scope.cancel()
