End an old software plan although other daemons are lost later

Cause: while a daemon is not heard, the plan that it may still use is extended to the present. Each later suspicion, of whichever daemon, found that extended end recent and extended it again. In a large fleet some daemon is suspected every few seconds, or dead for a minute. Change: what counts is when daemons in contact stopped using the plan. A daemon that was heard after that has the next one. One that was heard for less than the suspicion timeout may not, and counts as unheard all the while. In an unreachable zone the last tick tells when it was heard.

--- a/figstream/member_table.py
+++ b/figstream/member_table.py
@@ -11,6 +11,7 @@
 from collections.abc import Sequence
 import enum
 import functools
+import math
 import operator
 from typing import Final
 
@@ -76,7 +77,10 @@
       state: latest known state.
       since: clock time in seconds at which the state was entered.
       suspected_at: clock time at which the member was first suspected, None
-        while it is alive.
+        while it is alive. A member that was alive again for less than the
+        suspicion timeout counts as suspected all the while.
+      cleared: value of `suspected_at` before the member was alive again.
+      cleared_at: clock time at which the member was alive again.
     """
 
     member: membership_api.Member
@@ -85,6 +89,8 @@
     state: MemberState
     since: float
     suspected_at: float | None = None
+    cleared: float | None = None
+    cleared_at: float = -math.inf
 
     @property
     def status(self) -> Status:
@@ -316,6 +322,9 @@
             entry.since += seconds
             if entry.suspected_at is not None:
                 entry.suspected_at += seconds
+            if entry.cleared is not None:
+                entry.cleared += seconds
+                entry.cleared_at += seconds
 
     def _merge_own_status(self, own: Entry, status: Status) -> MergeResult:
         if status.version > own.version or (
@@ -329,12 +338,14 @@
         return MergeResult.OUTDATED
 
     def _set_state(self, entry: Entry, state: MemberState, now: float) -> None:
+        if state is MemberState.ALIVE and entry.suspected_at is not None:
+            entry.cleared, entry.cleared_at = entry.suspected_at, now
+            entry.suspected_at = None
+        elif state is not MemberState.ALIVE and entry.suspected_at is None:
+            briefly = now - entry.cleared_at < self._suspicion_s
+            entry.suspected_at = entry.cleared if briefly else now
         entry.state = state
         entry.since = now
-        if state is MemberState.ALIVE:
-            entry.suspected_at = None
-        elif entry.suspected_at is None:
-            entry.suspected_at = now
         self._notify_listeners(entry.run)
 
     def _evict(self, entry: Entry) -> None:
--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -112,7 +112,7 @@
         """Returns how far this daemon is in contact with the others."""
         now = self._shared.clock.now()
         since = [
-            (entry.suspected_at or now) - self._silence_timeout_s
+            self._last_heard_at(entry, now)
             for entry in self._shared.table.entries
             if self._may_serve_unheard(entry, now)
         ]
@@ -155,6 +155,17 @@
         suspected = entry.state is member_table.MemberState.SUSPECTED
         return suspected or entry.member.zone in self._unreachable
 
+    def _last_heard_at(self, entry: member_table.Entry, now: float) -> float:
+        """Returns a time at which a member that is not heard still was."""
+        ticks = self._shared.ticks
+        silent_s = (
+            ticks.seconds_since_tick(entry.member.zone, now)
+            if entry.member.zone in self._unreachable
+            else 0.0
+        )
+        suspected_at = entry.suspected_at or now
+        return min(suspected_at - self._silence_timeout_s, now - silent_s)
+
     def _compensate_own_pause(self, now: float) -> None:
         # A paused daemon received no heartbeats, which does not show that its
         # neighbours were silent. All times are shifted by the pause.
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -93,10 +93,12 @@
     Attributes:
       weights: weight of each version.
       ended_at: time until which a daemon may have used them, in clock seconds.
+      replaced_at: time at which daemons in contact stopped using them.
     """
 
     weights: Mapping[str, int]
     ended_at: float = math.inf
+    replaced_at: float = math.inf
 
 
 @attrs.define
@@ -238,7 +240,7 @@
         for period in itertools.chain.from_iterable(
             periods.values() for periods in self._periods.values()
         ):
-            if since is not None and period.ended_at >= since:
+            if since is not None and period.replaced_at >= since:
                 period.ended_at = max(period.ended_at, now)
         worse = may_be_outdated > self._may_be_outdated or (
             since is not None
@@ -411,14 +413,16 @@
         for period in periods.values():
             # A restore of the store may have lost the period.
             period.ended_at = min(period.ended_at, now)
+            period.replaced_at = min(period.replaced_at, now)
         for item in shares:
             period = periods.setdefault(
-                item.since_ms, _Period(item.weights, -math.inf)
+                item.since_ms, _Period(item.weights, -math.inf, -math.inf)
             )
             stated_at = now - (now_ms - item.ended_ms) / _MS_PER_S
-            period.ended_at = (
-                max(period.ended_at, stated_at) if item.ended_ms else math.inf
-            )
+            if not item.ended_ms:
+                stated_at = math.inf
+            period.ended_at = max(period.ended_at, stated_at)
+            period.replaced_at = max(period.replaced_at, stated_at)
         oldest = now - software_plan.HISTORY_MS / _MS_PER_S
         self._periods[service] = {
             since_ms: period
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -9,6 +9,7 @@
 from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import errors
+from figstream import member_table
 from figstream import membership
 from figstream import membership_api
 from figstream import metrics
@@ -174,6 +175,55 @@
     assert fleet.take_up(fleet.near, begun) == _STREAMS
 
 
+def test_daemons_lost_later_do_not_keep_an_old_plan_recent() -> None:
+    """Fails if each suspicion extends plans that all daemons gave up."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near, fleet.cut], v1=9, v2=9)
+    for step in range(80):
+        fleet.clock.advance(0.25)
+        since = fleet.clock.now() - 6.0 if step % 20 < 3 else None
+        contact = membership_api.Contact(since)
+        fleet.near.apply_contact(contact, may_be_outdated=False)
+    begun = {
+        name: str(fleet.cut.for_new(fleet.stream(name)))
+        for name in (f"r{number}" for number in range(_STREAMS))
+    }
+    assert fleet.take_up(fleet.near, begun) == _STREAMS
+
+
+def _table() -> tuple[member_table.MemberTable, member_table.Entry]:
+    this, other = (
+        membership_api.Member(name, "z", "r", f"{name}:1", 1, 1)
+        for name in ("vm-1", "vm-2")
+    )
+    table = member_table.MemberTable(this, 6.0, 0.0)
+    run = member_table.run_of(other.name, other.start_number)
+    table.merge(other, member_table.Status(run, 1), 0.0)
+    entry = table.find(run)
+    assert entry
+    return table, entry
+
+
+@pytest.mark.parametrize(
+    ("alive_s", "suspected_at"), [(1.0, 10.0), (5.5, 10.0), (7.0, 22.0)]
+)
+def test_a_daemon_heard_only_for_a_moment_counts_as_unheard_all_the_while(
+    alive_s: float, suspected_at: float
+) -> None:
+    """Fails if a plan counts as known where there was no time to learn it."""
+    table, entry = _table()
+    table.suspect(entry.run, 10.0)
+    alive = member_table.Status(entry.run, 2)
+    table.merge_status(alive, 15.0)
+    assert entry.suspected_at is None
+    # A new status does not extend the time of contact backwards.
+    newer = member_table.Status(entry.run, 3, generation=2)
+    table.merge_status(newer, 15.0 + alive_s - 0.5)
+    table.suspect(entry.run, 15.0 + alive_s)
+    assert entry.suspected_at == suspected_at
+
+
 def _cluster(count: int) -> member_cluster.Cluster:
     cluster = member_cluster.Cluster()
     for number in range(count):
