Remember what streams used while a planned version had no server

Cause: while a planned version has no active server, daemons begin its streams at the others. The next plan says the same, but it is written late while the store applies writes late or refuses them, and never if the servers are back before. Daemons then took the plan alone for what was used. Change: each daemon records such a time as a period of its own, by which streams are told and refused as by plans. A version without servers is refused as gone, as before. Not covered: a daemon whose entries alone differ from those of the others.

--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -169,6 +169,8 @@
         self._late_ends: dict[str, dict[int, int]] = {}
         self._complete_since_ms = 0
         self._present: Mapping[str, tuple[software_plan.Shares, ...]] = {}
+        # What daemons used while a planned version had no active server.
+        self._fallbacks: dict[str, list[_Period]] = {}
         self._known: dict[int, str] = {}
         self._recent: dict[int, _BegunStream] = {}
         self._contact = membership_api.Contact()
@@ -201,6 +203,9 @@
                     slots.get(server.software, 0) + server.slots
                 )
         self._active = active
+        new = [self._note_fallback(item) for item in self._present]
+        if any(new):
+            self._tell_recent()
 
     def apply_plan(
         self, plan: software_plan.SoftwarePlan, era: int = 0
@@ -222,6 +227,8 @@
         for service, shares in plan.services.items():
             self._apply_shares(service, shares)
         self._present = plan.services
+        for service in plan.services:
+            self._note_fallback(service)
         self._tell_recent()
 
     def apply_contact(
@@ -259,13 +266,9 @@
 
     def for_new(self, stream: Stream) -> str | None:
         """Returns the version at which a stream begins, None for any."""
-        active = self._active.get(stream.service)
-        if not active:
-            return None
-        periods = self._present.get(stream.service)
-        weights = periods[-1].weights if periods else active
-        usable = {name: x for name, x in weights.items() if name in active}
-        return software_plan.assign(stream.name, usable or active)
+        return software_plan.assign(
+            stream.name, self._usable_weights(stream.service)
+        )
 
     def for_resumed(self, stream: Stream) -> str | errors.Refusal:
         """Returns the only version at which a stream may go on.
@@ -277,8 +280,11 @@
         software = self._known.get(stream.key) if stream.name else None
         source = "known"
         if software is None:
-            software = self._certain(stream)
+            software = self._planned(stream)
             source = "plan"
+        active = self._active.get(stream.service, {})
+        if software in active and source == "plan":
+            software = self._certain(stream)
         if software is None:
             self._metrics.event("stream_software_unknown")
             return errors.Refusal(
@@ -286,7 +292,7 @@
                 detail=f"stream {stream.name}",
                 retry_after_s=_RETRY_AFTER_S,
             )
-        if software not in self._active.get(stream.service, {}):
+        if software not in active:
             self._metrics.event("stream_software_gone")
             return errors.Refusal(
                 _R.STREAM_SOFTWARE_GONE,
@@ -371,19 +377,59 @@
             listener()
 
     def _certain(self, stream: Stream) -> str | None:
+        """Returns the version that began a stream, None if it is not known."""
+        software = self._planned(stream)
+        since = self._clock.now() - (stream.max_age_s + _SLACK_S)
+        fallbacks = self._fallbacks.get(stream.service, ())
+        used = _assigned(stream, fallbacks, since)
+        return software if used <= {software} else None
+
+    def _planned(self, stream: Stream) -> str | None:
         """Returns the version to which all plans assign a stream, if known."""
         periods = self._periods.get(stream.service, {}).values()
         since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
         if self._may_be_outdated or since_ms < self._complete_since_ms:
             return None
         since = self._clock.now() - (stream.max_age_s + _SLACK_S)
-        recent = [x.weights for x in periods if x.ended_at >= since]
-        if stream.name:
-            found = {software_plan.assign(stream.name, x) for x in recent}
-        else:
-            found = {name for weights in recent for name in weights}
+        found = _assigned(stream, periods, since)
         return found.pop() if len(found) == 1 else None
 
+    def _usable_weights(self, service: str) -> Mapping[str, int]:
+        """Returns the weights by which streams begin, empty without servers."""
+        active = self._active.get(service, {})
+        periods = self._present.get(service)
+        weights = periods[-1].weights if periods else active
+        usable = {name: x for name, x in weights.items() if name in active}
+        return usable or active
+
+    def _note_fallback(self, service: str) -> bool:
+        """Records what streams use instead of the plan; returns if it is new.
+
+        The next plan may be written late, or never if the servers are back
+        before.
+        """
+        now = self._clock.now()
+        oldest = now - software_plan.HISTORY_MS / _MS_PER_S
+        usable = self._usable_weights(service)
+        periods = self._present.get(service)
+        planned = periods[-1].weights if periods else {}
+        fallbacks = [
+            item
+            for item in self._fallbacks.get(service, ())
+            if item.ended_at >= oldest
+        ]
+        for item in fallbacks:
+            item.ended_at = min(item.ended_at, now)
+        self._fallbacks[service] = fallbacks
+        if not usable or usable.keys() == planned.keys():
+            return False
+        known = [x for x in fallbacks if x.weights == usable]
+        for item in known:
+            item.ended_at = math.inf
+        if not known:
+            fallbacks.append(_Period(usable))
+        return not known
+
     def _apply_shares(
         self, service: str, shares: Sequence[software_plan.Shares]
     ) -> None:
@@ -432,3 +478,13 @@
 
     def _now_ms(self) -> int:
         return round(self._clock.wall() * _MS_PER_S)
+
+
+def _assigned(
+    stream: Stream, periods: Iterable[_Period], since: float
+) -> set[str | None]:
+    """Returns the versions at which a stream may have begun."""
+    recent = [x.weights for x in periods if x.ended_at >= since]
+    if stream.name:
+        return {software_plan.assign(stream.name, x) for x in recent}
+    return {name for weights in recent for name in weights}
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -253,6 +253,33 @@
     assert again is corrected
 
 
+def test_streams_begun_while_a_version_had_no_server_keep_their_software() -> (
+    None
+):
+    """Fails if only plans tell what daemons used, and none was written."""
+    clock = clock_lib.ManualClock(1_000.0)
+    counts = {"v1": 9, "v2": 9}
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    one, other = _Daemon(clock), _Daemon(clock)
+    for daemon in (one, other):
+        daemon.apply(plan, counts)
+    clock.advance(30.0)
+    for daemon in (one, other):
+        daemon.streams.update_servers(_servers(v2=9))
+    clock.advance(1.5)
+    names = [f"r{number}" for number in range(100)]
+    assert {one.streams.for_new(_stream(name)) for name in names} == {"v2"}
+    for daemon in (one, other):
+        daemon.streams.update_servers(_servers(**counts))
+    clock.advance(0.5)
+    found = {other.streams.for_resumed(_stream(x, 4.5)) for x in names}
+    assert {x for x in found if isinstance(x, str)} == {"v2"}
+    clock.advance(20.0)
+    for name in names:
+        begun = one.streams.for_new(_stream(name))
+        assert other.streams.for_resumed(_stream(name, 4.5)) == begun
+
+
 def test_a_plan_learned_in_time_is_not_written_again() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
