--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -9,13 +9,16 @@
 from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import errors
+from figstream import member_table
 from figstream import membership
 from figstream import membership_api
 from figstream import metrics
 from figstream import object_follower
 from figstream import plan_contact
+from figstream import platform_api
 from figstream import software_plan
 from figstream import stream_software
+from tests import gateway_parts
 
 _LLM = "llm"
 _TIMEOUT_S = 4.0
@@ -173,11 +176,16 @@
 
 
 class _Contact:
-    """Stands in for the membership and a follower of a daemon."""
+    """Stands in for the membership and the followers of a daemon."""
 
     def __init__(self) -> None:
         self.contact = membership_api.Contact(detection_s=8.0)
         self.failing = False
+        self.calls = 0
+
+    def call_again(self) -> None:
+        """Counts the calls for the plan."""
+        self.calls += 1
 
 
 async def _trusts_plan(
@@ -192,12 +200,13 @@
 @pytest.mark.anyio
 async def test_a_plan_is_not_trusted_right_after_the_store_is_lost() -> None:
     """Fails if a daemon that was just cut off resumes streams by its plan."""
-    fleet, state = _Fleet(), _Contact()
+    fleet, state, plans = _Fleet(), _Contact(), _Contact()
     clock = fleet.clock
     role = plan_contact.PlanContact(
         fleet.near,
         cast(membership.Membership, state),
-        (cast(object_follower.ObjectFollower, state),),
+        cast(object_follower.ObjectFollower, state),
+        cast(object_follower.ObjectFollower, plans),
         _SleeplessClock(clock),
     )
     assert await _trusts_plan(role, fleet, "before")
@@ -208,6 +217,8 @@
     state.contact = membership_api.Contact(clock.now() - 1.0, 8.0)
     assert not await _trusts_plan(role, fleet, "cut off")
     state.failing = False
+    assert not await _trusts_plan(role, fleet, "just regained")
+    assert plans.calls == 1
     assert await _trusts_plan(role, fleet, "regained")
 
 
@@ -222,6 +233,55 @@
         await anyio.sleep(seconds)
 
 
+def test_daemons_lost_later_do_not_keep_an_old_plan_recent() -> None:
+    """Fails if each suspicion extends plans that all daemons gave up."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    fleet.release([fleet.near, fleet.cut], v1=9, v2=9)
+    for step in range(80):
+        fleet.clock.advance(0.25)
+        since = fleet.clock.now() - 6.0 if step % 20 < 3 else None
+        contact = membership_api.Contact(since)
+        fleet.near.apply_contact(contact, may_be_outdated=False)
+    begun = {
+        name: str(fleet.cut.for_new(fleet.stream(name)))
+        for name in (f"r{number}" for number in range(_STREAMS))
+    }
+    assert fleet.take_up(fleet.near, begun) == _STREAMS
+
+
+def _table() -> tuple[member_table.MemberTable, member_table.Entry]:
+    this, other = (
+        membership_api.Member(name, "z", "r", f"{name}:1", 1, 1)
+        for name in ("vm-1", "vm-2")
+    )
+    table = member_table.MemberTable(this, 6.0, 0.0)
+    run = member_table.run_of(other.name, other.start_number)
+    table.merge(other, member_table.Status(run, 1), 0.0)
+    entry = table.find(run)
+    assert entry
+    return table, entry
+
+
+@pytest.mark.parametrize(
+    ("alive_s", "suspected_at"), [(1.0, 10.0), (5.5, 10.0), (7.0, 22.0)]
+)
+def test_a_daemon_heard_only_for_a_moment_counts_as_unheard_all_the_while(
+    alive_s: float, suspected_at: float
+) -> None:
+    """Fails if a plan counts as known where there was no time to learn it."""
+    table, entry = _table()
+    table.suspect(entry.run, 10.0)
+    alive = member_table.Status(entry.run, 2)
+    table.merge_status(alive, 15.0)
+    assert entry.suspected_at is None
+    # A new status does not extend the time of contact backwards.
+    newer = member_table.Status(entry.run, 3, generation=2)
+    table.merge_status(newer, 15.0 + alive_s - 0.5)
+    table.suspect(entry.run, 15.0 + alive_s)
+    assert entry.suspected_at == suspected_at
+
+
 def _cluster(count: int) -> member_cluster.Cluster:
     cluster = member_cluster.Cluster()
     for number in range(count):
@@ -265,3 +325,54 @@
         contact = node.watch.contact
         assert contact.unheard_since is not None
         assert contact.unheard_since <= cut_at
+
+
+class _Members:
+    """Daemons that all hear each other."""
+
+    contact = membership_api.Contact(detection_s=8.0)
+
+
+def _follower(
+    feed: gateway_parts.ScriptedFeed,
+) -> object_follower.ObjectFollower:
+    return object_follower.ObjectFollower(
+        "kind",
+        feed,
+        clock_lib.SystemClock(),
+        metrics.make_unexported_metrics(),
+        change_s=20.0,
+    )
+
+
+@pytest.mark.anyio
+async def test_a_plan_watched_during_an_outage_is_called_for_again() -> None:
+    """Fails if an old plan is trusted since other watches are answered."""
+    clock = clock_lib.SystemClock()
+    streams = stream_software.StreamSoftware(
+        clock, metrics.make_unexported_metrics()
+    )
+    entries, plans = gateway_parts.ScriptedFeed(), gateway_parts.ScriptedFeed()
+    listed = platform_api.Snapshot((), 5)
+    answers: list[object] = [platform_api.Unavailable("cut")]
+    entries.answers = [listed, *[lambda: answers[-1]] * 40]
+    plans.answers = [listed]
+    followers = _follower(entries), _follower(plans)
+    contact = plan_contact.PlanContact(
+        streams,
+        cast(membership.Membership, _Members()),
+        *followers,
+        clock,
+    )
+    async with anyio.create_task_group() as group:
+        for role in (*followers, contact):
+            group.start_soon(role.run)
+        await anyio.sleep(0.6)
+        assert streams._may_be_outdated
+        assert plans.call_timeouts == [None, 12.0]
+        answers.append(platform_api.FeedChanges((), (), 5))
+        await anyio.sleep(1.5)
+        assert not followers[0].failing
+        assert plans.call_timeouts == [None, 12.0, 0.0]
+        assert streams._may_be_outdated
+        group.cancel_scope.cancel()
