--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,8 @@
 AT_MOST_ONCE_ROUTE: Final = "order"
 STREAM_ROUTE: Final = "rewrite"
 SAFE_ROUTE: Final = "status"
+# A route that the operator removes and adds.
+EXTRA_ROUTE: Final = "report"
 # Routes that no event removes.
 LASTING_ROUTES: Final = (AT_MOST_ONCE_ROUTE, STREAM_ROUTE, SAFE_ROUTE)
 # Longer than the time limit of any route.
--- a/soak/system.py
+++ b/soak/system.py
@@ -25,8 +25,10 @@
 from soak import callers as callers_lib
 from soak import checks
 from soak import daemons as daemons_lib
+from soak import lasting_faults
 from soak import links
 from soak import plan as plan_lib
+from soak import store_events
 from soak import worker_events
 
 _CALLERS: Final = 9
@@ -39,17 +41,6 @@
 # Time beyond the grace time after which the platform kills a daemon.
 _GRACE_SLACK_S: Final = 0.5
 _CLOCK_STEP_S: Final = 2.0
-_SLOW_STORE_DELAY_S: Final = 0.3
-_LOST_ANSWERS: Final = 3
-# Age of the oldest copy from which the store is restored.
-_MAX_COPY_AGE_S: Final = 6.0
-# Time until what a restore lost has been written again.
-_REWRITE_DELAY_S: Final = 1.0
-# Time from a change until the store goes silent, so that watches begin in the
-# silence.
-_CHANGE_GAP_S: Final = 0.1
-# Time after the next change in which requests show whether it is active.
-_JUDGED_S: Final = checks.PROPAGATION_LIMIT_S + 1.0
 # Time for the stand-in of the store to close its connections.
 _STORE_SHUTDOWN_S: Final = 0.3
 # Time between requests that crash servers.
@@ -60,7 +51,6 @@
 # until then, in which they have some events.
 _KILLED_STREAMS: Final = 18
 _BEGUN_S: Final = 0.13
-_EXTRA_ROUTE: Final = "report"
 _OLD_KEY: Final = "old-key"
 _LINK_MODES: Final = (
     links.LinkMode.DELAY,
@@ -116,10 +106,13 @@
             self._backends, self._observations
         )
         self._daemons: list[daemons_lib.DaemonProcess] = []
+        self._faults = lasting_faults.LastingFaults()
+        self._store_events = store_events.StoreEvents(
+            self._backends, self._observations, self._faults, self._daemons
+        )
         self._store_links: list[links.Link] = []
         self._caller_links: list[links.Link] = []
         self._store_server: http_server.HttpServer | None = None
-        self._active_faults: dict[object, int] = {}
         self._callers = callers_lib.Callers([], seed)
 
     async def run(self, events: list[plan_lib.Event]) -> Result:
@@ -244,7 +237,9 @@
         async with httpx.AsyncClient(timeout=2.0) as client:
             while not self._callers.stopping:
                 number = (number + 1) % len(self._daemons)
-                await self._callers.send_request(client, number, _EXTRA_ROUTE)
+                await self._callers.send_request(
+                    client, number, callers_lib.EXTRA_ROUTE
+                )
                 await self._callers.send_request(
                     client, number, callers_lib.SAFE_ROUTE, _OLD_KEY
                 )
@@ -268,13 +263,13 @@
             _KIND.STORE_LINK: self._store_link,
             _KIND.CALLER_LINK: self._caller_link,
             _KIND.WORKER_LINK: self._worker_link,
-            _KIND.STORE_DOWN: self._store_down,
-            _KIND.STORE_REFUSES: self._store_refuses,
-            _KIND.STORE_SLOW: self._store_slow,
-            _KIND.STORE_LOSES: self._store_loses,
-            _KIND.STORE_FORGETS: self._store_forgets,
-            _KIND.STORE_RESTORED: self._store_restored,
-            _KIND.STORE_SILENT: self._store_silent,
+            _KIND.STORE_DOWN: self._store_events.down,
+            _KIND.STORE_REFUSES: self._store_events.refuses,
+            _KIND.STORE_SLOW: self._store_events.slow,
+            _KIND.STORE_LOSES: self._store_events.loses,
+            _KIND.STORE_FORGETS: self._store_events.forgets,
+            _KIND.STORE_RESTORED: self._store_events.restored,
+            _KIND.STORE_SILENT: self._store_events.silent,
             _KIND.WORKER_CRASH: self._worker_events.crash,
             _KIND.WORKER_FAULTS: self._worker_events.answer_wrongly,
             _KIND.DRAIN: self._worker_events.drain,
@@ -295,23 +290,6 @@
     def _target_daemon(self, event: plan_lib.Event) -> int:
         return event.target % len(self._daemons)
 
-    async def _apply_for_duration(
-        self,
-        key: object,
-        event: plan_lib.Event,
-        set_fault: Callable[[bool], None],
-    ) -> None:
-        """Applies a fault for the duration of an event.
-
-        If faults with the same key overlap, the end of the last one heals.
-        """
-        self._active_faults[key] = self._active_faults.get(key, 0) + 1
-        set_fault(True)
-        await anyio.sleep(event.for_s)
-        self._active_faults[key] -= 1
-        if not self._active_faults[key]:
-            set_fault(False)
-
     async def _kill(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
         with self._observations.record_fault(_SCOPE.ALL, number):
@@ -404,9 +382,7 @@
             self._daemons[number].send(sent)
 
         with self._observations.record_fault(_SCOPE.ALL, number):
-            await self._apply_for_duration(
-                (_KIND.PAUSE, number), event, set_fault
-            )
+            await self._faults.apply((_KIND.PAUSE, number), event, set_fault)
 
     async def _reload(self, event: plan_lib.Event) -> None:
         self._daemons[self._target_daemon(event)].send(signal.SIGHUP)
@@ -419,9 +395,7 @@
             self._daemons[number].step_clock(step_s if on else 0.0)
 
         with self._observations.record_fault(_SCOPE.ALL, number):
-            await self._apply_for_duration(
-                (_KIND.CLOCK, number), event, set_fault
-            )
+            await self._faults.apply((_KIND.CLOCK, number), event, set_fault)
 
     async def _apply_link_fault(
         self, event: plan_lib.Event, link: links.Link
@@ -431,7 +405,7 @@
         def set_fault(on: bool) -> None:
             link.set_mode(mode if on else links.LinkMode.PASS)
 
-        await self._apply_for_duration(link, event, set_fault)
+        await self._faults.apply(link, event, set_fault)
 
     async def _store_link(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
@@ -451,76 +425,6 @@
                 event, self._backends.choose_site(event.target).link
             )
 
-    async def _store_down(self, event: plan_lib.Event) -> None:
-        faults = self._backends.store.faults
-
-        def set_fault(on: bool) -> None:
-            faults.down = on
-
-        await self._apply_store_fault(event, set_fault)
-
-    async def _store_silent(self, event: plan_lib.Event) -> None:
-        faults = self._backends.store.faults
-
-        def set_fault(on: bool) -> None:
-            faults.silent = on
-
-        self._backends.set_route(_EXTRA_ROUTE, present=True)
-        await anyio.sleep(_CHANGE_GAP_S)
-        await self._apply_store_fault(event, set_fault)
-        # Faults before a change excuse that it is late.
-        await anyio.sleep(checks.SETTLING_TIME_S)
-        self._backends.set_route(_EXTRA_ROUTE, present=False)
-        await anyio.sleep(_JUDGED_S)
-
-    async def _store_refuses(self, event: plan_lib.Event) -> None:
-        name = self._daemons[self._target_daemon(event)].name
-        refused = self._backends.store.faults.refused
-
-        def set_fault(on: bool) -> None:
-            (refused.add if on else refused.discard)(name)
-
-        number = self._target_daemon(event)
-        with self._observations.record_fault(_SCOPE.ALL, number):
-            await self._apply_for_duration(
-                (event.kind, number), event, set_fault
-            )
-
-    async def _store_slow(self, event: plan_lib.Event) -> None:
-        faults = self._backends.store.faults
-
-        def set_fault(on: bool) -> None:
-            faults.answer_delay_s = _SLOW_STORE_DELAY_S if on else 0.0
-
-        await self._apply_store_fault(event, set_fault)
-
-    async def _store_loses(self, event: plan_lib.Event) -> None:
-        with self._observations.record_fault(_SCOPE.ALL):
-            self._backends.store.faults.lost_answers += _LOST_ANSWERS
-            await anyio.sleep(event.for_s)
-            self._backends.store.faults.lost_answers = 0
-
-    async def _apply_store_fault(
-        self, event: plan_lib.Event, set_fault: Callable[[bool], None]
-    ) -> None:
-        with self._observations.record_fault(_SCOPE.ALL):
-            await self._apply_for_duration(event.kind, event, set_fault)
-
-    async def _store_forgets(self, event: plan_lib.Event) -> None:
-        self._backends.store.discard_history()
-
-    async def _store_restored(self, event: plan_lib.Event) -> None:
-        store = self._backends.store
-
-        def set_down(on: bool) -> None:
-            store.faults.down = on
-
-        with self._observations.record_fault(_SCOPE.ALL):
-            await self._apply_for_duration(_KIND.STORE_DOWN, event, set_down)
-            store.restore(1.0 + event.draw % _MAX_COPY_AGE_S)
-            await anyio.sleep(_REWRITE_DELAY_S)
-            self._backends.rewrite()
-
     async def _partition(self, event: plan_lib.Event) -> None:
         number = self._target_daemon(event)
         ports = [site.link.port for site in self._backends.sites]
@@ -532,7 +436,7 @@
         self._daemons[number].block([], silent=silent)
 
     async def _configure(self, event: plan_lib.Event) -> None:
-        self._backends.toggle_route(_EXTRA_ROUTE)
+        self._backends.toggle_route(callers_lib.EXTRA_ROUTE)
 
     async def _prompt_crashes(self, event: plan_lib.Event) -> None:
         """Sends prompts with a block that crashes servers, and sound ones."""
