Do not resume streams by plan just after a pause

Callers: a daemon that was frozen takes up streams by the plan that it had before (ORDER); a conclusion from the code, not seen in a play. Cause: take-ups that came during the pause are read before the plans that came too, and before the role that checks contact runs again. The detection of silence discounts the daemon's own pause. Change: contact that was not applied for a second does not count, and for a second after a pause the plan may be outdated. Known streams are resumed.

--- a/figstream/plan_contact.py
+++ b/figstream/plan_contact.py
@@ -18,6 +18,10 @@
 
 # Well below the time that a plan may take to reach all daemons.
 _INTERVAL_S: Final = 0.25
+# A check that is later than this shows that the daemon was paused, and what it
+# received meanwhile is read within the time below.
+_PAUSE_S: Final = 1.0
+_READ_S: Final = 1.0
 # Shortest time between two calls that replace a watch of the plan. Each one is
 # paid, and a store that refuses some calls is lost and regained many times.
 _MIN_CALL_INTERVAL_S: Final = 5.0
@@ -53,19 +57,29 @@
         # Whether a watch of the plan waited while the store was not reached.
         self._watched = False
         self._called_at = -math.inf
+        self._checked_at = clock.now()
+        self._read_at = -math.inf
 
     async def run(self) -> None:
         """Applies the present contact repeatedly, until cancelled."""
         while True:
             contact = self._members.contact
-            self._streams.apply_contact(
-                contact, may_be_outdated=self._may_be_outdated(contact)
-            )
+            paused = self._was_paused()
+            outdated = self._may_be_outdated(contact) or paused
+            self._streams.apply_contact(contact, may_be_outdated=outdated)
             await self._clock.sleep(_INTERVAL_S)
 
     async def hand_over(self) -> None:
         """Does nothing, since this role has nothing to hand over."""
 
+    def _was_paused(self) -> bool:
+        """Returns whether this daemon may still have to read newer plans."""
+        now = self._clock.now()
+        if now - self._checked_at > _INTERVAL_S + _PAUSE_S:
+            self._read_at = now + _READ_S
+        self._checked_at = now
+        return now < self._read_at
+
     def _may_be_outdated(self, contact: membership_api.Contact) -> bool:
         """Returns whether other daemons may have a newer plan.
 
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -45,6 +45,8 @@
 _MAX_PENDING_STREAMS: Final = 4_096
 # Learning a plan later than this after it was written is no usual delay.
 _LATE_MS: Final = 1_000
+# A daemon whose contact was not applied for so long was paused.
+_MAX_CONTACT_AGE_S: Final = 1.0
 # A crashed server is back in about that time.
 _RETRY_AFTER_S: Final = 2.0
 _MS_PER_S: Final = 1000.0
@@ -174,6 +176,7 @@
         self._known: dict[int, str] = {}
         self._recent: dict[int, _BegunStream] = {}
         self._contact = membership_api.Contact()
+        self._contact_at = math.inf
         self._may_be_outdated = False
         self._pending: dict[int, str] = {}
         self._listeners: list[Callable[[], None]] = []
@@ -260,6 +263,7 @@
                 outdated=may_be_outdated,
             )
         self._contact = contact
+        self._contact_at = now
         self._may_be_outdated = may_be_outdated
         if worse:
             self._tell_recent()
@@ -390,7 +394,10 @@
         since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
         if self._may_be_outdated or since_ms < self._complete_since_ms:
             return None
-        since = self._clock.now() - (stream.max_age_s + _SLACK_S)
+        now = self._clock.now()
+        if now - self._contact_at > _MAX_CONTACT_AGE_S:
+            return None
+        since = now - (stream.max_age_s + _SLACK_S)
         found = _assigned(stream, periods, since)
         return found.pop() if len(found) == 1 else None
 
