Judge the age of a stream by the limits that routes had when it began

Cause: how old a stream may be, and with it which plans may have assigned it, followed from the present limit of its route. Change: `RecentLimits` remembers the largest limit of each service for a minute. Evidence: the test fails without it (found v1 and v2), and passes with it. A daemon that starts after the change does not know the former limit.

--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -18,6 +18,7 @@
 import anyio
 
 from figstream import clock as clock_lib
+from figstream import configuration as configuration_lib
 from figstream import configuration_holder
 from figstream import daemon_context
 from figstream import errors
@@ -88,6 +89,7 @@
         self._plan = software_plan.SoftwarePlan()
         self._changed = anyio.Event()
         directory.subscribe(self._update_servers)
+        self._holder.subscribe(self._update_limits)
         follower.subscribe(self._apply_items)
         self._notices.subscribe(_KIND, self._apply_notice)
 
@@ -200,6 +202,17 @@
         self._streams.update_servers(self._directory.servers)
         self._changed.set()
 
+    def _update_limits(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        limits_s: dict[str, float] = {}
+        for route in configuration.gateway_routes:
+            if route.resumable:
+                for part in route.services:
+                    known_s = limits_s.get(part.service, 0.0)
+                    limits_s[part.service] = max(known_s, route.timeout_s)
+        self._streams.update_limits(limits_s)
+
     def _rank(self) -> int:
         this = self._members.this().name
         names = [item.name for item in self._members.ranked(_KIND)]
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -28,6 +28,7 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import reasons
+from figstream import recent_limits
 from figstream import software_plan
 
 # Differences between the clocks of daemons, and the time for a new plan to
@@ -74,11 +75,6 @@
         """Returns a hash that identifies the stream among daemons."""
         return xxhash.xxh3_64_intdigest(f"{self.service}\n{self.name}".encode())
 
-    @property
-    def max_age_s(self) -> float:
-        """Returns the longest time since the stream began."""
-        return max(0.0, _PATIENCE_RATIO * self.timeout_s - self.left_s)
-
 
 @attrs.frozen
 class KnownStream:
@@ -165,6 +161,7 @@
         self._metrics = metrics
         # Slots of the active servers, by service and version.
         self._active: dict[str, dict[str, int]] = {}
+        self._limits = recent_limits.RecentLimits(clock)
         # By service and begin of the period in Unix milliseconds.
         self._periods: dict[str, dict[int, _Period]] = {}
         # Ends of periods that the plan states too early.
@@ -210,6 +207,10 @@
         if any(new):
             self._tell_recent()
 
+    def update_limits(self, limits_s: Mapping[str, float]) -> None:
+        """Applies the largest time limits of routes, by service."""
+        self._limits.update(limits_s)
+
     def apply_plan(
         self, plan: software_plan.SoftwarePlan, era: int = 0
     ) -> None:
@@ -329,8 +330,8 @@
         """Records that this daemon no longer relays a stream."""
         begun = self._recent.get(stream.key)
         if begun:
-            max_s = _PATIENCE_RATIO * stream.timeout_s
-            begun.forget_at = self._clock.now() + max_s
+            oldest = attrs.evolve(stream, left_s=0.0)
+            begun.forget_at = self._clock.now() + self._max_age_s(oldest)
 
     def learn(self, found: Iterable[KnownStream]) -> None:
         """Records the versions of streams that other daemons began."""
@@ -383,7 +384,7 @@
     def _certain(self, stream: Stream) -> str | None:
         """Returns the version that began a stream, None if it is not known."""
         software = self._planned(stream)
-        since = self._clock.now() - (stream.max_age_s + _SLACK_S)
+        since = self._clock.now() - self._max_age_s(stream)
         fallbacks = self._fallbacks.get(stream.service, ())
         used = _assigned(stream, fallbacks, since)
         return software if used <= {software} else None
@@ -391,13 +392,13 @@
     def _planned(self, stream: Stream) -> str | None:
         """Returns the version to which all plans assign a stream, if known."""
         periods = self._periods.get(stream.service, {}).values()
-        since_ms = self._now_ms() - _MS_PER_S * (stream.max_age_s + _SLACK_S)
+        since_ms = self._now_ms() - _MS_PER_S * self._max_age_s(stream)
         if self._may_be_outdated or since_ms < self._complete_since_ms:
             return None
         now = self._clock.now()
         if now - self._contact_at > _MAX_CONTACT_AGE_S:
             return None
-        since = now - (stream.max_age_s + _SLACK_S)
+        since = now - self._max_age_s(stream)
         found = _assigned(stream, periods, since)
         return found.pop() if len(found) == 1 else None
 
@@ -483,6 +484,15 @@
             if period.ended_at >= oldest
         }
 
+    def _max_age_s(self, stream: Stream) -> float:
+        """Returns the longest time since a stream began by a plan.
+
+        A plan may have been in use at some daemons for a little longer.
+        """
+        limit_s = max(stream.timeout_s, self._limits.largest_s(stream.service))
+        age_s = max(0.0, _PATIENCE_RATIO * limit_s - stream.left_s)
+        return age_s + _SLACK_S
+
     def _now_ms(self) -> int:
         return round(self._clock.wall() * _MS_PER_S)
 
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -235,8 +235,10 @@
     assert await _trusts_plan(role, fleet, "before")
     state.failing = True
     assert not await _trusts_plan(role, fleet, "just lost")
-    clock.advance(9.0)
-    assert await _trusts_plan(role, fleet, "lost for all")
+    for _ in range(36):
+        clock.advance(0.25)
+        trusts = await _trusts_plan(role, fleet, "lost for all")
+    assert trusts
     state.contact = membership_api.Contact(clock.now() - 1.0, 8.0)
     assert not await _trusts_plan(role, fleet, "cut off")
     state.failing = False
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -315,6 +315,27 @@
         assert other.streams.for_resumed(_stream(name, 4.5)) == begun
 
 
+def test_a_lower_time_limit_does_not_make_older_streams_younger() -> None:
+    """Fails if a stream's age is judged by a limit set after it began."""
+    clock = clock_lib.ManualClock(1_000.0)
+    daemon = _Daemon(clock)
+    daemon.streams.update_limits({_LLM: 12.0})
+    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    daemon.apply(plan, {"v1": 9})
+    names = [f"r{number}" for number in range(100)]
+    assert {daemon.streams.for_new(_stream(name)) for name in names} == {"v1"}
+    clock.advance(1.0)
+    counts = {"v1": 9, "v2": 9}
+    daemon.apply(_revised(plan, 1_001_000, **counts), counts)
+    daemon.streams.update_limits({_LLM: 5.0})
+    clock.advance(9.0)
+    found = {daemon.streams.for_resumed(_stream(x, 2.0)) for x in names}
+    assert {x for x in found if isinstance(x, str)} == {"v1"}
+    clock.advance(61.0)
+    found = {daemon.streams.for_resumed(_stream(x, 2.0)) for x in names}
+    assert found == {"v1", "v2"}
+
+
 def test_a_plan_learned_in_time_is_not_written_again() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
