Take streams up at once in a test of software that left

The test took sixteen streams up one after the other, which takes over 4 s on a busy machine, without naming a remaining time. All are taken up at once now; what is checked stays. Contact counts as lost half a heartbeat earlier at least, since a suspicion takes time to arrive (review).

--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -120,10 +120,11 @@
         silent_s = now - self._shared.last_received_at
         if self._links and silent_s > self._silence_timeout_s:
             since.append(self._shared.last_received_at)
-        # The last heartbeat may have been sent just before contact was lost.
+        # The last heartbeat may have come just before contact was lost, and a
+        # suspicion takes up to another interval to reach this daemon.
         heartbeat_s = self._shared.heartbeat_s
         return membership_api.Contact(
-            min(since) - heartbeat_s if since else None,
+            min(since) - 2 * heartbeat_s if since else None,
             self._silence_timeout_s + 2 * heartbeat_s,
         )
 
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -76,8 +76,9 @@
         for process in fleet.daemons:
             process.start()
         await fleet.wait_until_served()
-        for name in streams:
-            await fleet.take_up(name, 1)
+        async with anyio.create_task_group() as group:
+            for name in streams:
+                group.start_soon(fleet.take_up, name, 1)
         ran = daemon_fleet.software_by_stream(fleet.workers)
         assert {ran[name][0] for name in streams} == {"v1", "v2"}
         assert all(len(set(ran[name])) == 1 for name in streams), ran
