--- a/soak/links.py
+++ b/soak/links.py
@@ -5,12 +5,12 @@
 """
 
 import enum
-import socket
 from typing import Final
 
 import anyio
 import anyio.abc
 
+from figstream_platform import standin_listener
 from figstream_platform import standin_worker
 
 _CHUNK_BYTES: Final = 65_536
@@ -44,8 +44,7 @@
         self._open_streams: set[anyio.abc.SocketStream] = set()
         self._stalled_streams: set[anyio.abc.SocketStream] = set()
         self._open_scopes: set[anyio.CancelScope] = set()
-        self._accepting = anyio.CancelScope()
-        self._listener: anyio.abc.Listener[anyio.abc.SocketStream]
+        self._listener: standin_listener.Listener
         self._is_accepting = True
         self.port = 0
 
@@ -85,15 +84,9 @@
         await self._listen()
         task_status.started(self.port)
         while True:
-            async with self._listener:
-                with anyio.CancelScope() as self._accepting:
-                    try:
-                        await self._listener.serve(self._handle_connection)
-                    except* OSError:
-                        if self._is_accepting:
-                            raise
-                        # The socket was shut down.
-                        self._accepting.cancel()
+            await standin_listener.serve(
+                self._listener, self._handle_connection
+            )
             while not self._is_accepting:
                 await self._changed.wait()
             await self._listen()
@@ -110,12 +103,8 @@
         else:
             # The port must refuse connections before any of them breaks, as
             # the check for a crash follows at once.
-            raw: socket.socket = self._listener.extra(
-                anyio.abc.SocketAttribute.raw_socket
-            )
-            raw.shutdown(socket.SHUT_RDWR)
+            standin_listener.shut_down(self._listener)
             self._reset_open()
-            self._accepting.cancel()
 
     def _reset_open(self) -> None:
         for stream in self._open_streams:
@@ -124,9 +113,7 @@
             scope.cancel()
 
     async def _listen(self) -> None:
-        self._listener = await anyio.create_tcp_listener(
-            local_host="127.0.0.1", local_port=self.port
-        )
+        self._listener = await standin_listener.listen(self.port)
         self.port = self._listener.extra(anyio.abc.SocketAttribute.local_port)
 
     async def _handle_connection(
