Do not believe a plan of software versions about the time before it

Cause: a restore of the store lost the whole plan while all daemons were being replaced. The first daemon that started wrote a plan from nothing. It has one period, and was believed about streams that began before it. Change: nothing is certain of streams that may have begun before the oldest period that is known. Evidence: the new test fails on the code before ("r1" goes on at v2). Ten tests wrote their first plan at the moment at which they asked about streams of 5 s before; they write it 100 s earlier now, and check the same.

--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -391,15 +391,20 @@
 
     def _planned(self, stream: Stream) -> str | None:
         """Returns the version to which all plans assign a stream, if known."""
-        periods = self._periods.get(stream.service, {}).values()
+        periods = self._periods.get(stream.service, {})
         since_ms = self._now_ms() - _MS_PER_S * self._max_age_s(stream)
-        if self._may_be_outdated or since_ms < self._complete_since_ms:
+        # A plan that a restore lost as a whole was written anew, and says
+        # nothing of the time before.
+        complete_since_ms = max(
+            self._complete_since_ms, min(periods, default=math.inf)
+        )
+        if self._may_be_outdated or since_ms < complete_since_ms:
             return None
         now = self._clock.now()
         if now - self._contact_at > _MAX_CONTACT_AGE_S:
             return None
         since = now - self._max_age_s(stream)
-        found = _assigned(stream, periods, since)
+        found = _assigned(stream, periods.values(), since)
         return found.pop() if len(found) == 1 else None
 
     def _usable_weights(self, service: str) -> Mapping[str, int]:
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -54,7 +54,9 @@
             )
             for _ in range(2)
         )
-        self.plan = software_plan.SoftwarePlan()
+        self.plan = software_plan.revised(
+            software_plan.SoftwarePlan(), _servers(v1=9), [_LLM], 900_000
+        )
         self.release([self.near, self.cut], v1=9)
 
     def release(
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -191,7 +191,7 @@
     """
     source = random.Random(seed)
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=2)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=2)
     daemon = _Daemon(clock)
     begun: list[tuple[str, float, str]] = []
     stored = [plan]
@@ -240,7 +240,7 @@
 def test_a_plan_written_late_does_not_end_the_one_before_in_the_past() -> None:
     """Fails if a stream goes on at software that its daemon did not use yet."""
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     one, other = _Daemon(clock), _Daemon(clock)
     for daemon in (one, other):
         daemon.apply(plan, {"v1": 9})
@@ -264,7 +264,7 @@
 def test_the_latest_of_several_late_ends_is_written() -> None:
     """Fails if the first writer decides when all daemons stopped."""
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     first, last, started = _Daemon(clock), _Daemon(clock), _Daemon(clock)
     for daemon in (first, last):
         daemon.apply(plan, {"v1": 9})
@@ -294,7 +294,7 @@
     """Fails if only plans tell what daemons used, and none was written."""
     clock = clock_lib.ManualClock(1_000.0)
     counts = {"v1": 9, "v2": 9}
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, **counts)
     one, other = _Daemon(clock), _Daemon(clock)
     for daemon in (one, other):
         daemon.apply(plan, counts)
@@ -320,7 +320,7 @@
     clock = clock_lib.ManualClock(1_000.0)
     daemon = _Daemon(clock)
     daemon.streams.update_limits({_LLM: 12.0})
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     daemon.apply(plan, {"v1": 9})
     names = [f"r{number}" for number in range(100)]
     assert {daemon.streams.for_new(_stream(name)) for name in names} == {"v1"}
@@ -338,7 +338,7 @@
 
 def test_a_plan_learned_in_time_is_not_written_again() -> None:
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     daemon = _Daemon(clock)
     daemon.apply(plan, {"v1": 9})
     clock.advance(10.0)
@@ -348,10 +348,22 @@
     assert found is changed
 
 
+def test_a_plan_written_from_nothing_says_nothing_of_earlier_streams() -> None:
+    """Fails if a daemon believes a plan about the time before it (50100)."""
+    clock = clock_lib.ManualClock(1_000.0)
+    anew = _revised(software_plan.SoftwarePlan(), 999_000, v2=4)
+    daemon = _Daemon(clock)
+    daemon.apply(anew, {"v1": 4, "v2": 4})
+    found = daemon.streams.for_resumed(_stream("r1", 4.0))
+    assert isinstance(found, errors.Refusal)
+    clock.advance(10.0)
+    assert daemon.streams.for_resumed(_stream("r2", 4.0)) == "v2"
+
+
 def test_all_streams_go_on_while_the_plan_stays() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     counts = {"v1": 4, "v2": 5}
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, **counts)
     before, after = _Daemon(clock), _Daemon(clock)
     before.apply(plan, counts)
     after.apply(plan, counts)
@@ -364,7 +376,7 @@
 def test_a_changed_plan_is_no_obstacle_while_daemons_are_in_touch() -> None:
     """Fails if daemons do not tell what the plans leave open."""
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=9)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     one, other = _Daemon(clock), _Daemon(clock)
     for daemon in (one, other):
         daemon.apply(plan, {"v1": 9})
@@ -387,7 +399,7 @@
 def test_a_stream_of_software_without_servers_is_refused() -> None:
     clock = clock_lib.ManualClock(1_000.0)
     counts = {"v1": 4, "v2": 4}
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, **counts)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, **counts)
     daemon = _Daemon(clock)
     daemon.apply(plan, {"v2": 4})
     found = [
@@ -403,7 +415,7 @@
 
 def test_a_stream_that_is_not_named_goes_on_if_there_is_one_version() -> None:
     clock = clock_lib.ManualClock(1_000.0)
-    plan = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=4)
+    plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=4)
     daemon = _Daemon(clock)
     daemon.apply(plan, {"v1": 4})
     assert daemon.streams.for_resumed(_stream("")) == "v1"
@@ -426,7 +438,7 @@
 def test_the_history_of_a_restored_store_is_not_forgotten() -> None:
     """Fails if a plan that a restore lost no longer counts as recent."""
     clock = clock_lib.ManualClock(1_000.0)
-    older = _revised(software_plan.SoftwarePlan(), 1_000_000, v1=4)
+    older = _revised(software_plan.SoftwarePlan(), 900_000, v1=4)
     counts = {"v1": 4, "v2": 4}
     newer = _revised(older, 1_002_000, **counts)
     daemon = _Daemon(clock)
