--- a/soak/builds.py
+++ b/soak/builds.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import enum
 import pathlib
 import random
@@ -32,6 +33,16 @@
 )
 
 
+# Faults that the old build does not bear; the present one is played alone.
+_NOT_BORNE: Final = frozenset(
+    {
+        plan_lib.EventKind.RESUMES_FAIL,
+        plan_lib.EventKind.WORKER_REPEATS,
+        plan_lib.EventKind.ODD_ENTRY,
+    }
+)
+
+
 class Rollout(enum.Enum):
     """How a fleet goes from one build to the other."""
 
@@ -123,6 +134,13 @@
     return BuildPlan(rollout.value, first, replacements)
 
 
+def borne(
+    events: Iterable[plan_lib.Event], old: pathlib.Path | None
+) -> list[plan_lib.Event]:
+    """Returns the events that all builds bear; all if there is no old one."""
+    return [x for x in events if old is None or x.kind not in _NOT_BORNE]
+
+
 def unread(folder: pathlib.Path) -> list[str]:
     """Returns what daemons logged about objects that they could not read."""
     return [
--- a/soak/system.py
+++ b/soak/system.py
@@ -511,6 +511,7 @@
     async with anyio.create_task_group() as group:
         build_plan = builds.make_build_plan(seed, old_build)
         soak = Soak(group, seed, folder, build_plan)
-        result = await soak.run(plan_lib.make_plan(seed))
+        events = builds.borne(plan_lib.make_plan(seed), old_build)
+        result = await soak.run(events)
         group.cancel_scope.cancel()
     return result
