--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -125,7 +125,9 @@
             for part in route.services
         }
         plan = software_plan.revised(
-            software_plan.with_ends(self._plan, self._streams.late_ends),
+            software_plan.with_ends(
+                self._plan, self._streams.history.late_ends
+            ),
             self._directory.servers,
             services,
             self._now_ms(),
@@ -136,7 +138,7 @@
     def _turn_s(self) -> float:
         """Returns for how long this daemon waits before it writes a plan."""
         planned_s = _TURN_S * self._rank()
-        if not any(self._streams.late_ends.values()):
+        if not any(self._streams.history.late_ends.values()):
             return planned_s
         spread_s = _SPREAD_S * len(self._members.live())
         return min(planned_s, self._random.uniform(0.0, spread_s))
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -11,8 +11,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Sequence
-import itertools
 import math
 from typing import Final
 from typing import Protocol
@@ -29,6 +27,7 @@
 from figstream import metrics as metrics_lib
 from figstream import reasons
 from figstream import recent_limits
+from figstream import software_history
 from figstream import software_plan
 
 # Differences between the clocks of daemons, and the time for a new plan to
@@ -44,13 +43,10 @@
 _MAX_RECENT_STREAMS: Final = 8_192
 # Streams whose versions wait for a notice; those of a minute of notices.
 _MAX_PENDING_STREAMS: Final = 4_096
-# Learning a plan later than this after it was written is no usual delay.
-_LATE_MS: Final = 1_000
 # A daemon whose contact was not applied for so long was paused.
 _MAX_CONTACT_AGE_S: Final = 1.0
 # A crashed server is back in about that time.
 _RETRY_AFTER_S: Final = 2.0
-_MS_PER_S: Final = 1000.0
 _R = reasons.RefusalReason
 
 
@@ -84,21 +80,6 @@
     software: str
 
 
-@attrs.define
-class _Period:
-    """Shares of the versions that daemons use or used.
-
-    Attributes:
-      weights: weight of each version.
-      ended_at: time until which a daemon may have used them, in clock seconds.
-      replaced_at: time at which daemons in contact stopped using them.
-    """
-
-    weights: Mapping[str, int]
-    ended_at: float = math.inf
-    replaced_at: float = math.inf
-
-
 @attrs.define
 class _BegunStream:
     """A stream that this daemon began.
@@ -159,17 +140,8 @@
         """Initializes without servers, plan and streams."""
         self._clock = clock
         self._metrics = metrics
-        # Slots of the active servers, by service and version.
-        self._active: dict[str, dict[str, int]] = {}
         self._limits = recent_limits.RecentLimits(clock)
-        # By service and begin of the period in Unix milliseconds.
-        self._periods: dict[str, dict[int, _Period]] = {}
-        # Ends of periods that the plan states too early.
-        self._late_ends: dict[str, dict[int, int]] = {}
-        self._complete_since_ms = 0
-        self._present: Mapping[str, tuple[software_plan.Shares, ...]] = {}
-        # What daemons used while a planned version had no active server.
-        self._fallbacks: dict[str, list[_Period]] = {}
+        self._history = software_history.SoftwareHistory(clock)
         self._known: dict[int, str] = {}
         self._recent: dict[int, _BegunStream] = {}
         self._contact = membership_api.Contact()
@@ -179,13 +151,9 @@
         self._listeners: list[Callable[[], None]] = []
 
     @property
-    def late_ends(self) -> Mapping[str, Mapping[int, int]]:
-        """Returns the ends of periods that the plan states too early.
-
-        They are in Unix milliseconds, by service and begin of the period. A
-        daemon that starts knows only what the plan states.
-        """
-        return self._late_ends
+    def history(self) -> software_history.SoftwareHistory:
+        """Returns by which shares streams have begun."""
+        return self._history
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener when versions wait for `take_pending`."""
@@ -195,16 +163,7 @@
         self, servers: Iterable[backend_server.BackendServer]
     ) -> None:
         """Applies the present backend servers."""
-        active: dict[str, dict[str, int]] = {}
-        for server in servers:
-            if server.state is backend_server.ServerState.ACTIVE:
-                slots = active.setdefault(server.service, {})
-                slots[server.software] = (
-                    slots.get(server.software, 0) + server.slots
-                )
-        self._active = active
-        new = [self._note_fallback(item) for item in self._present]
-        if any(new):
+        if self._history.update_servers(servers):
             self._tell_recent()
 
     def update_limits(self, limits_s: Mapping[str, float]) -> None:
@@ -214,25 +173,13 @@
     def apply_plan(
         self, plan: software_plan.SoftwarePlan, era: int = 0
     ) -> None:
-        """Applies the newest plan; remembers the recent ones.
+        """Applies the newest plan.
 
         Args:
           plan: the plan.
-          era: present era of the store. A plan of another era came back with
-            a restore, and tells nothing of the streams that began before.
+          era: present era of the store.
         """
-        now_ms = self._now_ms()
-        complete_since_ms = plan.complete_since_ms
-        if plan.era != era:
-            complete_since_ms = now_ms
-        self._complete_since_ms = max(
-            self._complete_since_ms, complete_since_ms
-        )
-        for service, shares in plan.services.items():
-            self._apply_shares(service, shares)
-        self._present = plan.services
-        for service in plan.services:
-            self._note_fallback(service)
+        self._history.apply_plan(plan, era)
         self._tell_recent()
 
     def apply_contact(
@@ -248,11 +195,8 @@
         """
         since = contact.unheard_since
         now = self._clock.now()
-        for period in itertools.chain.from_iterable(
-            periods.values() for periods in self._periods.values()
-        ):
-            if since is not None and period.replaced_at >= since:
-                period.ended_at = max(period.ended_at, now)
+        if since is not None:
+            self._history.extend(since)
         worse = may_be_outdated > self._may_be_outdated or (
             since is not None
             and since < (self._contact.unheard_since or math.inf)
@@ -272,7 +216,7 @@
     def for_new(self, stream: Stream) -> str | None:
         """Returns the version at which a stream begins, None for any."""
         return software_plan.assign(
-            stream.name, self._usable_weights(stream.service)
+            stream.name, self._history.usable_weights(stream.service)
         )
 
     def for_resumed(self, stream: Stream) -> str | errors.Refusal:
@@ -287,8 +231,10 @@
         if software is None:
             software = self._planned(stream)
             source = "plan"
-        active = self._active.get(stream.service, {})
-        if software in active and source == "plan":
+        active = software is not None and self._history.is_active(
+            stream.service, software
+        )
+        if active and source == "plan":
             software = self._certain(stream)
         if software is None:
             self._metrics.event("stream_software_unknown")
@@ -297,7 +243,7 @@
                 detail=f"stream {stream.name}",
                 retry_after_s=_RETRY_AFTER_S,
             )
-        if software not in active:
+        if not active:
             self._metrics.event("stream_software_gone")
             return errors.Refusal(
                 _R.STREAM_SOFTWARE_GONE,
@@ -384,110 +330,19 @@
     def _certain(self, stream: Stream) -> str | None:
         """Returns the version that began a stream, None if it is not known."""
         software = self._planned(stream)
-        since = self._clock.now() - self._max_age_s(stream)
-        fallbacks = self._fallbacks.get(stream.service, ())
-        used = _assigned(stream, fallbacks, since)
+        used = self._history.used(
+            stream.service, stream.name, self._max_age_s(stream)
+        )
         return software if used <= {software} else None
 
     def _planned(self, stream: Stream) -> str | None:
         """Returns the version to which all plans assign a stream, if known."""
-        periods = self._periods.get(stream.service, {})
-        since_ms = self._now_ms() - _MS_PER_S * self._max_age_s(stream)
-        # A plan that a restore lost as a whole was written anew, and says
-        # nothing of the time before.
-        complete_since_ms = max(
-            self._complete_since_ms, min(periods, default=math.inf)
-        )
-        if self._may_be_outdated or since_ms < complete_since_ms:
+        contact_age_s = self._clock.now() - self._contact_at
+        if self._may_be_outdated or contact_age_s > _MAX_CONTACT_AGE_S:
             return None
-        now = self._clock.now()
-        if now - self._contact_at > _MAX_CONTACT_AGE_S:
-            return None
-        since = now - self._max_age_s(stream)
-        found = _assigned(stream, periods.values(), since)
-        return found.pop() if len(found) == 1 else None
-
-    def _usable_weights(self, service: str) -> Mapping[str, int]:
-        """Returns the weights by which streams begin, empty without servers."""
-        active = self._active.get(service, {})
-        periods = self._present.get(service)
-        weights = periods[-1].weights if periods else active
-        usable = {name: x for name, x in weights.items() if name in active}
-        return usable or active
-
-    def _note_fallback(self, service: str) -> bool:
-        """Records what streams use instead of the plan; returns if it is new.
-
-        The next plan may be written late, or never if the servers are back
-        before.
-        """
-        now = self._clock.now()
-        oldest = now - software_plan.HISTORY_MS / _MS_PER_S
-        usable = self._usable_weights(service)
-        periods = self._present.get(service)
-        planned = periods[-1].weights if periods else {}
-        fallbacks = [
-            item
-            for item in self._fallbacks.get(service, ())
-            if item.ended_at >= oldest
-        ]
-        for item in fallbacks:
-            item.ended_at = min(item.ended_at, now)
-        self._fallbacks[service] = fallbacks
-        if not usable or usable.keys() == planned.keys():
-            return False
-        known = [x for x in fallbacks if x.weights == usable]
-        for item in known:
-            item.ended_at = math.inf
-        if not known:
-            fallbacks.append(_Period(usable))
-        return not known
-
-    def _apply_shares(
-        self, service: str, shares: Sequence[software_plan.Shares]
-    ) -> None:
-        """Applies the periods of a service.
-
-        A plan says that a period ended when its successor was written. The
-        write may take effect later, so a period that was in use here until now
-        ends now.
-        """
-        now, now_ms = self._clock.now(), self._now_ms()
-        periods = self._periods.setdefault(service, {})
-        noticed = {
-            item.since_ms: now_ms
-            for item in shares
-            if item.since_ms in periods
-            and periods[item.since_ms].ended_at == math.inf
-            and item.ended_ms
-        }
-        # Another daemon that stopped sooner may have written its own end.
-        late_ends = {**self._late_ends.get(service, {}), **noticed}
-        self._late_ends[service] = {
-            item.since_ms: late_ends[item.since_ms]
-            for item in shares
-            if item.since_ms in late_ends
-            and 0 < item.ended_ms < late_ends[item.since_ms] - _LATE_MS
-        }
-        for period in periods.values():
-            # A restore of the store may have lost the period.
-            period.ended_at = min(period.ended_at, now)
-            period.replaced_at = min(period.replaced_at, now)
-        for item in shares:
-            period = periods.setdefault(
-                item.since_ms, _Period(item.weights, -math.inf, -math.inf)
-            )
-            stated_at = now - (now_ms - item.ended_ms) / _MS_PER_S
-            if not item.ended_ms:
-                stated_at = math.inf
-            period.ended_at = max(period.ended_at, stated_at)
-            period.replaced_at = max(period.replaced_at, stated_at)
-        oldest = now - software_plan.HISTORY_MS / _MS_PER_S
-        self._periods[service] = {
-            since_ms: period
-            for since_ms, period in periods.items()
-            if period.ended_at >= oldest
-        }
+        return self._history.planned(
+            stream.service, stream.name, self._max_age_s(stream)
+        )
 
     def _max_age_s(self, stream: Stream) -> float:
         """Returns the longest time since a stream began by a plan.
@@ -497,16 +352,3 @@
         limit_s = max(stream.timeout_s, self._limits.largest_s(stream.service))
         age_s = max(0.0, _PATIENCE_RATIO * limit_s - stream.left_s)
         return age_s + _SLACK_S
-
-    def _now_ms(self) -> int:
-        return round(self._clock.wall() * _MS_PER_S)
-
-
-def _assigned(
-    stream: Stream, periods: Iterable[_Period], since: float
-) -> set[str | None]:
-    """Returns the versions at which a stream may have begun."""
-    recent = [x.weights for x in periods if x.ended_at >= since]
-    if stream.name:
-        return {software_plan.assign(stream.name, x) for x in recent}
-    return {name for weights in recent for name in weights}
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -253,7 +253,7 @@
     clock.advance(1.0)
     other.apply(late, counts)
     clock.advance(0.5)
-    corrected = software_plan.with_ends(late, other.streams.late_ends)
+    corrected = software_plan.with_ends(late, other.streams.history.late_ends)
     started = _Daemon(clock)
     started.apply(corrected, counts)
     for daemon in (other, started):
@@ -272,19 +272,19 @@
     late = _revised(plan, 1_010_000, **counts)
     clock.advance(12.0)
     first.apply(late, counts)
-    written = software_plan.with_ends(late, first.streams.late_ends)
+    written = software_plan.with_ends(late, first.streams.history.late_ends)
     clock.advance(7.0)
     names = [f"r{number}" for number in range(100)]
     assert {last.streams.for_new(_stream(name)) for name in names} == {"v1"}
     last.apply(late, counts)
     last.apply(written, counts)
-    corrected = software_plan.with_ends(written, last.streams.late_ends)
+    corrected = software_plan.with_ends(written, last.streams.history.late_ends)
     clock.advance(0.5)
     started.apply(corrected, counts)
     found = {started.streams.for_resumed(_stream(x, 4.5)) for x in names}
     assert {x for x in found if isinstance(x, str)} == {"v1"}
     last.apply(corrected, counts)
-    again = software_plan.with_ends(corrected, last.streams.late_ends)
+    again = software_plan.with_ends(corrected, last.streams.history.late_ends)
     assert again is corrected
 
 
@@ -344,7 +344,7 @@
     clock.advance(10.0)
     changed = _revised(plan, 1_009_500, v1=9, v2=9)
     daemon.apply(changed, {"v1": 9, "v2": 9})
-    found = software_plan.with_ends(changed, daemon.streams.late_ends)
+    found = software_plan.with_ends(changed, daemon.streams.history.late_ends)
     assert found is changed
 
 
