Let the first plan grow old enough in tests of take-ups

Since "Do not believe a plan of software versions about the time before it", a stream is certain only if it can't have begun before the first plan. Three tests broke streams one to two seconds after their fleet had started, and took them up at daemons that had no other knowledge. They wait 4 s now, the greatest age of a stream of their route plus the slack; their checks stay.

--- a/tests/daemon_fleet.py
+++ b/tests/daemon_fleet.py
@@ -18,6 +18,9 @@
 from tests import gateway_front
 
 STREAM_ROUTE = "rewrite"
+# Age of the first plan of software versions from which on streams of the route
+# are certainly younger.
+PLAN_AGE_S = 4.0
 
 
 def two_versions(**fields: object) -> list[standin_worker.Worker]:
--- a/tests/test_stream_software.py
+++ b/tests/test_stream_software.py
@@ -33,6 +33,7 @@
 async def _break_streams(fleet: daemon_fleet.Fleet) -> list[str]:
     """Begins streams and kills all daemons; returns those that had events."""
     names = [f"r{number}" for number in range(_STREAMS)]
+    await anyio.sleep(daemon_fleet.PLAN_AGE_S)
     async with anyio.create_task_group() as group:
         for number, name in enumerate(names):
             group.start_soon(fleet.send, name, number % 2)
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -287,6 +287,7 @@
     async with daemon_fleet.fleet(tmp_path, (old, _NEW)) as fleet:
         for worker in fleet.workers:
             worker.events = _LONG_STREAM_EVENTS
+        await anyio.sleep(daemon_fleet.PLAN_AGE_S)
         await _break_and_take_up(fleet, 0, 1)
         await _break_and_take_up(fleet, 1, 0)
         await _tell_crashes(fleet, b"crash-0", 0)
