--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -112,10 +112,16 @@
     def contact(self) -> membership_api.Contact:
         """Returns how far this daemon is in contact with the others."""
         now = self._shared.clock.now()
+        unheard = (
+            entry
+            for entry in self._shared.table.entries
+            if entry.state is not member_table.MemberState.ALIVE
+            or entry.member.zone in self._unreachable
+        )
         since = [
             self._last_heard_at(entry, now)
-            for entry in self._shared.table.entries
-            if self._may_serve_unheard(entry, now)
+            for entry in unheard
+            if self._may_serve(entry, now)
         ]
         silent_s = now - self._shared.last_received_at
         if self._links and silent_s > self._silence_timeout_s:
@@ -148,14 +154,12 @@
             logs.warning("member_died", member=entry.member.name)
         self._check_zones(now)
 
-    def _may_serve_unheard(self, entry: member_table.Entry, now: float) -> bool:
+    def _may_serve(self, entry: member_table.Entry, now: float) -> bool:
         """Returns whether a member that is not heard may still serve."""
         if entry.member.leaving:
             return False
-        if entry.state is member_table.MemberState.DEAD:
-            return now - entry.since < _MAX_DEAD_S
-        suspected = entry.state is member_table.MemberState.SUSPECTED
-        return suspected or entry.member.zone in self._unreachable
+        dead = entry.state is member_table.MemberState.DEAD
+        return not dead or now - entry.since < _MAX_DEAD_S
 
     def _last_heard_at(self, entry: member_table.Entry, now: float) -> float:
         """Returns a time at which a member that is not heard still was."""
