Remember recent time limits by route instead of by service

Callers: more take-ups were refused than need be. Change: limits are remembered by route. Evidence: the test of lower limits has another route with 60 s now, and fails with limits by service, as the streams are refused 61 s later.

--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -309,6 +309,7 @@
         passed.service,
         passed.route.timeout_s,
         call.deadline - now,
+        passed.route.name,
     )
 
 
--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -207,13 +207,10 @@
     def _update_limits(
         self, configuration: configuration_lib.Configuration
     ) -> None:
-        limits_s: dict[str, float] = {}
-        for route in configuration.gateway_routes:
-            if route.resumable:
-                for part in route.services:
-                    known_s = limits_s.get(part.service, 0.0)
-                    limits_s[part.service] = max(known_s, route.timeout_s)
-        self._streams.update_limits(limits_s)
+        routes = configuration.gateway_routes
+        self._streams.update_limits(
+            {item.name: item.timeout_s for item in routes if item.resumable}
+        )
 
     def _rank(self) -> int:
         this = self._members.this().name
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -59,12 +59,14 @@
       service: the service that runs the stream.
       timeout_s: time limit of its route, in seconds.
       left_s: seconds for which the caller still waits.
+      route: name of its route.
     """
 
     name: str
     service: str
     timeout_s: float
     left_s: float
+    route: str = ""
 
     @property
     def key(self) -> int:
@@ -167,7 +169,7 @@
             self._tell_recent()
 
     def update_limits(self, limits_s: Mapping[str, float]) -> None:
-        """Applies the largest time limits of routes, by service."""
+        """Applies the time limits of routes, in seconds by route."""
         self._limits.update(limits_s)
 
     def apply_plan(
@@ -349,6 +351,6 @@
 
         A plan may have been in use at some daemons for a little longer.
         """
-        limit_s = max(stream.timeout_s, self._limits.largest_s(stream.service))
+        limit_s = max(stream.timeout_s, self._limits.largest_s(stream.route))
         age_s = max(0.0, _PATIENCE_RATIO * limit_s - stream.left_s)
         return age_s + _SLACK_S
--- a/tests/test_software_plan.py
+++ b/tests/test_software_plan.py
@@ -18,6 +18,7 @@
 from figstream import stream_software
 
 _LLM = "llm"
+_ROUTE = "rewrite"
 
 
 def _servers(**counts: int) -> list[backend_server.BackendServer]:
@@ -161,7 +162,7 @@
 
 
 def _stream(name: str, left_s: float = 5.0) -> stream_software.Stream:
-    return stream_software.Stream(name, _LLM, 5.0, left_s)
+    return stream_software.Stream(name, _LLM, 5.0, left_s, _ROUTE)
 
 
 _STEP = strategies.tuples(
@@ -319,7 +320,7 @@
     """Fails if a stream's age is judged by a limit set after it began."""
     clock = clock_lib.ManualClock(1_000.0)
     daemon = _Daemon(clock)
-    daemon.streams.update_limits({_LLM: 12.0})
+    daemon.streams.update_limits({_ROUTE: 12.0, "other": 60.0})
     plan = _revised(software_plan.SoftwarePlan(), 900_000, v1=9)
     daemon.apply(plan, {"v1": 9})
     names = [f"r{number}" for number in range(100)]
@@ -327,7 +328,7 @@
     clock.advance(1.0)
     counts = {"v1": 9, "v2": 9}
     daemon.apply(_revised(plan, 1_001_000, **counts), counts)
-    daemon.streams.update_limits({_LLM: 5.0})
+    daemon.streams.update_limits({_ROUTE: 5.0, "other": 60.0})
     clock.advance(9.0)
     found = {daemon.streams.for_resumed(_stream(x, 2.0)) for x in names}
     assert {x for x in found if isinstance(x, str)} == {"v1"}
