Check contact as soon as the store has answered

Callers: after all daemons were killed during a release, most streams that callers took up at once were refused as unknown. Cause: a daemon that starts has not reached the store, so its plan may be outdated; this was looked at again only a quarter of a second later. The log shows plans read at 27.87 s, take-ups refused from 27.92 s on, and the first that went on at 28.10 s. Change: contact is checked with each answer of the store about servers and plans, too; the time before the first check is no pause. Evidence: the new test fails without it.

--- a/figstream/plan_contact.py
+++ b/figstream/plan_contact.py
@@ -59,19 +59,27 @@
         self._called_at = -math.inf
         self._checked_at = clock.now()
         self._read_at = -math.inf
+        # Callers come back as soon as a daemon has started.
+        for follower in (entries, plans):
+            follower.subscribe_confirmed(lambda _: self.check())
 
     async def run(self) -> None:
         """Applies the present contact repeatedly, until cancelled."""
+        self._checked_at = self._clock.now()
         while True:
-            contact = self._members.contact
-            paused = self._was_paused()
-            outdated = self._may_be_outdated(contact) or paused
-            self._streams.apply_contact(contact, may_be_outdated=outdated)
+            self.check()
             await self._clock.sleep(_INTERVAL_S)
 
     async def hand_over(self) -> None:
         """Does nothing, since this role has nothing to hand over."""
 
+    def check(self) -> None:
+        """Applies the present contact."""
+        contact = self._members.contact
+        paused = self._was_paused()
+        outdated = self._may_be_outdated(contact) or paused
+        self._streams.apply_contact(contact, may_be_outdated=outdated)
+
     def _was_paused(self) -> bool:
         """Returns whether this daemon may still have to read newer plans."""
         now = self._clock.now()
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -212,6 +212,17 @@
         """Counts the calls for the plan."""
         self.calls += 1
 
+    def subscribe_confirmed(
+        self, listener: object_follower.ConfirmListener
+    ) -> None:
+        """Keeps the listener, which `confirm` calls."""
+        self.listener = listener
+
+    def confirm(self) -> None:
+        """Tells of an answered call."""
+        self.failing = False
+        self.listener(0.0)
+
 
 async def _trusts_plan(
     role: plan_contact.PlanContact, fleet: _Fleet, name: str
@@ -249,6 +260,25 @@
     assert await _trusts_plan(role, fleet, "regained")
 
 
+def test_a_daemon_that_starts_trusts_the_plan_once_it_is_read() -> None:
+    """Fails if callers are refused until the next check of contact."""
+    fleet, state, plans = _Fleet(), _Contact(), _Contact()
+    state.failing = plans.failing = True
+    role = plan_contact.PlanContact(
+        fleet.near,
+        cast(membership.Membership, state),
+        cast(object_follower.ObjectFollower, state),
+        cast(object_follower.ObjectFollower, plans),
+        fleet.clock,
+    )
+    stream = fleet.stream("r1")
+    role.check()
+    assert isinstance(fleet.near.for_resumed(stream), errors.Refusal)
+    state.confirm()
+    plans.confirm()
+    assert fleet.near.for_resumed(stream) == "v1"
+
+
 class _SleeplessClock:
     """The time of another clock, with real sleeps."""
 
