--- a/review/small_system.py
+++ b/review/small_system.py
@@ -413,7 +413,9 @@
     async def play_in_time() -> int:
         with anyio.fail_after(limit_s):
             with tempfile.TemporaryDirectory() as name:
-                return await play(pathlib.Path(name), record)
+                # A folder for the daemons' logs, if they are to be read.
+                kept = os.environ.get("KEEP_LOGS", name)
+                return await play(pathlib.Path(kept), record)
 
     try:
         return asyncio.run(play_in_time())
