--- a/review/small_system.py
+++ b/review/small_system.py
@@ -214,6 +214,13 @@
         """Returns whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def descriptors(self) -> int:
+        """Returns the number of open descriptors of the process."""
+        if self.process is None or not self.running:
+            return 0
+        return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+
     def start(self) -> None:
         """Starts the process with the command of the deploy file."""
         with self.log.open("ab") as log_file:
