--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,9 @@
 """Kills a daemon that has missed a plan, whose callers resume their streams.
 
-The workers of a service are released in two steps. The store loses one answer
-to one daemon, that to its watch of the plan of software versions. Seconds after
-the release that daemon is killed, and its callers take up their streams at
-another one.
+Half of the workers of a service are released. The store loses two answers: that
+to the write of the last plan of software versions, and that to one daemon's
+watch of the plan. Seconds later that daemon is killed, and its callers take up
+their streams at another one.
 """
 
 import asyncio
@@ -21,11 +21,11 @@
 from figstream_platform import standin_store
 from figstream_platform import standin_worker
 
-_OLD = "sha256:" + "4f2a" * 16
-_NEW = "sha256:" + "b81c" * 16
-_WORKERS = 10
-# Workers replaced in the two steps, and the time between two replacements.
-_STEPS = (5, 2)
+_OLD, _NEW = "2.4.1", "2.5.0"
+_WORKERS = 6
+# Half of the workers are replaced. The last replacement changes the plan while
+# the store loses two answers.
+_BEFORE_LOSS, _DURING_LOSS = 2, 1
 _GAP_S = 1.1
 _DRAIN_S = 2.0
 # A stream takes 4 s.
@@ -33,9 +33,9 @@
 _EVENT_S = 0.25
 _PATIENCE_S = 5.0
 _STREAMS = 60
-# Time from the end of the release to the first stream that is looked at, and
-# over which those begin.
-_SETTLE_S = 3.9
+# Time from the last replacement to the first stream that is looked at, and over
+# which those begin.
+_SETTLE_S = 5.6
 _SPREAD_S = 3.0
 _RESUME_AFTER_S = 0.4
 _PLANS = "figstream-software-plans"
@@ -45,47 +45,51 @@
 
 
 class _Store(standin_store.Store):
-    """A store that can lose the answer to one watch.
+    """A store that can lose the answers to one write and one watch.
 
-    As the platform's store does, it returns nothing further on the channel.
+    As the platform's store does, it has done the write, and returns nothing
+    further on the channels.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.loses_watch_of = ""
-        self.lost = 0
+        self.lost: list[str] = []
 
     async def application(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        headers = asgi.headers_of(scope)
-        watches = scope["path"].endswith(_PLANS) and b"watch=" in scope.get(
-            "query_string", b""
-        )
-        caller = headers.get("x-platform-client", "")
-        sent: list[asgi.Message] = []
-
-        async def hold(message: asgi.Message) -> None:
+        caller = asgi.headers_of(scope).get("x-platform-client", "")
+        writes = scope.get("method") == "PUT"
+        what = f"{'write' if writes else 'watch'} of {caller}"
+        started: list[asgi.Message] = []
+
+        async def send_unless_lost(message: asgi.Message) -> None:
+            if message["type"] == "http.response.start":
+                started.append(message)
+                return
+            concerned = writes or caller == self.loses_watch_of
             if (
-                watches
-                and self.loses_watch_of == caller
-                and not self.lost
-                and (sent or message.get("status") == 200)
+                _PLANS in scope["path"]
+                and self.loses_watch_of
+                and concerned
+                and self._loses(what, started[0], message)
             ):
-                sent.append(message)
-                if message["type"] != "http.response.body":
-                    return
-                if b'"object"' not in message["body"]:
-                    # An answer without changes is of no interest.
-                    for item in sent:
-                        await send(item)
-                    sent.clear()
-                    return
-                self.lost += 1
+                self.lost.append(what)
                 await asyncio.sleep(3600.0)
+            await send(started[0])
             await send(message)
 
-        await super().application(scope, receive, hold)
+        await super().application(scope, receive, send_unless_lost)
+
+    def _loses(
+        self, what: str, start: asgi.Message, body: asgi.Message
+    ) -> bool:
+        """Returns whether an answer with a change is the one to lose."""
+        kind = what.split(" ")[0]
+        known = any(item.startswith(kind) for item in self.lost)
+        changed = start["status"] == 200 and b'"spec"' in body["body"]
+        return changed and not known
 
 
 @attrs.define
@@ -223,13 +227,12 @@
         missing = list(rendezvous.rank("software_plan", names))[-1]
         daemon = system.daemons[names.index(missing)]
         others = [item for item in system.daemons if item is not daemon]
-        record.add("first step of the release")
-        await release.replace(_STEPS[0])
+        record.add("the release begins")
+        await release.replace(_BEFORE_LOSS)
         if small_system.TROUBLE:
             store.loses_watch_of = missing
-            record.add(f"the next answer to {missing}'s watch is lost")
-        record.add("second step of the release")
-        await release.replace(_STEPS[1])
+            record.add("the store begins to lose answers")
+        await release.replace(_DURING_LOSS)
         await asyncio.sleep(_SETTLE_S)
         tasks = [
             asyncio.create_task(
@@ -244,7 +247,7 @@
         ]
         await asyncio.sleep(_SPREAD_S + 0.6)
         daemon.end()
-        record.add(f"SIGKILL to {missing}, answers lost so far: {store.lost}")
+        record.add(f"SIGKILL to {missing}; answers lost: {store.lost}")
         streams = [await task for task in tasks]
         release.stop()
         return _judge(system, streams)
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A release in two steps, one lost answer of the store, and a killed daemon.
-# TROUBLE=0 leaves the lost answer out.
+# A release of half of the workers, two lost answers of the store, and a killed
+# daemon. TROUBLE=0 leaves the lost answers out.
 set -u
 cd "$(dirname "$0")/../.."
 export PYTHONPATH="target/deps:.:platform:review"
