--- a/review/small_system.py
+++ b/review/small_system.py
@@ -28,6 +28,8 @@
 import attrs
 
 from figstream import http_server
+from figstream_platform import callers
+from figstream_platform import program
 from figstream_platform import standin_program
 from figstream_platform import standin_store
 from figstream_platform import standin_worker
@@ -40,6 +42,8 @@
 # Linux gives ports from 32768 on to outgoing connections.
 _PORTS = range(20_000, 32_000)
 _START_LIMIT_S = 25.0
+REMAINING_MS = callers.REMAINING_MS.decode()
+_SIGNATURE = standin_worker.SIGNATURE.decode()
 
 
 class CaseError(Exception):
@@ -110,7 +114,7 @@
     def describe(self) -> str:
         """Returns a line about the answer."""
         kind = "whole" if self.whole else "not whole"
-        signed = self.headers.get("x-server-signature", "not signed")
+        signed = self.headers.get(_SIGNATURE, "not signed")
         return (
             f"answer {self.request_id} status={self.status} {kind} "
             f"bytes={len(self.body)} {signed!r} end={self.end}"
@@ -162,7 +166,7 @@
         "Host": standin_program.HOST,
         "X-Request-Id": request_id,
         "Authorization": f"Bearer {standin_program.KEY}",
-        "X-Deadline-Ms": str(int(limit_s * 1000)),
+        REMAINING_MS: str(int(limit_s * 1000)),
         "Content-Length": str(len(body)),
         **(headers or {}),
     }
@@ -230,7 +234,7 @@
                     "PATH": os.environ.get("PATH", ""),
                     "HOME": os.environ.get("HOME", ""),
                     "PYTHONPATH": str(ROOT / "target" / "deps"),
-                    "FIGSTREAM_BOOT": str(self.settings),
+                    program.SETTINGS_VARIABLE: str(self.settings),
                 },
                 stdout=log_file,
                 stderr=subprocess.STDOUT,
