Handle signals until a daemon's process has ended

Cause: the receiver of signals ended with the first part of the shutdown. asyncio then restores the default action, which ends the process. The same held for a second SIGTERM or SIGINT, for `figstream serve`, which SIGHUP ended at any time, and for SIGTERM between the binding of the sockets and the first step of the loop.

Evidence: exit code -1 at the moment of the signal.

Change: process_signals handles the three signals from before the daemon is built until it has ended, with handlers of the interpreter, and ignores them from then on. There is no moment with the default action in between, which handlers of asyncio leave on removal. test_stream_in_flight_at_sigterm_ends_whole became test_stream_in_flight_at_signals_ends_whole with the same checks.

--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -18,7 +18,6 @@
 from figstream import configuration_holder
 from figstream import crash_parts
 from figstream import daemon_context
-from figstream import errors
 from figstream import explain
 from figstream import feed_peers
 from figstream import feed_relay
@@ -42,6 +41,7 @@
 from figstream import scheduler as scheduler_lib
 from figstream import server_connector
 from figstream import server_reach
+from figstream import settings_reload
 from figstream import stream_parts
 from figstream import usage_parts
 from figstream import usage_totals
@@ -237,23 +237,8 @@
         self._server.shut_down()
 
     def reload(self, path: pathlib.Path) -> None:
-        """Checks the settings file and logs which settings have changed.
-
-        Changes need a restart, since addresses and identity are fixed for the
-        life of a process.
-        """
-        try:
-            new_options = gateway_options.read(path)
-        except errors.SettingsError as error:
-            logs.error("settings_refused", file=path, detail=str(error))
-            return
-        changed = [
-            field.name
-            for field in attrs.fields(gateway_options.GatewayOptions)
-            if getattr(new_options, field.name)
-            != getattr(self._options, field.name)
-        ]
-        logs.info("settings_read", changed=",".join(changed) or "none")
+        """Checks the settings file and logs which settings have changed."""
+        settings_reload.log_changes(gateway_options.read, path, self._options)
 
     async def _hand_over_early(self) -> None:
         """Gives up duties and membership before the listener closes.
--- a/figstream/main.py
+++ b/figstream/main.py
@@ -66,7 +66,7 @@
 def run_serve(config: ConfigFile) -> None:
     """Run one daemon until SIGTERM, then complete requests in flight."""
     loaded_options = load_options(config)
-    serve.run(loaded_options)
+    serve.run(loaded_options, config)
 
 
 @app.command("demo")
--- a/figstream/serve.py
+++ b/figstream/serve.py
@@ -1,6 +1,6 @@
 """Implements `figstream serve`: runs one daemon until SIGTERM or SIGINT."""
 
-import signal
+import pathlib
 
 import anyio
 import typer
@@ -10,34 +10,39 @@
 from figstream import metrics as metrics_lib
 from figstream import options as options_lib
 from figstream import platform_http
+from figstream import process_signals
+from figstream import settings_reload
 
 
-def run(options: options_lib.Options) -> None:
-    """Runs a daemon until SIGTERM or SIGINT, then shuts it down."""
+def run(options: options_lib.Options, path: pathlib.Path) -> None:
+    """Runs a daemon until SIGTERM or SIGINT, then shuts it down.
+
+    Args:
+      options: the settings of the daemon.
+      path: the settings file, which is checked again at SIGHUP.
+    """
     logs.configure(options.log_level)
-    anyio.run(_serve, options)
+    anyio.run(_serve, options, path)
 
 
-async def _serve(options: options_lib.Options) -> None:
+async def _serve(options: options_lib.Options, path: pathlib.Path) -> None:
     platform = platform_http.make_platform(
         options.platform_url, options.name, options.platform_timeout_s
     )
     context = daemon_lib.make_context(
         options, platform, metrics_lib.make_metrics()
     )
-    daemon = daemon_lib.Daemon(context)
-    # Scripts read the ports from these lines, since port 0 selects a free one.
-    typer.echo(f"callers=http://{options.address}:{daemon.caller_port}")
-    typer.echo(f"peers={daemon.peer_address}")
-    typer.echo(f"operators={daemon.operator_address}")
-    async with anyio.create_task_group() as group:
-        group.start_soon(_stop_on_signal, daemon)
-        await daemon.run()
-        group.cancel_scope.cancel()
-
-
-async def _stop_on_signal(daemon: daemon_lib.Daemon) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await daemon.shut_down()
-            return
+
+    def make_daemon() -> daemon_lib.Daemon:
+        daemon = daemon_lib.Daemon(context)
+        # Scripts read the ports from these lines, since port 0 selects a free
+        # one.
+        typer.echo(f"callers=http://{options.address}:{daemon.caller_port}")
+        typer.echo(f"peers={daemon.peer_address}")
+        typer.echo(f"operators={daemon.operator_address}")
+        return daemon
+
+    def reload(_: daemon_lib.Daemon) -> None:
+        settings_reload.log_changes(options_lib.read, path, options)
+
+    await process_signals.run_daemon(make_daemon, reload)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -219,6 +219,36 @@
         assert "event=daemon_stopped" in system.log.read_text()
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("number", ["SIGHUP", "SIGTERM", "SIGINT"])
+async def test_signals_after_sigterm_break_no_request_in_flight(
+    tmp_path: pathlib.Path, number: str
+) -> None:
+    """Fails if signals get their default action before the process exits."""
+    async with _system(tmp_path) as system:
+        await system.ready()
+        with anyio.fail_after(5.0):
+            while (await system.send_request("order", "r0")).status_code != 200:
+                await anyio.sleep(0.05)
+        system.worker.pause_s = 0.9
+        answers: list[httpx.Response] = []
+
+        async def send_request() -> None:
+            answers.append(await system.send_request("order", "in-flight"))
+
+        async with anyio.create_task_group() as group:
+            system.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.9)
+            group.start_soon(send_request)
+            with anyio.fail_after(_GRACE_S + 2.0):
+                while system.process.poll() is None:
+                    system.process.send_signal(signal.Signals[number])
+                    await anyio.sleep(0.01)
+        assert [item.status_code for item in answers] == [200]
+        assert system.process.returncode == 0
+        assert "event=daemon_stopped" in system.log.read_text()
+
+
 @pytest.mark.anyio
 async def test_a_reload_while_it_starts_does_not_end_a_daemon(
     tmp_path: pathlib.Path,
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -38,10 +38,12 @@
             yield started, key
 
 
-def test_stream_in_flight_at_sigterm_ends_whole(
-    daemon: tuple[processes.RunningProcess, str],
+@pytest.mark.parametrize("later", ["SIGTERM", "SIGINT", "SIGHUP"])
+@pytest.mark.parametrize("first", ["SIGTERM", "SIGHUP"])
+def test_stream_in_flight_at_signals_ends_whole(
+    daemon: tuple[processes.RunningProcess, str], first: str, later: str
 ) -> None:
-    """Fails when `shut_down` cancels the task group immediately."""
+    """Fails if `shut_down` cancels requests, or a later signal ends them."""
     started, key = daemon
     body = {"model": demo_stack.MODEL, "stream": True, "max_tokens": 60}
     with httpx.stream(
@@ -53,7 +55,11 @@
     ) as answer:
         chunks = answer.iter_raw()
         text = next(chunks)
+        started.process.send_signal(signal.Signals[first])
+        text += next(chunks)
         started.process.send_signal(signal.SIGTERM)
+        text += next(chunks)
+        started.process.send_signal(signal.Signals[later])
         text += b"".join(chunks)
     assert text.count(b'"content":"w') == 60
     assert text.endswith(b"data: [DONE]\n\n")
