Read the plan of software versions after a write that failed

Cause: a daemon that misses a plan does not read it, although each of its own writes then gets a conflict. The answer to the write of the plan was lost, so its writer told nobody by a notice, and the answer to one daemon's watch was lost too. That daemon went on with the old plan until its watch ended, for up to 16 s; the others had forgotten it by then.

Change: a write that failed or has no answer replaces the watch by a call that is answered at once.

--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -152,6 +152,9 @@
             logs.info(
                 "software_plan_not_written", outcome=type(outcome).__name__
             )
+            # Another plan may be stored, or this one without an answer, and
+            # the watch may have lost its answer too.
+            self._follower.call_again()
             return False
         value = serialization.to_value(plan)
         item = platform_api.StoredItem(_NAME, outcome.version, value)
--- a/tests/daemon_fleet.py
+++ b/tests/daemon_fleet.py
@@ -149,15 +149,18 @@
 async def fleet(
     folder: pathlib.Path,
     trees: Sequence[pathlib.Path] = (daemons.ROOT, daemons.ROOT),
+    *,
+    pause_s: float = 0.06,
 ) -> AsyncIterator[Fleet]:
     """Runs a daemon of each build until the block ends.
 
     Args:
       folder: folder of settings and logs.
       trees: folders of the builds.
+      pause_s: seconds between two events of a stream.
     """
     store = standin_store.Store()
-    workers = two_versions(pause_s=0.06, events=6)
+    workers = two_versions(pause_s=pause_s, events=6)
     ports = [daemons.make_ports() for _ in trees]
     processes = [
         daemons.DaemonProcess(f"entry-{number}", "a", item, folder, tree)
