Count a plan as in use until all daemons have the next one

Cause: daemons took a plan for ended everywhere 3 s after its successor, though nothing proves that each of them has it. A daemon that hears of no newer plan did not look for one.

Change: the status of each daemon names its plan. A daemon that hears of a newer one pulls it from a peer; a plan counts as in use as long as a daemon that may serve has not told of its successor. Daemons of the build before tell nothing, for them the fixed time stays.

--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -1,10 +1,11 @@
 """Pulls stored objects from peer daemons when the store does not answer.
 
 While this daemon's calls to the platform's store fail, or while a peer has a
-newer active configuration, the daemon pulls the objects from two randomly
-chosen peers. The same role answers the pull requests of other daemons. After a
-restore of the store from an older copy, a daemon that starts learns the newest
-configuration from peers although the store holds an older one.
+newer active configuration or a newer plan of software versions, the daemon
+pulls the objects from two randomly chosen peers. The same role answers the pull
+requests of other daemons. After a restore of the store from an older copy, a
+daemon that starts learns the newest configuration from peers although the store
+holds an older one.
 """
 
 import random
@@ -55,13 +56,25 @@
         configuration: configuration_feed.ConfigurationFeed,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        plans: object_follower.ObjectFollower | None = None,
     ) -> None:
-        """Initializes the role for the object kinds of the given followers."""
+        """Initializes the role for the object kinds of the given followers.
+
+        Args:
+          followers: followers of the objects to exchange.
+          members: the live daemons.
+          configuration: the operator's configuration.
+          clock: time source.
+          metrics: instruments.
+          plans: the one of `followers` whose version members tell, None if
+            there is none.
+        """
         self._followers = {item.kind: item for item in followers}
         self._members = members
         self._configuration = configuration
         self._clock = clock
         self._metrics = metrics
+        self._plans = plans
         self._random = random.Random()
 
     def register(self, server: grpc.aio.Server) -> None:
@@ -127,6 +140,8 @@
         return any(self._is_ahead(item) for item in self._members.live())
 
     def _is_ahead(self, member: membership_api.Member) -> bool:
+        if self._plans and member.plan_version > self._plans.position:
+            return True
         return member.generation > self._configuration.generation
 
     async def _pull(self, member: membership_api.Member) -> None:
@@ -192,8 +207,14 @@
     followers: tuple[object_follower.ObjectFollower, ...],
     configuration: configuration_feed.ConfigurationFeed,
     members: membership_api.Members,
+    plans: object_follower.ObjectFollower,
 ) -> FeedPeers:
     """Creates the `FeedPeers` role of a daemon."""
     return FeedPeers(
-        followers, members, configuration, context.clock, context.metrics
+        followers,
+        members,
+        configuration,
+        context.clock,
+        context.metrics,
+        plans,
     )
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -148,7 +148,7 @@
         )
         followers = (sources.configuration_follower, sources.entries, plans)
         peers = feed_peers.make_feed_peers(
-            context, followers, sources.configuration_feed, self.members
+            context, followers, sources.configuration_feed, self.members, plans
         )
         accounting = usage_parts.make_usage_parts(
             context, self.members, self.members.notices
--- a/figstream/member_codec.py
+++ b/figstream/member_codec.py
@@ -18,6 +18,7 @@
         generation=status.generation,
         leaving=status.leaving,
         suspected=status.suspected,
+        plan_version=status.plan_version,
     )
 
 
@@ -29,6 +30,7 @@
         message.generation,
         message.leaving,
         message.suspected,
+        message.plan_version,
     )
 
 
@@ -54,6 +56,7 @@
         message.start_number,
         message.status.generation,
         message.status.leaving,
+        message.status.plan_version,
     )
 
 
--- a/figstream/member_table.py
+++ b/figstream/member_table.py
@@ -57,6 +57,8 @@
       leaving: whether the daemon is shutting down.
       suspected: whether a neighbour stopped receiving the daemon's
         heartbeats.
+      plan_version: version of the plan of software versions that the daemon
+        uses, 0 if it has not told.
     """
 
     run: int
@@ -64,6 +66,7 @@
     generation: int = 0
     leaving: bool = False
     suspected: bool = False
+    plan_version: int = 0
 
 
 @attrs.define
@@ -101,6 +104,7 @@
             self.member.generation,
             self.member.leaving,
             self.state is not MemberState.ALIVE,
+            self.member.plan_version,
         )
 
     @property
@@ -209,11 +213,16 @@
             and entry.state is not MemberState.DEAD
         ]
 
-    def update_own(self, *, generation: int, leaving: bool) -> None:
+    def update_own(
+        self, *, generation: int, leaving: bool, plan_version: int = 0
+    ) -> None:
         """Records a change of this daemon's own status."""
         entry = self._entries[self._run]
         changed = attrs.evolve(
-            entry.member, generation=generation, leaving=leaving
+            entry.member,
+            generation=generation,
+            leaving=leaving,
+            plan_version=plan_version,
         )
         if changed != entry.member:
             entry.member = changed
@@ -237,9 +246,7 @@
         if old:
             del self._entries[old.run]
         state = _state_from_status(status)
-        changed = attrs.evolve(
-            member, generation=status.generation, leaving=status.leaving
-        )
+        changed = _with_status(member, status)
         entry = Entry(changed, run, status.version, state, now)
         if state is not MemberState.ALIVE:
             entry.suspected_at = now
@@ -257,13 +264,11 @@
             return self._merge_own_status(entry, status)
         if status.version > entry.version:
             entry.version = status.version
-            entry.member = attrs.evolve(
-                entry.member,
-                generation=status.generation,
-                leaving=status.leaving,
-            )
+            entry.member = _with_status(entry.member, status)
             self._set_state(entry, _state_from_status(status), now)
             return MergeResult.CHANGED
+        if status.version == entry.version:
+            status = _with_one_plan(entry, status)
         if status == entry.status:
             return MergeResult.KNOWN
         if status.version == entry.version and status.suspected:
@@ -363,6 +368,27 @@
         self._revision += 1
 
 
+def _with_status(
+    member: membership_api.Member, status: Status
+) -> membership_api.Member:
+    return attrs.evolve(
+        member,
+        generation=status.generation,
+        leaving=status.leaving,
+        plan_version=status.plan_version,
+    )
+
+
+def _with_one_plan(entry: Entry, status: Status) -> Status:
+    """Gives entry and status of the same version the plan that one of them has.
+
+    Builds that do not know the field pass a status on without it.
+    """
+    plan_version = max(entry.member.plan_version, status.plan_version)
+    entry.member = attrs.evolve(entry.member, plan_version=plan_version)
+    return attrs.evolve(status, plan_version=plan_version)
+
+
 def _state_from_status(status: Status) -> MemberState:
     if status.suspected:
         return MemberState.SUSPECTED
--- a/figstream/membership.py
+++ b/figstream/membership.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Sequence
+import math
 from typing import Final
 
 import anyio
@@ -30,6 +31,10 @@
 _STARTUP_GRACE_HEARTBEATS: Final = 3.0
 # Longest time until streams to new neighbours are opened.
 _CHECK_INTERVAL_S: Final = 1.0
+# Limits of how often this daemon tells which plan it uses. All daemons tell it
+# after each change of the plan, which a release changes every second.
+_MIN_PLAN_INTERVAL_S: Final = 1.0
+_PLANS_TOLD_PER_S: Final = 60.0
 # Several times the delay with which changes are sent to neighbours.
 _LEAVE_PROPAGATION_S: Final = 0.5
 
@@ -86,6 +91,8 @@
         self._last_counts = (0, 0, 0)
         self._started_at = now
         self._leaving = False
+        self._plan_version = 0
+        self._plan_told_at = -math.inf
         context.holder.subscribe(self._update_own_status)
 
     @property
@@ -173,6 +180,7 @@
                     self._streams.close_silent()
                     self._streams.maintain(group, self._successor_addresses())
                     self._notify_scheduler()
+                    self._tell_plan()
                     await self._channels.close_unused(self._known_addresses())
                     heartbeat_s = self._context.options.heartbeat_s
                     await anyio.sleep(min(_CHECK_INTERVAL_S, heartbeat_s))
@@ -180,17 +188,38 @@
             with anyio.CancelScope(shield=True):
                 await self._channels.close()
 
+    def use_plan(self, version: int) -> None:
+        """Tells the other daemons which plan of software versions is in use.
+
+        Args:
+          version: version of the plan in the store.
+        """
+        self._plan_version = version
+        self._tell_plan()
+
     async def hand_over(self) -> None:
         """Notifies the other daemons that this daemon is leaving."""
         self._leaving = True
         self._update_own_status(self._context.holder.current)
         await anyio.sleep(_LEAVE_PROPAGATION_S)
 
+    def _tell_plan(self) -> None:
+        now = self._context.clock.now()
+        interval_s = max(
+            _MIN_PLAN_INTERVAL_S, len(self._table.entries) / _PLANS_TOLD_PER_S
+        )
+        due = now - self._plan_told_at >= interval_s
+        if due and self.this().plan_version != self._plan_version:
+            self._plan_told_at = now
+            self._update_own_status(self._context.holder.current)
+
     def _update_own_status(
         self, configuration: configuration_lib.Configuration
     ) -> None:
         self._table.update_own(
-            generation=configuration.generation, leaving=self._leaving
+            generation=configuration.generation,
+            leaving=self._leaving,
+            plan_version=self._plan_version,
         )
 
     def _successor_addresses(self) -> frozenset[str]:
--- a/figstream/membership_api.py
+++ b/figstream/membership_api.py
@@ -19,6 +19,8 @@
       start_number: distinguishes runs of the daemon on the same VM.
       generation: generation of the active configuration.
       leaving: whether the daemon is shutting down.
+      plan_version: version of the plan of software versions that it uses, 0
+        if it has not told.
     """
 
     name: str
@@ -28,6 +30,7 @@
     start_number: int
     generation: int = 0
     leaving: bool = False
+    plan_version: int = 0
 
 
 @attrs.frozen
@@ -39,10 +42,13 @@
         been heard, in clock seconds, None if all are heard.
       detection_s: seconds within which a daemon that is no longer heard is
         noticed.
+      oldest_plan: lowest version of the plan of software versions that a
+        daemon may still use, 0 if none has told.
     """
 
     unheard_since: float | None = None
     detection_s: float = 0.0
+    oldest_plan: int = 0
 
 
 class Members(Protocol):
--- a/figstream/membership_silence.py
+++ b/figstream/membership_silence.py
@@ -132,6 +132,7 @@
         return membership_api.Contact(
             min(since) - 2 * heartbeat_s if since else None,
             self._silence_timeout_s + 2 * heartbeat_s,
+            self._oldest_plan(now),
         )
 
     def can_reach(self, entry: member_table.Entry) -> bool:
@@ -161,6 +162,16 @@
         dead = entry.state is member_table.MemberState.DEAD
         return not dead or now - entry.since < _MAX_DEAD_S
 
+    def _oldest_plan(self, now: float) -> int:
+        """Returns the oldest plan that a daemon may still use, 0 if none."""
+        told = (
+            entry.member.plan_version
+            for entry in self._shared.table.entries
+            if entry.state is member_table.MemberState.ALIVE
+            or self._may_serve(entry, now)
+        )
+        return min((item for item in told if item), default=0)
+
     def _last_heard_at(self, entry: member_table.Entry, now: float) -> float:
         """Returns a time at which a member that is not heard still was."""
         ticks = self._shared.ticks
--- a/figstream/software_history.py
+++ b/figstream/software_history.py
@@ -33,11 +33,13 @@
       weights: weight of each version.
       ended_at: time until which a daemon may have used them, in clock seconds.
       replaced_at: time at which daemons in contact stopped using them.
+      replaced_by: version of the plan that ended them, 0 if they are in use.
     """
 
     weights: Mapping[str, int]
     ended_at: float = math.inf
     replaced_at: float = math.inf
+    replaced_by: int = 0
 
 
 class SoftwareHistory:
@@ -85,13 +87,16 @@
         new = [self._note_fallback(item) for item in self._present]
         return any(new)
 
-    def apply_plan(self, plan: software_plan.SoftwarePlan, era: int) -> None:
+    def apply_plan(
+        self, plan: software_plan.SoftwarePlan, era: int, version: int = 0
+    ) -> None:
         """Applies the newest plan; remembers the recent ones.
 
         Args:
           plan: the plan.
           era: present era of the store. A plan of another era came back with
             a restore, and tells nothing of the streams that began before.
+          version: version of the plan in the store.
         """
         complete_since_ms = plan.complete_since_ms
         if plan.era != era:
@@ -100,7 +105,7 @@
             self._complete_since_ms, complete_since_ms
         )
         for service, shares in plan.services.items():
-            self._apply_shares(service, shares)
+            self._apply_shares(service, shares, version)
         self._present = plan.services
         for service in plan.services:
             self._note_fallback(service)
@@ -117,6 +122,26 @@
             if period.replaced_at >= unheard_since:
                 period.ended_at = max(period.ended_at, now)
 
+    def extend_unconfirmed(self, oldest_plan: int) -> bool:
+        """Applies that some daemons may still use an older plan.
+
+        Args:
+          oldest_plan: version of the oldest plan in use, 0 if it is not known.
+
+        Returns:
+          Whether the plan of this daemon is newer.
+        """
+        now = self._clock.now()
+        unconfirmed = [
+            period
+            for periods in self._periods.values()
+            for period in periods.values()
+            if 0 < oldest_plan < period.replaced_by
+        ]
+        for period in unconfirmed:
+            period.ended_at = max(period.ended_at, now)
+        return bool(unconfirmed)
+
     def is_active(self, service: str, software: str) -> bool:
         """Returns whether a version has an active server."""
         return software in self._active.get(service, {})
@@ -196,7 +221,10 @@
         return not known
 
     def _apply_shares(
-        self, service: str, shares: Sequence[software_plan.Shares]
+        self,
+        service: str,
+        shares: Sequence[software_plan.Shares],
+        version: int,
     ) -> None:
         """Applies the periods of a service.
 
@@ -234,6 +262,10 @@
                 stated_at = math.inf
             period.ended_at = max(period.ended_at, stated_at)
             period.replaced_at = max(period.replaced_at, stated_at)
+        present_ms = shares[-1].since_ms if shares else None
+        for since_ms, period in periods.items():
+            if since_ms != present_ms:
+                period.replaced_by = period.replaced_by or version
         oldest = now - software_plan.HISTORY_MS / _MS_PER_S
         self._periods[service] = {
             since_ms: period
--- a/figstream/software_planner.py
+++ b/figstream/software_planner.py
@@ -201,7 +201,8 @@
                 complete_since_ms=plan.complete_since_ms,
                 version=item.version,
             )
-        self._streams.apply_plan(plan, self._era.current)
+        self._streams.apply_plan(plan, self._era.current, item.version)
+        self._members.use_plan(item.version)
 
     def _update_servers(self, names: frozenset[str]) -> None:
         self._streams.update_servers(self._directory.servers)
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -149,6 +149,7 @@
         self._contact = membership_api.Contact()
         self._contact_at = math.inf
         self._may_be_outdated = False
+        self._others_behind = False
         self._pending: dict[int, str] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -173,15 +174,16 @@
         self._limits.update(limits_s)
 
     def apply_plan(
-        self, plan: software_plan.SoftwarePlan, era: int = 0
+        self, plan: software_plan.SoftwarePlan, era: int = 0, version: int = 0
     ) -> None:
         """Applies the newest plan.
 
         Args:
           plan: the plan.
           era: present era of the store.
+          version: version of the plan in the store.
         """
-        self._history.apply_plan(plan, era)
+        self._history.apply_plan(plan, era, version)
         self._tell_recent()
 
     def apply_contact(
@@ -199,16 +201,23 @@
         now = self._clock.now()
         if since is not None:
             self._history.extend(since)
-        worse = may_be_outdated > self._may_be_outdated or (
-            since is not None
-            and since < (self._contact.unheard_since or math.inf)
+        behind = self._history.extend_unconfirmed(contact.oldest_plan)
+        worse = (
+            may_be_outdated > self._may_be_outdated
+            or behind > self._others_behind
+            or (
+                since is not None
+                and since < (self._contact.unheard_since or math.inf)
+            )
         )
         if worse or (since is None) != (self._contact.unheard_since is None):
             logs.info(
                 "plan_contact",
                 unheard_s=round(now - since, 1) if since is not None else 0,
                 outdated=may_be_outdated,
+                others_behind=behind,
             )
+        self._others_behind = behind
         self._contact = contact
         self._contact_at = now
         self._may_be_outdated = may_be_outdated
--- a/tests/test_feed_peers.py
+++ b/tests/test_feed_peers.py
@@ -41,6 +41,7 @@
             self.configuration,
             self.clock,
             unexported,
+            self.follower,
         )
 
     def learn_from(self, other: "_Daemon") -> None:
@@ -122,6 +123,19 @@
     assert daemon.peers._may_be_behind()
 
 
+@pytest.mark.anyio
+async def test_a_peer_with_a_newer_plan_is_asked_until_it_is_known() -> None:
+    """Fails if a plan whose watch and notice were lost is never read."""
+    daemon, peer = _Daemon("a"), _Daemon("b")
+    await _set_state(daemon, 9, "one")
+    await _set_state(peer, 12, "one", "two")
+    ahead = membership_api.Member("b", "a", "r", "", 1, plan_version=11)
+    daemon.members.live = lambda: [ahead]  # type: ignore[method-assign]
+    assert daemon.peers._may_be_behind()
+    daemon.learn_from(peer)
+    assert not daemon.peers._may_be_behind()
+
+
 def test_an_unreadable_answer_changes_nothing() -> None:
     daemon = _Daemon("a")
     state = feed_pb2.KindState(kind="servers", position=7, items=b"{broken")
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -16,9 +16,11 @@
 from figstream import object_follower
 from figstream import plan_contact
 from figstream import platform_api
+from figstream import platform_memory
 from figstream import software_plan
 from figstream import stream_software
 from tests import gateway_parts
+from tests import lease_parts
 
 _LLM = "llm"
 _TIMEOUT_S = 4.0
@@ -57,6 +59,7 @@
         self.plan = software_plan.revised(
             software_plan.SoftwarePlan(), _servers(v1=9), [_LLM], 900_000
         )
+        self.version = 0
         self.release([self.near, self.cut], v1=9)
 
     def release(
@@ -64,11 +67,12 @@
     ) -> None:
         """Changes the servers and tells some daemons."""
         servers = _servers(**counts)
+        self.version += 1
         now_ms = round(self.clock.wall() * 1000)
         self.plan = software_plan.revised(self.plan, servers, [_LLM], now_ms)
         for daemon in daemons:
             daemon.update_servers(servers)
-            daemon.apply_plan(self.plan)
+            daemon.apply_plan(self.plan, version=self.version)
 
     def unheard(self, since: float) -> None:
         """Applies that the daemons do not hear each other."""
@@ -126,6 +130,24 @@
     fleet.take_up(fleet.near, begun)
 
 
+def test_streams_of_a_daemon_that_missed_a_plan_keep_their_software() -> None:
+    """Fails if a plan counts as ended before all daemons have the next."""
+    fleet = _Fleet()
+    fleet.clock.advance(1.0)
+    behind = fleet.version
+    fleet.release([fleet.near], v1=9, v2=9)
+    for oldest in (behind, fleet.version):
+        for _ in range(40):
+            fleet.clock.advance(0.25)
+            contact = membership_api.Contact(oldest_plan=oldest)
+            fleet.near.apply_contact(contact, may_be_outdated=False)
+        began_at = fleet.cut if oldest == behind else fleet.near
+        begun = fleet.begin(began_at, f"r{oldest}-")
+        fleet.clock.advance(0.5)
+        went_on = fleet.take_up(fleet.near, begun)
+    assert went_on == _STREAMS
+
+
 def test_a_daemon_out_of_contact_does_not_trust_its_own_plan() -> None:
     """Fails if a cut daemon resumes streams that newer plans began."""
     fleet = _Fleet()
@@ -384,6 +406,61 @@
         assert contact.unheard_since <= cut_at
 
 
+@pytest.mark.parametrize("count", [9, 60])
+def test_all_daemons_know_the_oldest_plan_in_use(count: int) -> None:
+    """Fails if a daemon that missed a plan counts as one that has it."""
+    cluster = _cluster(count)
+    nodes = cluster.nodes
+    assert {node.watch.contact.oldest_plan for node in nodes.values()} == {0}
+    for plan, behind in ((5, ()), (7, ("vm-001",))):
+        for name in nodes.keys() - set(behind):
+            nodes[name].table.update_own(
+                generation=0, leaving=False, plan_version=plan
+            )
+        cluster.run(2)
+        oldest = {node.watch.contact.oldest_plan for node in nodes.values()}
+        assert oldest == {5}
+    # Its streams are taken up after its death.
+    cluster.paused.add("vm-001")
+    cluster.run(12)
+    left = [node for name, node in nodes.items() if name != "vm-001"]
+    assert {node.watch.contact.oldest_plan for node in left} == {5}
+    cluster.run(60)
+    assert {node.watch.contact.oldest_plan for node in left} == {7}
+
+
+def test_a_daemon_tells_its_plan_soon_but_not_each_change_of_a_release() -> (
+    None
+):
+    clock = clock_lib.ManualClock(100.0)
+    platform = platform_memory.MemoryPlatform().interfaces()
+    context = lease_parts.make_context("vm-1", 1, platform, clock)
+    members = membership.make_membership(context, "x:1")
+    told = []
+    for version in range(1, 21):
+        members.use_plan(version)
+        told.append(members.this().plan_version)
+        clock.advance(0.25)
+    assert told == [x for first in (1, 5, 9, 13, 17) for x in [first] * 4]
+
+
+def test_a_build_that_does_not_know_plans_hides_none() -> None:
+    """Fails if a status that came without its plan replaces the one with it."""
+    table, entry = _table()
+    told = member_table.Status(entry.run, 2, 1, plan_version=5)
+    stripped = member_table.Status(entry.run, 2, 1)
+    known = member_table.MergeResult.KNOWN
+    assert table.merge_status(told, 1.0) is member_table.MergeResult.CHANGED
+    assert table.merge_status(stripped, 2.0) is known
+    assert entry.member.plan_version == 5
+    later = member_table.Status(entry.run, 3, 1)
+    assert table.merge_status(later, 3.0) is member_table.MergeResult.CHANGED
+    assert entry.member.plan_version == 0
+    told = member_table.Status(entry.run, 3, 1, plan_version=6)
+    assert table.merge_status(told, 4.0) is known
+    assert entry.member.plan_version == 6
+
+
 class _Members:
     """Daemons that all hear each other."""
 
