Read the plan of software versions before a stream is resumed by it

Cause: a daemon trusted its plan until a call to the store had failed, which takes up to 1.6 s (0.8 of the time in which a change must become active), or until its own check had noticed a pause.

Change: before the plan decides about a stream that is not known, the plan is read from the store itself.

--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -307,7 +307,12 @@
             ),
             reach.make_probe(serving.backends.close_idle),
             *stream_parts.make_stream_roles(
-                context, sources, plans, serving.streams, self.members
+                context,
+                sources,
+                plans,
+                serving.streams,
+                self.members,
+                self._platform.feed,
             ),
         )
 
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -213,6 +213,27 @@
         if self._watch:
             self._watch.cancel()
 
+    async def read_newer(self, store: platform_api.ObjectFeed) -> bool:
+        """Reads changes beside the watch; returns whether all are known.
+
+        Args:
+          store: feed of the store itself.
+        """
+        sent_at = self._clock.now()
+        if not self._listed:
+            return False
+        changes = await store.changes(self._kind, self._position, 0.0)
+        if not isinstance(changes, platform_api.FeedChanges):
+            logs.info(
+                "feed_not_read",
+                kind=self._kind,
+                outcome=type(changes).__name__,
+            )
+            return False
+        self._apply_changes(changes)
+        self._confirm(sent_at)
+        return True
+
     async def run(self) -> None:
         """Lists and watches the objects until cancelled."""
         while True:
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -186,7 +186,7 @@
         call = progress.call
         refused = services.authenticator.still_valid(call.identity)
         refused = refused or self._check_blame(progress)
-        refused = refused or self._select_software(progress)
+        refused = refused or await self._select_software(progress)
         if refused:
             return _with_run_state(refused, progress)
         services.records.queued(call, services.gate.waiting)
@@ -222,7 +222,7 @@
         services.records.dispatched(progress.call, verdict)
         return verdict
 
-    def _select_software(
+    async def _select_software(
         self, progress: request_attempts.RequestProgress
     ) -> errors.Refusal | None:
         """Sets the software version at which the next attempt may run."""
@@ -235,6 +235,7 @@
         elif resumed is None:
             pending.software = self._services.streams.for_new(stream)
         elif pending.software is None:
+            await self._services.streams.prepare_to_resume(stream)
             found = self._services.streams.for_resumed(stream)
             if isinstance(found, errors.Refusal):
                 return found
--- a/figstream/stream_parts.py
+++ b/figstream/stream_parts.py
@@ -45,6 +45,7 @@
     plans: object_follower.ObjectFollower,
     streams: stream_software.StreamSoftware,
     members: membership.Membership,
+    store: platform_api.ObjectFeed,
 ) -> Sequence[daemon_context.Role]:
     """Creates the roles that supply the streams of a daemon.
 
@@ -54,6 +55,7 @@
       plans: follower of the plan.
       streams: the streams of the daemon.
       members: the live daemons.
+      store: feed of the platform's store.
     """
     return (
         plans,
@@ -61,7 +63,7 @@
             plans, sources.entries, sources.directory, streams, members, context
         ),
         plan_contact.PlanContact(
-            streams, members, sources.entries, plans, context.clock
+            streams, members, sources.entries, plans, store, context.clock
         ),
         stream_software_spread.StreamSoftwareSpread(
             streams,
--- a/figstream/stream_software.py
+++ b/figstream/stream_software.py
@@ -8,6 +8,7 @@
 version is known only if the daemon that began the stream has told the others.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -103,6 +104,9 @@
     def for_new(self, stream: Stream) -> str | None:
         """Returns the version at which a stream begins, None for any."""
 
+    async def prepare_to_resume(self, stream: Stream) -> None:
+        """Makes sure that `for_resumed` decides by the newest plan."""
+
     def for_resumed(self, stream: Stream) -> str | errors.Refusal:
         """Returns the only version at which a stream may go on."""
 
@@ -119,6 +123,9 @@
     def for_new(self, stream: Stream) -> None:
         """Returns None, since any server may begin a stream."""
 
+    async def prepare_to_resume(self, stream: Stream) -> None:
+        """Does nothing, since there is no plan."""
+
     def for_resumed(self, stream: Stream) -> str | errors.Refusal:
         """Refuses, since no other daemon can resume a stream."""
         return errors.Refusal(_R.STREAM_SOFTWARE_UNKNOWN)
@@ -150,6 +157,7 @@
         self._contact_at = math.inf
         self._may_be_outdated = False
         self._others_behind = False
+        self._read_plan: Callable[[], Awaitable[None]] | None = None
         self._pending: dict[int, str] = {}
         self._listeners: list[Callable[[], None]] = []
 
@@ -162,6 +170,10 @@
         """Calls the listener when versions wait for `take_pending`."""
         self._listeners.append(listener)
 
+    def set_plan_reader(self, read: Callable[[], Awaitable[None]]) -> None:
+        """Sets the function that reads the newest plan."""
+        self._read_plan = read
+
     def update_servers(
         self, servers: Iterable[backend_server.BackendServer]
     ) -> None:
@@ -230,6 +242,16 @@
             stream.name, self._history.usable_weights(stream.service)
         )
 
+    async def prepare_to_resume(self, stream: Stream) -> None:
+        """Makes sure that `for_resumed` decides by the newest plan.
+
+        Another plan may be in use since the stream began, of which this daemon
+        has not heard yet.
+        """
+        known = stream.name and stream.key in self._known
+        if self._read_plan and not known:
+            await self._read_plan()
+
     def for_resumed(self, stream: Stream) -> str | errors.Refusal:
         """Returns the only version at which a stream may go on.
 
--- a/tests/test_plan_contact.py
+++ b/tests/test_plan_contact.py
@@ -265,6 +265,7 @@
         cast(membership.Membership, state),
         cast(object_follower.ObjectFollower, state),
         cast(object_follower.ObjectFollower, plans),
+        gateway_parts.ScriptedFeed(),
         _SleeplessClock(clock),
     )
     assert await _trusts_plan(role, fleet, "before")
@@ -291,6 +292,7 @@
         cast(membership.Membership, state),
         cast(object_follower.ObjectFollower, state),
         cast(object_follower.ObjectFollower, plans),
+        gateway_parts.ScriptedFeed(),
         fleet.clock,
     )
     stream = fleet.stream("r1")
@@ -496,6 +498,7 @@
         streams,
         cast(membership.Membership, _Members()),
         *followers,
+        gateway_parts.ScriptedFeed(),
         clock,
     )
     async with anyio.create_task_group() as group:
@@ -521,6 +524,7 @@
         cast(membership.Membership, _Members()),
         _follower(gateway_parts.ScriptedFeed()),
         _follower(gateway_parts.ScriptedFeed()),
+        gateway_parts.ScriptedFeed(),
         clock,
     )
     found = []
