Answer requests before the end of a shutdown overtakes them

Cause: a shutdown limited the time of connections only. hypercorn then cancels what is in flight.

Change: two deadlines that all requests share begin as the listener closes. The first ends the wait for a server, as "not run"; the second comes just before the connections end, as "may have run". Streams that have begun are exempt. `figstream serve` does the same.

--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -62,6 +62,14 @@
         """Returns whether the load balancer may send requests."""
         return not self.leaving and self._holder.current.generation > 0
 
+    def close(self, limit_s: float) -> None:
+        """Has all requests answered before their connections are closed.
+
+        Args:
+          limit_s: seconds until then.
+        """
+        self._path.end_requests(limit_s)
+
     async def application(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -177,6 +177,7 @@
         self._serving.app.leaving = True
         logs.info("daemon_leaving", vm=self.context.options.name)
         await anyio.sleep(self.context.options.drain_delay_s)
+        self._serving.app.close(self.context.options.shutdown_limit_s)
         self._server.shut_down()
 
     async def _hand_over(self) -> None:
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -31,7 +31,6 @@
 
     Attributes:
       leaving: whether answers ask callers to close their connections.
-      refusing: whether new requests are refused.
     """
 
     def __init__(
@@ -61,7 +60,16 @@
         self._records = records
         self._in_flight = 0
         self.leaving = False
-        self.refusing = False
+        self._refusing = False
+
+    def close(self, limit_s: float) -> None:
+        """Refuses new requests and has the others answered in time.
+
+        Args:
+          limit_s: seconds until the connections are closed.
+        """
+        self._refusing = True
+        self._path.end_requests(limit_s)
 
     @property
     def ready(self) -> bool:
@@ -99,7 +107,7 @@
             send, self._dialect, caller_id, lambda: self.leaving
         )
         call = await self._check(head, receive, arrived)
-        if self.refusing:
+        if self._refusing:
             # A request on an open connection might not end before the daemon
             # is killed.
             call = errors.Refusal(_R.SHUTTING_DOWN, retry_after_s=0.0)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -134,6 +134,9 @@
         self._balancer_lag_s = min(
             _BALANCER_LAG_S, _BALANCER_LAG_FRACTION * options.grace_s
         )
+        self._in_flight_s = (
+            _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s
+        )
         self.members = membership.make_membership(context, self._peers.address)
         change_s = options.change_ms / _MS_PER_S
         drain_s = options.drain_ms / _MS_PER_S
@@ -233,7 +236,7 @@
             vm=self._options.name,
             in_flight=self._app.in_flight,
         )
-        self._app.refusing = True
+        self._app.close(self._in_flight_s)
         self._server.shut_down()
 
     def reload(self, path: pathlib.Path) -> None:
@@ -323,7 +326,7 @@
             self._app.application,
             options.front.host,
             options.front.port,
-            _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s,
+            self._in_flight_s,
         )
 
     def _make_page_servers(self) -> Sequence[http_server.HttpServer]:
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import Final
 
 import anyio
 
@@ -18,12 +19,19 @@
 from figstream import request_attempts
 from figstream import retry_policy
 from figstream import scheduler_api
+from figstream import shared_deadline
 from figstream import stream_relay
 from figstream import stream_software
 
 _RESULTS = scheduler_api.AttemptResult
 _R = reasons.RefusalReason
 
+# Parts of the last seconds of a daemon within which a request may still be sent
+# to a server, since a later one might not end in time, and within which it may
+# be without an answer. The rest is for refusals to arrive.
+_WAITING_PART: Final = 0.75
+_UNANSWERED_PART: Final = 0.96
+
 _ServeResult = attempt_outcome.Answered | errors.Refusal
 
 
@@ -33,8 +41,23 @@
     def __init__(self, services: request_attempts.RequestServices) -> None:
         """Initializes the path for a daemon's services."""
         self._services = services
+        # Until when requests may wait for a server, and be without an answer.
+        self._waiting = shared_deadline.SharedDeadline()
+        self._unanswered = shared_deadline.SharedDeadline()
         self._attempts = request_attempts.RequestAttempts(services)
 
+    def end_requests(self, limit_s: float) -> None:
+        """Answers all requests before their connections are closed.
+
+        Without an answer, a caller does not know whether its request ran.
+        Streams that have begun go on.
+
+        Args:
+          limit_s: seconds until the connections are closed.
+        """
+        self._waiting.set_after(_WAITING_PART * limit_s)
+        self._unanswered.set_after(_UNANSWERED_PART * limit_s)
+
     async def serve(
         self, call: inbound.Call, answer: caller_answer.Answer
     ) -> None:
@@ -91,7 +114,7 @@
         rules = self._services.rules
         relay = stream_relay.StreamRelay(
             answer,
-            lambda: self._note_first_event(progress),
+            lambda: self._note_first_event(progress, ending),
             rules.terminator,
             rules.read_interval_s,
             _resumed_after(call),
@@ -104,7 +127,10 @@
         )
         remaining_s = call.deadline - self._services.clock.now()
         try:
-            with anyio.move_on_after(remaining_s):
+            with (
+                self._unanswered.scope() as ending,
+                anyio.move_on_after(remaining_s),
+            ):
                 return await self._attempt_until_answered(progress)
         finally:
             if progress.stream:
@@ -115,11 +141,16 @@
                     call.request_id,
                     self._services.clock.now(),
                 )
+        if ending.cancelled_caught:
+            return _shutting_down(progress)
         return errors.Refusal(_R.DEADLINE_PASSED, progress.run_state)
 
     def _note_first_event(
-        self, progress: request_attempts.RequestProgress
+        self,
+        progress: request_attempts.RequestProgress,
+        ending: anyio.CancelScope,
     ) -> None:
+        self._unanswered.release(ending)
         self._services.records.started(progress.call)
         if progress.stream:
             self._services.streams.began(progress.stream, progress.software)
@@ -190,7 +221,10 @@
         if refused:
             return _with_run_state(refused, progress)
         services.records.queued(call, services.gate.waiting)
-        verdict = await services.gate.dispatch(progress.pending)
+        with self._waiting.scope() as waiting:
+            verdict = await services.gate.dispatch(progress.pending)
+        if waiting.cancelled_caught:
+            return _shutting_down(progress)
         if isinstance(verdict, errors.Refusal):
             return _with_run_state(verdict, progress)
         return await self._recheck_dispatched(progress, verdict)
@@ -269,6 +303,15 @@
         )
 
 
+def _shutting_down(
+    progress: request_attempts.RequestProgress,
+) -> errors.Refusal:
+    # Another daemon may serve the request at once.
+    return errors.Refusal(
+        _R.SHUTTING_DOWN, progress.run_state, retry_after_s=0.0
+    )
+
+
 def _incomplete_answer(detail: str) -> errors.Refusal:
     return errors.Refusal(
         _R.ANSWER_INCOMPLETE, reasons.RunState.RAN, detail=detail
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -249,6 +249,42 @@
         assert "event=daemon_stopped" in system.log.read_text()
 
 
+@pytest.mark.anyio
+async def test_requests_that_do_not_end_before_the_daemon_get_an_answer(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Fails if connections end with requests that have no answer."""
+    async with _system(tmp_path) as system:
+        await system.ready()
+        value = gateway_front.manifest_value(8)
+        for route in value["routes"]:
+            route["timeoutMs"] = 15_000
+        system.store.put("config", "main", value)
+        entry = {**_entry(system.worker, "render"), "slots": 2}
+        system.store.put("servers", "i-1", entry)
+        # A daemon sends a brittle worker no more requests than it has slots.
+        system.worker.brittle_text, system.worker.room = "3", 100
+        await anyio.sleep(1.0)
+        assert (await system.send_request("order", "r")).status_code == 200
+        system.worker.pause_s = 10.0
+        system.worker.runs.clear()
+        answers: dict[str, httpx.Response] = {}
+
+        async def send_request(request_id: str) -> None:
+            answers[request_id] = await system.send_request("order", request_id)
+
+        async with anyio.create_task_group() as group:
+            system.process.send_signal(signal.SIGTERM)
+            for number in range(9):
+                group.start_soon(send_request, f"r{number}")
+                await anyio.sleep(0.1)
+        assert await system.wait_for_exit() == 0
+        ran = {run.request_id for run in system.worker.runs}
+        found = {name: item.status_code for name, item in answers.items()}
+        assert 0 < len(ran) < len(found) == 9
+        assert found == {name: 502 if name in ran else 503 for name in found}
+
+
 @pytest.mark.anyio
 async def test_a_reload_while_it_starts_does_not_end_a_daemon(
     tmp_path: pathlib.Path,
