--- a/soak/checks.py
+++ b/soak/checks.py
@@ -28,7 +28,7 @@
 
 # Statuses which guarantee that a request has not run and will not run.
 _NOT_RUN: Final = frozenset({408, 421, 429, 503})
-_SIGNATURE: Final = workers.SIGNATURE.decode()
+_SIGNATURE: Final = standin_worker.SIGNATURE.decode()
 _REQUEST_ID: Final = wire.REQUEST_ID.decode()
 _CUSTOMER: Final = workers.CUSTOMER.decode()
 _KEY: Final = wire.AUTHORIZATION.decode()
