Queue signals without a stream that can be closed

A signal between the end of a daemon and the moment from which signals are ignored was sent into a closed stream, which the event loop logs as an error in a callback. Seen by reading; no request was concerned.

--- a/figstream/process_signals.py
+++ b/figstream/process_signals.py
@@ -6,9 +6,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterable
 from collections.abc import Callable
-import math
 import signal
 from typing import Final
 from typing import Protocol
@@ -49,18 +47,18 @@
       reload: reads the settings of a daemon again.
     """
     loop = asyncio.get_running_loop()
-    sender, received = anyio.create_memory_object_stream[int](math.inf)
+    received: asyncio.Queue[int] = asyncio.Queue()
 
     def pass_on(number: int, _: object) -> None:
-        loop.call_soon_threadsafe(sender.send_nowait, number)
+        loop.call_soon_threadsafe(received.put_nowait, number)
 
-    # A handler that anyio or asyncio removes is replaced by the default action.
-    # One that Python sets is replaced without a gap.
+    # anyio and asyncio restore the default action when they remove a handler.
+    # These handlers are replaced without a moment in between.
     for number in _SIGNALS:
         signal.signal(number, pass_on)
     try:
         daemon = make_daemon()
-        async with sender, received, anyio.create_task_group() as group:
+        async with anyio.create_task_group() as group:
             group.start_soon(_follow, received, daemon, reload)
             await daemon.run()
             group.cancel_scope.cancel()
@@ -70,11 +68,12 @@
 
 
 async def _follow(
-    received: AsyncIterable[int], daemon: _D, reload: Callable[[_D], None]
+    received: asyncio.Queue[int], daemon: _D, reload: Callable[[_D], None]
 ) -> None:
     stopping = False
     async with anyio.create_task_group() as group:
-        async for number in received:
+        while True:
+            number = await received.get()
             logs.info(
                 "signal", name=signal.Signals(number).name, stopping=stopping
             )
