Send further signals to daemons that stop in the soak

The soak sends SIGHUP, SIGTERM and SIGINT in turn until the process has ended, unless it plays an earlier build, too.

--- a/soak/system.py
+++ b/soak/system.py
@@ -40,6 +40,9 @@
 _REQUIRED_SUCCESSES: Final = 5
 # Time beyond the grace time after which the platform kills a daemon.
 _GRACE_SLACK_S: Final = 0.5
+_EXIT_CHECK_INTERVAL_S: Final = 0.02
+# Sent in turn to a daemon that is stopping.
+_FURTHER_SIGNALS: Final = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 _CLOCK_STEP_S: Final = 2.0
 # Time for the stand-in of the store to close its connections.
 _STORE_SHUTDOWN_S: Final = 0.3
@@ -333,13 +336,18 @@
             await self._start_daemon(number)
 
     async def _terminate_within_grace(self, number: int, since: float) -> None:
-        """Sends SIGTERM, then SIGKILL after the grace time."""
+        """Sends SIGTERM and further signals, then SIGKILL after the grace."""
         daemon = self._daemons[number]
         process_id = daemon.process_id
         daemon.send(signal.SIGTERM)
+        further = itertools.cycle(_FURTHER_SIGNALS)
+        # Earlier builds end at them.
+        bears_further = len(self._build_plan.trees) == 1
         with anyio.move_on_after(daemons_lib.GRACE_S + _GRACE_SLACK_S):
             while daemon.running and daemon.process_id == process_id:
-                await anyio.sleep(0.02)
+                await anyio.sleep(_EXIT_CHECK_INTERVAL_S)
+                if bears_further:
+                    daemon.send(next(further))
         if daemon.running and daemon.process_id == process_id:
             if not self._observations.affected(
                 number, since, time.monotonic(), _SCOPE.ALL
