Send no signal of a stop to the next process of a daemon in the soak

Soak was broken: two events stopped the same daemon, and a further signal for its old process came to the new one, which was starting. A daemon that gets SIGTERM before it handles signals ends, and nobody starts it again. The process is looked at right before each signal now.

--- a/soak/system.py
+++ b/soak/system.py
@@ -345,9 +345,9 @@
         bears_further = len(self._build_plan.trees) == 1
         with anyio.move_on_after(daemons_lib.GRACE_S + _GRACE_SLACK_S):
             while daemon.running and daemon.process_id == process_id:
-                await anyio.sleep(_EXIT_CHECK_INTERVAL_S)
                 if bears_further:
                     daemon.send(next(further))
+                await anyio.sleep(_EXIT_CHECK_INTERVAL_S)
         if daemon.running and daemon.process_id == process_id:
             if not self._observations.affected(
                 number, since, time.monotonic(), _SCOPE.ALL
