--- a/tests/test_broken_heads.py
+++ b/tests/test_broken_heads.py
@@ -8,6 +8,7 @@
 import pytest
 
 from figstream_platform import standin_worker
+from tests import byte_worker
 from tests import gateway_front
 
 _STATUS = b"HTTP/1.1 200 OK\r\n"
@@ -23,26 +24,16 @@
 }
 
 
-class _CuttingWorker(standin_worker.Worker):
+class _CuttingWorker(byte_worker.ByteWorker):
     """A worker that ends each connection after a part of its answer.
 
     The body of a request says how many bytes it sends.
     """
 
-    answer = b""
+    text = b""
     resets = False
 
-    async def serve(
-        self,
-        *,
-        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        listener = await self._listen()
-        task_status.started(self.port)
-        async with listener:
-            await listener.serve(self._answer)
-
-    async def _answer(self, stream: anyio.abc.SocketStream) -> None:
+    async def answer(self, stream: anyio.abc.SocketStream) -> None:
         async with stream:
             try:
                 received = await stream.receive()
@@ -50,7 +41,7 @@
                 # A check whether the worker listens.
                 return
             size = int(received.rpartition(b"\r\n\r\n")[2])
-            await stream.send(self.answer[:size])
+            await stream.send(self.text[:size])
             if self.resets:
                 standin_worker.reset_when_closed(stream)
 
@@ -85,11 +76,11 @@
     if route == "caption":
         lines.append(_EVENTS)
     worker = _CuttingWorker()
-    worker.answer = b"".join(lines) + b"\r\n"
+    worker.text = b"".join(lines) + b"\r\n"
     worker.resets = resets
-    found = await _answers(worker, route, range(len(worker.answer)))
+    found = await _answers(worker, route, range(len(worker.text)))
     statuses = {size: answer.status_code for size, answer in found.items()}
-    assert statuses == dict.fromkeys(range(len(worker.answer)), 502)
+    assert statuses == dict.fromkeys(range(len(worker.text)), 502)
 
 
 @pytest.mark.anyio
@@ -103,6 +94,6 @@
     if route == "caption":
         lines.append(_EVENTS)
     worker = _CuttingWorker()
-    worker.answer = b"".join(lines) + b"\r\n"
-    found = await _answers(worker, route, [len(worker.answer)])
+    worker.text = b"".join(lines) + b"\r\n"
+    found = await _answers(worker, route, [len(worker.text)])
     assert [answer.status_code for answer in found.values()] == [502]
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -10,6 +10,7 @@
 
 from figstream import scheduler_api
 from figstream_platform import standin_worker
+from tests import byte_worker
 from tests import gateway_front
 
 _Fault = standin_worker.Fault
@@ -17,24 +18,14 @@
 _REFUSALS = [_Fault.SHED, _Fault.LIMITED, _Fault.MISDIRECTED]
 
 
-class _ScriptedWorker(standin_worker.Worker):
+class _ScriptedWorker(byte_worker.ByteWorker):
     """A worker whose answers are given as bytes, one for each request."""
 
     def __init__(self, answers: list[bytes]) -> None:
         super().__init__()
         self._answers = answers
 
-    async def serve(
-        self,
-        *,
-        task_status: anyio.abc.TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        listener = await self._listen()
-        task_status.started(self.port)
-        async with listener:
-            await listener.serve(self._answer)
-
-    async def _answer(self, stream: anyio.abc.SocketStream) -> None:
+    async def answer(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
         async with stream:
             while self._answers and await stream.receive():
