--- a/figstream/engine_protocol.py
+++ b/figstream/engine_protocol.py
@@ -26,11 +26,14 @@
       running: number of requests that run.
       waiting: number of requests that wait at the server.
       started: number that changes when the server restarts.
+      slowdown: how long work takes at the server at this moment, 1 for as
+        long as usual.
     """
 
     running: int
     waiting: int
     started: int = 0
+    slowdown: float = 1.0
 
     def to_header(self) -> str:
         """Returns the report as the value of a header."""
