--- a/bench/selection.py
+++ b/bench/selection.py
@@ -17,6 +17,7 @@
 from bench import scenarios
 from bench import traffic
 from figstream import allotment
+from figstream import configuration as configuration_lib
 from figstream import scheduler
 from figstream import scheduler_api
 from figstream import server_load
@@ -49,6 +50,18 @@
         self._random = random.Random(seed)
         self._by_report = by_report
 
+    def set_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Does nothing; pools hold all that this selection needs."""
+
+    def answered(
+        self,
+        request: scheduler_api.PendingRequest,
+        report: scheduler_api.AttemptReport,
+    ) -> None:
+        """Does nothing; the load book holds all that it needs."""
+
     def choose(
         self,
         request: scheduler_api.PendingRequest,
--- a/figstream/daemon_context.py
+++ b/figstream/daemon_context.py
@@ -17,6 +17,7 @@
 from figstream import options as options_lib
 from figstream import platform_api
 from figstream import scheduler_api
+from figstream import work_groups
 
 
 class Role(Protocol):
@@ -50,6 +51,7 @@
       scheduler: queues requests, enforces limits and selects servers.
       decisions: records of decisions for operators.
       metrics: counters and histograms.
+      groups: servers of paced services for streams and for other work.
     """
 
     options: options_lib.Options
@@ -60,3 +62,4 @@
     scheduler: scheduler_api.Scheduler
     decisions: explain.DecisionLog
     metrics: metrics_lib.Metrics
+    groups: work_groups.WorkGroups = attrs.field(factory=work_groups.WorkGroups)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -46,6 +46,7 @@
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
+from figstream import work_groups
 
 # Time until the load balancer stops sending new connections: it checks
 # readiness once a second and needs two failures. Until then new connections
@@ -98,6 +99,7 @@
     """Creates the context that components of a gateway daemon share."""
     clock = clock_lib.SystemClock()
     daemon = options.daemon
+    groups = work_groups.WorkGroups()
     return daemon_context.DaemonContext(
         daemon,
         clock,
@@ -106,10 +108,11 @@
         configuration_holder.ConfigurationHolder(clock),
         scheduler_lib.make_scheduler_with(
             daemon.zone,
-            lambda book, _: placement.make_placement(book, daemon.zone),
+            lambda book, _: placement.make_placement(book, daemon.zone, groups),
         ),
         explain.DecisionLog(daemon.explain_records),
         metrics,
+        groups,
     )
 
 
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -7,6 +7,9 @@
 these. Requests with the same prefix thus reach the same server through any
 daemon. A request goes to the server with the least expected delay, computed
 from the requests that run there and the prefix blocks that it lacks.
+
+In pools of services with paced routes, `work_groups` names the servers for each
+kind of work; paced streams are placed by `paced_placement`.
 """
 
 import collections
@@ -19,11 +22,15 @@
 import xxhash
 
 from figstream import backend_server
+from figstream import configuration as configuration_lib
+from figstream import paced_placement
+from figstream import paced_routes
 from figstream import placement_split
 from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_pool
 from figstream import server_selection
+from figstream import work_groups
 
 # Delay that each request running at a server adds to a new one. About a fifth
 # of the running requests are in prefill, which takes some 40 ms each.
@@ -129,12 +136,25 @@
     """
 
     def __init__(
-        self, book: server_load.LoadBook, zone: str, source: random.Random
+        self,
+        book: server_load.LoadBook,
+        zone: str,
+        source: random.Random,
+        groups: work_groups.WorkGroups,
     ) -> None:
-        """Stores the load book, the own zone and the random source for ties."""
+        """Initializes without a split.
+
+        Args:
+          book: loads of the servers.
+          zone: the own zone.
+          source: random source for ties.
+          groups: servers for paced streams and for other work.
+        """
         self._book = book
         self._zone = zone
         self._random = source
+        self._groups = groups
+        self._paced = paced_placement.PacedPlacement(book, source)
         self._split = placement_split.WorkSplit()
         self._hot_blocks = _HotBlocks()
         self._assignments: dict[
@@ -143,6 +163,24 @@
         self._joined_at: dict[str, float] = {}
         self._settled: dict[frozenset[str], tuple[float, frozenset[str]]] = {}
 
+    def set_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Passes a new configuration to the groups of servers."""
+        self._groups.set_configuration(configuration)
+
+    def answered(
+        self,
+        request: scheduler_api.PendingRequest,
+        report: scheduler_api.AttemptReport,
+    ) -> None:
+        """Records how long paced streams of divided services take."""
+        if (
+            request.service in self._groups.paced_services
+            and paced_routes.is_paced(request.request_class)
+        ):
+            self._groups.answered(request.service, report.total_s)
+
     def choose(
         self,
         request: scheduler_api.PendingRequest,
@@ -161,6 +199,9 @@
         usable = self._usable(request, pool, now)
         if not usable:
             return None
+        division = self._groups.division(request.service, pool)
+        if division:
+            return self._choose_divided(request, pool, division, usable, now)
         self._split.observe(request, now)
         if request.prefix:
             self._hot_blocks.observe(request.first_block)
@@ -175,6 +216,91 @@
             + _group_delay_ms(item.name, work_group, other_group)
             for item in usable
         ]
+        return self._choice_of(
+            request, pool, work_group, assigned, usable, delays_ms, now
+        )
+
+    def slots(self, pool: server_pool.ServerPool, now: float) -> float:
+        """Returns how many slots of a pool this daemon may use."""
+        return float(sum(group.slots for group in pool.groups))
+
+    def _choose_divided(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        division: work_groups.Division,
+        usable: Sequence[backend_server.BackendServer],
+        now: float,
+    ) -> server_selection.Choice:
+        """Returns the server for a request in a pool with two groups."""
+        settling = self._groups.settling(now)
+        if paced_routes.is_paced(request.request_class):
+            choice = self._paced.choose(division, settling, usable, now)
+            if choice.reason == paced_placement.OUTSIDE:
+                self._groups.went_outside("paced_stream_outside_group")
+            return choice
+        if request.prefix:
+            self._hot_blocks.observe(request.first_block)
+        own = [item for item in usable if item.name in division.rest]
+        if settling:
+            own = [item for item in own if item.name not in settling] or own
+        if not own:
+            self._groups.went_outside("work_in_paced_group")
+        assigned = (
+            self._assignment_of(division.rest, request)
+            if request.prefix
+            else None
+        )
+        candidates = own or usable
+        delays_ms = [
+            delay_ms
+            + _missing_tokens(request, assigned, item.name)
+            * _DELAY_PER_TOKEN_MS
+            for item, delay_ms in zip(
+                candidates, self._excess_delays_ms(candidates, now), strict=True
+            )
+        ]
+        return self._choice_of(
+            request, pool, division.rest, assigned, candidates, delays_ms, now
+        )
+
+    def _excess_delays_ms(
+        self, servers: Sequence[backend_server.BackendServer], now: float
+    ) -> Sequence[float]:
+        """Returns the delays by load, compared with the mean of the servers.
+
+        A daemon of many knows the loads of some servers. If it compared them
+        with the others as if those were idle, it would move each request away
+        from the servers that it knows, and have its prefix read again.
+        """
+        known = [self._book.known_requests(x.name, now) for x in servers]
+        own = [self._book.state(x.name).own_requests for x in servers]
+        others = [
+            None if total is None else total - mine
+            for total, mine in zip(known, own, strict=True)
+        ]
+        reported = [item for item in others if item is not None]
+        mean = sum(reported) / len(reported) if reported else 0.0
+        return [
+            self._delay_ms(
+                server,
+                mine + max(0.0, (mean if other is None else other) - mean),
+                mine + (other or 0.0),
+            )
+            for server, mine, other in zip(servers, own, others, strict=True)
+        ]
+
+    def _choice_of(
+        self,
+        request: scheduler_api.PendingRequest,
+        pool: server_pool.ServerPool,
+        work_group: frozenset[str],
+        assigned: _Assignment | None,
+        usable: Sequence[backend_server.BackendServer],
+        delays_ms: Sequence[float],
+        now: float,
+    ) -> server_selection.Choice:
+        """Returns the server with the least delay as a choice."""
         least_ms = min(delays_ms)
         chosen = usable[delays_ms.index(least_ms)]
         is_assigned = (
@@ -193,10 +319,6 @@
             inputs += f" source={source.name}"
         return server_selection.Choice(chosen, reason, inputs, source)
 
-    def slots(self, pool: server_pool.ServerPool, now: float) -> float:
-        """Returns how many slots of a pool this daemon may use."""
-        return float(sum(group.slots for group in pool.groups))
-
     def _usable(
         self,
         request: scheduler_api.PendingRequest,
@@ -323,7 +445,22 @@
     ) -> float:
         """Returns the delay caused by the requests that run at a server."""
         running = self._book.expected_requests(server.name, now)
-        load = running + self._random.random()
+        return self._delay_ms(server, running, running)
+
+    def _delay_ms(
+        self,
+        server: backend_server.BackendServer,
+        requests: float,
+        running: float,
+    ) -> float:
+        """Returns the delay at a server.
+
+        Args:
+          server: the server.
+          requests: requests that delay a new one there.
+          running: requests that take its slots.
+        """
+        load = requests + self._random.random()
         if server.zone != self._zone:
             load += _OTHER_ZONE_REQUESTS
         delay_ms = load * _DELAY_PER_REQUEST_MS
@@ -379,7 +516,17 @@
 
 
 def make_placement(
-    book: server_load.LoadBook, zone: str
+    book: server_load.LoadBook,
+    zone: str,
+    groups: work_groups.WorkGroups | None = None,
 ) -> server_selection.ServerSelection:
-    """Creates the server selection of the gateway."""
-    return PrefixPlacement(book, zone, random.Random())
+    """Creates the server selection of the gateway.
+
+    Args:
+      book: loads of the servers.
+      zone: the own zone.
+      groups: the groups of servers, if other parts read or set them too.
+    """
+    return PrefixPlacement(
+        book, zone, random.Random(), groups or work_groups.WorkGroups()
+    )
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -63,6 +63,7 @@
         """Creates the parts; daemons use `make_scheduler` instead."""
         self._index = index
         self._book = book
+        self._selection = selection
         self._detector = detector
         self._configuration = configuration_lib.Configuration()
         self._daemons_in_zone = 1
@@ -95,6 +96,7 @@
         """Applies a new configuration."""
         self._configuration = configuration
         self._index.set_configuration(configuration)
+        self._selection.set_configuration(configuration)
         self._limits.set_customers(configuration.customers, self._now)
         self._book.refusals.set_servers(configuration.servers)
         self._book.evict_except(frozenset(configuration.servers_by_name))
@@ -308,6 +310,7 @@
     ) -> None:
         queue, name = item.queue, item.server.name
         self._outputs.observe(item.request, report.output_tokens)
+        self._selection.answered(item.request, report)
         self._admission.times.observe(
             queue.target, queue.request_class.name, report
         )
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -233,6 +233,13 @@
             excess *= math.exp(-age_s / _TURNOVER_S)
         return state.own_requests + mean + excess
 
+    def known_requests(self, server: str, now: float) -> float | None:
+        """Returns the requests at a server, None without a recent report."""
+        age_s = now - self._states[server].measured_at
+        if age_s > _REPORT_LIFETIME_S:
+            return None
+        return self.expected_requests(server, now)
+
     def estimate(self, server: str, sharers: int, confidence: float) -> float:
         """Returns the expected number of requests at a server.
 
--- a/figstream/server_selection.py
+++ b/figstream/server_selection.py
@@ -24,6 +24,7 @@
 import attrs
 
 from figstream import backend_server
+from figstream import configuration as configuration_lib
 from figstream import prefix_affinity
 from figstream import scheduler_api
 from figstream import server_load
@@ -79,6 +80,18 @@
 class ServerSelection(Protocol):
     """A strategy for selecting backend servers that daemons share."""
 
+    def set_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Applies a new configuration."""
+
+    def answered(
+        self,
+        request: scheduler_api.PendingRequest,
+        report: scheduler_api.AttemptReport,
+    ) -> None:
+        """Records that a request was answered."""
+
     def choose(
         self,
         request: scheduler_api.PendingRequest,
@@ -116,6 +129,18 @@
         self._affinity = affinity
         self._random = source
 
+    def set_configuration(
+        self, configuration: configuration_lib.Configuration
+    ) -> None:
+        """Does nothing; pools hold all that this selection needs."""
+
+    def answered(
+        self,
+        request: scheduler_api.PendingRequest,
+        report: scheduler_api.AttemptReport,
+    ) -> None:
+        """Does nothing; the load book holds all that it needs."""
+
     def choose(
         self,
         request: scheduler_api.PendingRequest,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,6 +14,7 @@
 from figstream import server_load
 from figstream import server_pool
 from figstream import server_selection
+from figstream import work_groups
 
 _CLASS = request_class.RequestClass("k")
 _LONG_ANSWER: dict[str, Any] = {
@@ -33,7 +34,7 @@
         self.book = server_load.LoadBook()
         self.now = 100.0
         self.placement = placement.PrefixPlacement(
-            self.book, "a", random.Random(seed)
+            self.book, "a", random.Random(seed), work_groups.WorkGroups()
         )
         self.set_servers(f"{zone}{n}" for zone in zones for n in range(each))
 
