--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -46,6 +46,7 @@
 from figstream import usage_parts
 from figstream import usage_totals
 from figstream import vm_registration
+from figstream import zone_evacuations
 
 # Time until the load balancer stops sending new connections: it checks
 # readiness once a second and needs two failures. Until then new connections
@@ -138,18 +139,17 @@
             _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s
         )
         self.members = membership.make_membership(context, self._peers.address)
-        change_s = options.change_ms / _MS_PER_S
-        drain_s = options.drain_ms / _MS_PER_S
         feed = feed_relay.make_relayed_feed(
-            context, platform.feed, self.members, min(change_s, drain_s)
-        )
-        sources = gateway_sources.make_sources(
-            context, feed, platform.kinds, change_s, drain_s
+            context,
+            platform.feed,
+            self.members,
+            min(options.change_ms, options.drain_ms) / _MS_PER_S,
         )
+        sources = self._make_sources(feed)
         plans = stream_parts.make_plan_follower(
             context, platform.feed, platform.kinds.plans_kind, self.members
         )
-        followers = (sources.configuration_follower, sources.entries, plans)
+        followers = (*sources.followers, plans)
         peers = feed_peers.make_feed_peers(
             context, followers, sources.configuration_feed, self.members, plans
         )
@@ -274,6 +274,29 @@
                 self._budget.set_live_daemons(live)
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
+    def _make_sources(
+        self, feed: feed_relay.RelayedFeed
+    ) -> gateway_sources.Sources:
+        """Returns what is read from the store, through the given feed."""
+        options, kinds = self._options, self._platform.kinds
+        evacuations = None
+        if options.evacuate_ms:
+            evacuations = zone_evacuations.make_evacuation_follower(
+                self.context,
+                self._platform.feed,
+                kinds.evacuations_kind,
+                self.members,
+                options.evacuate_ms / _MS_PER_S,
+            )
+        return gateway_sources.make_sources(
+            self.context,
+            feed,
+            kinds,
+            options.change_ms / _MS_PER_S,
+            options.drain_ms / _MS_PER_S,
+            evacuations,
+        )
+
     def _make_serving(
         self,
         sources: gateway_sources.Sources,
@@ -355,9 +378,7 @@
         context = self.context
         platform = self._platform
         return (
-            sources.configuration_follower,
-            sources.entries,
-            sources.directory,
+            *sources.roles,
             peers,
             *crashes.roles,
             vm_registration.make_registration(context, self._peers.address),
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -59,6 +59,8 @@
         active in every daemon.
       drain_ms: milliseconds after which a backend server that leaves must
         receive no new requests from any daemon.
+      evacuate_ms: milliseconds after which the servers of a zone that the
+        operator empties must receive no requests, 0 if zones aren't emptied.
       log_level: lowest level of the lines logged.
     """
 
@@ -81,6 +83,7 @@
     grace_s: float = 8.0
     change_ms: int = 2000
     drain_ms: int = 2000
+    evacuate_ms: int = 0
     log_level: str = defaults.LOG_LEVEL
 
     @property
@@ -128,6 +131,7 @@
     _integer_field("platform", "lease_ms", 200, 300_000, 3000),
     _integer_field("platform", "change_ms", 200, 300_000, 2000),
     _integer_field("platform", "drain_ms", 200, 300_000, 2000),
+    _integer_field("platform", "evacuate_ms", 0, 300_000, 0),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -1,9 +1,11 @@
-"""Feeds of the operator's configuration and of backend servers.
+"""Feeds of the operator's configuration, of servers and emptied zones.
 
 Followers receive the objects from the platform's store and apply them to the
 active configuration and to the scheduler.
 """
 
+from collections.abc import Sequence
+
 import attrs
 
 from figstream import configuration_feed
@@ -11,6 +13,7 @@
 from figstream import object_follower
 from figstream import platform_api
 from figstream import server_directory
+from figstream import zone_evacuations
 
 
 @attrs.frozen
@@ -22,6 +25,7 @@
       configuration_name: name of the operator's configuration object.
       servers_kind: kind of the entries of backend servers.
       plans_kind: kind of the stored plan of software versions.
+      evacuations_kind: kind of the objects that name emptied zones.
       decode_configuration: decodes the operator's configuration object.
       decode_server: decodes the entry of a backend server.
     """
@@ -30,25 +34,43 @@
     configuration_name: str
     servers_kind: str
     plans_kind: str
+    evacuations_kind: str
     decode_configuration: configuration_feed.Decode
     decode_server: server_directory.Decode
 
 
 @attrs.frozen
 class Sources:
-    """The followers of both kinds of objects, and the server directory.
+    """The followers of these objects, and the server directory.
 
     Attributes:
       configuration_follower: follows the operator's configuration object.
       entries: follows the entries of backend servers.
       directory: the backend servers decoded from the entries.
       configuration_feed: activates the operator's configuration.
+      emptied_zones: applies the emptied zones, None if zones aren't emptied.
+      evacuations: follower of the objects that name emptied zones, None if
+        zones aren't emptied.
     """
 
     configuration_follower: object_follower.ObjectFollower
     entries: object_follower.ObjectFollower
     directory: server_directory.ServerDirectory
     configuration_feed: configuration_feed.ConfigurationFeed
+    emptied_zones: zone_evacuations.ZoneEvacuations | None
+    evacuations: object_follower.ObjectFollower | None
+
+    @property
+    def followers(self) -> tuple[object_follower.ObjectFollower, ...]:
+        """Returns all followers."""
+        both = (self.configuration_follower, self.entries)
+        return (*both, self.evacuations) if self.evacuations else both
+
+    @property
+    def roles(self) -> Sequence[daemon_context.Role]:
+        """Returns the roles that keep all this up to date."""
+        roles: list[daemon_context.Role] = [*self.followers, self.directory]
+        return [*roles, self.emptied_zones] if self.emptied_zones else roles
 
 
 def make_sources(
@@ -57,6 +79,7 @@
     kinds: SourceKinds,
     change_s: float,
     drain_s: float,
+    evacuations: object_follower.ObjectFollower | None,
 ) -> Sources:
     """Creates the followers and connects them to holder and scheduler.
 
@@ -66,6 +89,8 @@
       kinds: kinds, names and decoders of the objects.
       change_s: seconds within which a configuration must become active.
       drain_s: seconds after which a leaving server must receive no requests.
+      evacuations: follows the objects that name emptied zones, None if zones
+        aren't emptied.
     """
     clock, metrics = context.clock, context.metrics
     configuration_follower = object_follower.ObjectFollower(
@@ -87,7 +112,18 @@
         context.scheduler,
         clock,
         metrics,
+        frozenset() if evacuations is None else None,
     )
+    emptied_zones = None
+    if evacuations:
+        emptied_zones = zone_evacuations.ZoneEvacuations(
+            evacuations, directory.set_emptied_zones, clock, metrics
+        )
     return Sources(
-        configuration_follower, entries, directory, feed_of_configuration
+        configuration_follower,
+        entries,
+        directory,
+        feed_of_configuration,
+        emptied_zones,
+        evacuations,
     )
--- a/figstream/path_probe.py
+++ b/figstream/path_probe.py
@@ -59,7 +59,7 @@
         """Probes while the path is suspected or lost, until cancelled."""
         while True:
             await self._clock.sleep(_CHECK_INTERVAL_S)
-            servers = self._directory.servers
+            servers = self._directory.reachable
             if not self._paths.direct or self._paths.suspected(len(servers)):
                 await self.probe()
                 await self._clock.sleep(_PROBE_INTERVAL_S)
@@ -70,7 +70,7 @@
     async def probe(self) -> None:
         """Connects to a few servers and records whether one is reached."""
         probed = server_paths.choose_probed(
-            self._directory.servers, self._zone, self._random
+            self._directory.reachable, self._zone, self._random
         )
         reached: list[str] = []
         async with anyio.create_task_group() as group:
--- a/figstream/scaling_orders.py
+++ b/figstream/scaling_orders.py
@@ -122,7 +122,9 @@
         utilization = self._context.scheduler.utilization(names, now)
         service_state.plan.observe(limits, utilization, now)
         running = _by_zone(active)
-        wanted = service_state.plan.wanted(limits, running, now)
+        wanted = service_state.plan.wanted(
+            limits, running, now, self._directory.emptied_zones
+        )
         for target, count in wanted.items():
             await self._send_order(service_state.plan, target, count, running)
 
@@ -147,6 +149,9 @@
             for zone, count in _by_zone(self._active(name)).items()
         }
         now = self._clock.now()
+        if self._directory.emptied_zones:
+            # The servers of an emptied zone can't be observed.
+            return None
         if observed != service_state.observed:
             service_state.observed, service_state.changed_at = observed, now
         if (
--- a/figstream/scaling_plan.py
+++ b/figstream/scaling_plan.py
@@ -8,7 +8,7 @@
 over the zones, so that most of them remain when one zone loses its own. Their
 number is derived from the servers that the operator provided initially, and
 grows while servers are busy. While a zone is out of capacity, the other zones
-get more servers instead.
+get more servers instead, and likewise while the operator empties a zone.
 """
 
 from collections.abc import Mapping
@@ -103,6 +103,7 @@
         limits: gateway_route.ScalingLimits,
         servers: Mapping[str, ZoneServers],
         now: float,
+        emptied: frozenset[str] = frozenset(),
     ) -> Mapping[ScalingTarget, int]:
         """Returns the wanted numbers of servers by zone and server type.
 
@@ -110,16 +111,21 @@
           limits: scaling limits of the service.
           servers: numbers of running servers by zone.
           now: current clock time in seconds.
+          emptied: zones that the operator empties; their numbers stay as they
+            are, and other zones get as many servers more.
         """
         wanted: dict[ScalingTarget, int] = {}
         missing = 0
         most = limits.most - limits.least
         for zone, provided in self._provided.items():
-            wanted[ScalingTarget(self._service, zone, False)] = limits.least
             reclaimable_count = (
                 math.ceil(provided * _RECLAIMABLE_PER_PROVIDED) + self._added
             )
             reclaimable_count = min(reclaimable_count, most)
+            if zone in emptied:
+                missing += reclaimable_count
+                continue
+            wanted[ScalingTarget(self._service, zone, False)] = limits.least
             if now < self._out_of_capacity_until.get(zone, float("-inf")):
                 running_count = (
                     servers[zone].reclaimable if zone in servers else 0
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -9,6 +9,9 @@
 After a restore from an older copy, the store shows entries as they were. A
 server that has been draining stays so for the rest of its run, and the entry of
 a server that was gone counts only once the server has written it again.
+
+The servers of a zone that the operator empties count as draining
+(`zone_evacuations`).
 """
 
 from collections.abc import Callable
@@ -56,8 +59,20 @@
         scheduler: scheduler_api.Scheduler,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        emptied_zones: frozenset[str] | None = frozenset(),
     ) -> None:
-        """Subscribes to store entries and to the configuration."""
+        """Subscribes to store entries and to the configuration.
+
+        Args:
+          follower: follows the entries of servers.
+          decode: decodes an entry.
+          holder: the operator's configuration.
+          scheduler: receives configuration and servers.
+          clock: time source.
+          metrics: instruments.
+          emptied_zones: zones whose servers get no new requests, None if no
+            server may get any until `set_emptied_zones` is called.
+        """
         self._follower = follower
         self._decode = decode
         self._holder = holder
@@ -78,6 +93,7 @@
         # Versions that entries of departed servers had after a restore.
         self._outdated_versions: dict[str, int] = {}
         self._era = 0
+        self._emptied_zones = emptied_zones
         self._listeners: list[Listener] = []
         self._wake = anyio.Event()
         follower.subscribe(self._apply_items)
@@ -85,11 +101,40 @@
 
     @property
     def servers(self) -> tuple[backend_server.BackendServer, ...]:
-        """Returns all servers, including those whose entry is missing."""
+        """Returns all servers, including those whose entry is missing.
+
+        Those of emptied zones are draining.
+        """
+        emptied = self._emptied_zones
+        if emptied is None:
+            return ()
+        found = itertools.chain(self._servers.values(), self._missing.values())
+        if not emptied:
+            return tuple(found)
         return tuple(
-            itertools.chain(self._servers.values(), self._missing.values())
+            _as_draining(item) if item.zone in emptied else item
+            for item in found
         )
 
+    @property
+    def reachable(self) -> tuple[backend_server.BackendServer, ...]:
+        """Returns the servers to which connections may be opened."""
+        emptied = self.emptied_zones
+        servers = self.servers
+        if not emptied:
+            return servers
+        return tuple(item for item in servers if item.zone not in emptied)
+
+    @property
+    def emptied_zones(self) -> frozenset[str]:
+        """Returns the zones whose servers get no new requests."""
+        return self._emptied_zones or frozenset()
+
+    def set_emptied_zones(self, zones: frozenset[str]) -> None:
+        """Applies the zones whose servers get no new requests."""
+        self._emptied_zones = zones
+        self._notify()
+
     def subscribe(self, listener: Listener) -> None:
         """Notifies the listener of all server names after each change."""
         self._listeners.append(listener)
@@ -176,7 +221,7 @@
             return server
         if self._drained_runs.get(server.name) != server.started_ms:
             return server
-        return attrs.evolve(server, state=draining)
+        return _as_draining(server)
 
     def _record_departed(
         self, before: dict[str, backend_server.BackendServer]
@@ -249,3 +294,9 @@
         names = frozenset(item.name for item in self.servers)
         for listener in self._listeners:
             listener(names)
+
+
+def _as_draining(
+    server: backend_server.BackendServer,
+) -> backend_server.BackendServer:
+    return attrs.evolve(server, state=backend_server.ServerState.DRAINING)
--- a/figstream/server_reach.py
+++ b/figstream/server_reach.py
@@ -50,7 +50,8 @@
         server_connector.PathConnector(direct, paths, tunnels),
         tunnel_server.TunnelServer(
             lambda name: next(
-                (item for item in directory.servers if item.name == name), None
+                (item for item in directory.reachable if item.name == name),
+                None,
             ),
             paths,
             direct,
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -96,6 +96,7 @@
       ports: ports of the daemon.
       folder: folder of the settings, the log and the clock step.
       tree: folder of the build that the next start runs.
+      times: durations in the settings.
     """
 
     name: str
@@ -103,6 +104,7 @@
     ports: standin_program.DaemonPorts
     folder: pathlib.Path
     tree: pathlib.Path = ROOT
+    times: standin_program.DaemonTimes = _DAEMON_TIMES
     _process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -128,7 +130,7 @@
           seeds: ports of the peers to contact first.
         """
         text = standin_program.make_settings(
-            self.name, self.zone, self.ports, store, _DAEMON_TIMES, seeds
+            self.name, self.zone, self.ports, store, self.times, seeds
         )
         self._settings.write_text(text)
         self.step_clock(0.0)
--- a/tests/daemon_fleet.py
+++ b/tests/daemon_fleet.py
@@ -63,6 +63,7 @@
         *,
         slots: int = 32,
         state: str = "ready",
+        zone: str = "a",
     ) -> None:
         """Writes the entry of a worker to the store."""
         self.store.put(
@@ -71,7 +72,7 @@
             {
                 "service": "llm",
                 "address": f"127.0.0.1:{worker.port}",
-                "zone": "a",
+                "zone": zone,
                 "version": worker.software,
                 "slots": slots,
                 "state": state,
@@ -151,6 +152,7 @@
     trees: Sequence[pathlib.Path] = (daemons.ROOT, daemons.ROOT),
     *,
     pause_s: float = 0.06,
+    evacuate_ms: int = 0,
 ) -> AsyncIterator[Fleet]:
     """Runs a daemon of each build until the block ends.
 
@@ -158,6 +160,7 @@
       folder: folder of settings and logs.
       trees: folders of the builds.
       pause_s: seconds between two events of a stream.
+      evacuate_ms: that of the settings, 0 if zones aren't emptied.
     """
     store = standin_store.Store()
     workers = two_versions(pause_s=pause_s, events=6)
@@ -166,6 +169,8 @@
         daemons.DaemonProcess(f"entry-{number}", "a", item, folder, tree)
         for number, (item, tree) in enumerate(zip(ports, trees, strict=True))
     ]
+    for process in processes:
+        process.times = attrs.evolve(process.times, evacuate_ms=evacuate_ms)
     async with anyio.create_task_group() as group:
         for worker in workers:
             await group.start(worker.serve)
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -82,7 +82,9 @@
       applied_configurations: configurations set at the scheduler so far.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, emptied_zones: frozenset[str] | None = frozenset()
+    ) -> None:
         self.clock = clock_lib.ManualClock(100.0)
         self.feed = ScriptedFeed()
         unexported = metrics.make_unexported_metrics()
@@ -100,6 +102,7 @@
             self.scheduler,
             self.clock,
             unexported,
+            emptied_zones,
         )
 
     @property
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -43,6 +43,19 @@
     assert [later[_target(zone, True)] for zone in "abc"] == [6, 6, 6]
 
 
+def test_what_an_emptied_zone_ran_is_ordered_elsewhere() -> None:
+    """Fails if an emptied zone counts, or if its servers are stopped."""
+    plan = scaling_plan.ScalingPlan("llm", {"a": 3, "b": 3, "c": 3})
+    servers = {"b": _Servers(1, 6), "c": _Servers(1, 6)}
+    wanted = plan.wanted(_LIMITS, servers, 10.0, frozenset("a"))
+    assert {item.zone for item in wanted} == {"b", "c"}
+    assert [wanted[_target(zone, True)] for zone in "bc"] == [8, 8]
+    every_zone = frozenset("abc")
+    assert not plan.wanted(_LIMITS, {}, 10.5, every_zone)
+    later = plan.wanted(_LIMITS, servers, 11.0)
+    assert [later[_target(zone, True)] for zone in "abc"] == [6, 6, 6]
+
+
 def test_high_load_adds_servers_and_low_load_stops_them() -> None:
     plan = scaling_plan.ScalingPlan("llm", {"a": 1})
     servers = {"a": _Servers(1, 2)}
@@ -93,6 +106,7 @@
 @attrs.define
 class _FakeDirectory:
     servers: list[backend_server.BackendServer] = attrs.field(factory=list)
+    emptied_zones: frozenset[str] = frozenset()
 
 
 class _Harness:
