--- a/figstream/caller_watch.py
+++ b/figstream/caller_watch.py
@@ -1,9 +1,10 @@
-"""Serves a request and cancels it when its caller disconnects."""
+"""Serves a request and ends it when its caller disconnects."""
 
 import anyio
 
 from figstream import asgi
 from figstream import caller_answer
+from figstream import caller_presence
 from figstream import inbound
 from figstream import request_path
 from figstream import request_records
@@ -16,23 +17,24 @@
     receive: asgi.Receive,
     answer: caller_answer.Answer,
 ) -> None:
-    """Serves a request, and cancels it if the caller disconnects.
+    """Serves a request, and ends it if the caller disconnects.
 
-    A request that may run at most once is not cancelled, so that a run that
-    has started is completed.
+    A request that may run at most once ends only while no server has it, so
+    that a run that has started is completed.
     """
-    if not call.cancelled_on_disconnect:
-        await path.serve(call, answer)
-        return
+    caller = caller_presence.CallerPresence()
     served = False
 
-    async def cancel_when_disconnected(scope: anyio.CancelScope) -> None:
+    async def end_when_disconnected(scope: anyio.CancelScope) -> None:
         await asgi.wait_for_disconnect(receive)
-        scope.cancel()
+        if call.cancelled_on_disconnect:
+            scope.cancel()
+        else:
+            caller.leave()
 
     async with anyio.create_task_group() as group:
-        group.start_soon(cancel_when_disconnected, group.cancel_scope)
-        await path.serve(call, answer)
+        group.start_soon(end_when_disconnected, group.cancel_scope)
+        await path.serve(call, answer, caller)
         # ASGI reports the end of the answer as a disconnect, too, which
         # must not count as a caller that left.
         served = True
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -55,6 +55,7 @@
     ANSWER_INCOMPLETE = "answer_incomplete"
     STREAM_SOFTWARE_UNKNOWN = "stream_software_unknown"
     STREAM_SOFTWARE_GONE = "stream_software_gone"
+    CALLER_GONE = "caller_gone"
     SHUTTING_DOWN = "shutting_down"
     INTERNAL_ERROR = "internal_error"
 
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -15,6 +15,7 @@
 from figstream import backend_dialect
 from figstream import backend_server
 from figstream import blame_api
+from figstream import caller_presence
 from figstream import claims_api
 from figstream import clock as clock_lib
 from figstream import dispatch_gate
@@ -83,6 +84,7 @@
       call: the validated request.
       pending: the request in the form that the scheduler uses.
       relay: the relay of the answer to the caller.
+      caller: whether the caller is still there.
       run_state: whether any attempt so far ran or may have run.
       resume: whether the next attempt resumes the stream after the events
         that the caller already has.
@@ -94,6 +96,7 @@
     call: inbound.Call
     pending: scheduler_api.PendingRequest
     relay: stream_relay.StreamRelay
+    caller: caller_presence.CallerPresence
     run_state: reasons.RunState = reasons.RunState.NOT_RUN
     resume: bool = False
     stream: stream_software.Stream | None = None
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -12,6 +12,7 @@
 from figstream import attempt_outcome
 from figstream import blame_api
 from figstream import caller_answer
+from figstream import caller_presence
 from figstream import claims_api
 from figstream import errors
 from figstream import inbound
@@ -59,11 +60,17 @@
         self._unanswered.set_after(_UNANSWERED_PART * limit_s)
 
     async def serve(
-        self, call: inbound.Call, answer: caller_answer.Answer
+        self,
+        call: inbound.Call,
+        answer: caller_answer.Answer,
+        caller: caller_presence.CallerPresence,
     ) -> None:
-        """Answers or refuses a request."""
-        result = await self._serve_with_claim(call, answer)
+        """Answers or refuses a request; one whose caller has left just ends."""
+        result = await self._serve_with_claim(call, answer, caller)
         if isinstance(result, errors.Refusal):
+            if result.reason is _R.CALLER_GONE:
+                self._services.records.caller_gone(call)
+                return
             self._services.records.refused(call, result)
             await answer.refuse(result)
         elif answer.started:
@@ -72,10 +79,13 @@
             await answer.whole(result)
 
     async def _serve_with_claim(
-        self, call: inbound.Call, answer: caller_answer.Answer
+        self,
+        call: inbound.Call,
+        answer: caller_answer.Answer,
+        caller: caller_presence.CallerPresence,
     ) -> _ServeResult:
         if call.idempotent or not call.idempotency_key:
-            return await self._serve_before_deadline(call, answer)
+            return await self._serve_before_deadline(call, answer, caller)
         claims = self._services.claims
         claim = await claims.claim(
             call.identity.customer, call.idempotency_key, call.fingerprint
@@ -88,15 +98,16 @@
             return attempt_outcome.Answered(
                 stored.status, (content_type,), stored.body
             )
-        return await self._serve_claimed(call, answer, claim)
+        return await self._serve_claimed(call, answer, caller, claim)
 
     async def _serve_claimed(
         self,
         call: inbound.Call,
         answer: caller_answer.Answer,
+        caller: caller_presence.CallerPresence,
         claim: claims_api.Claimed,
     ) -> _ServeResult:
-        result = await self._serve_before_deadline(call, answer)
+        result = await self._serve_before_deadline(call, answer, caller)
         if isinstance(result, attempt_outcome.Answered):
             await self._services.claims.complete(
                 claim,
@@ -109,7 +120,10 @@
         return result
 
     async def _serve_before_deadline(
-        self, call: inbound.Call, answer: caller_answer.Answer
+        self,
+        call: inbound.Call,
+        answer: caller_answer.Answer,
+        caller: caller_presence.CallerPresence,
     ) -> _ServeResult:
         rules = self._services.rules
         relay = stream_relay.StreamRelay(
@@ -123,6 +137,7 @@
             call,
             _make_pending_request(call),
             relay,
+            caller,
             stream=_stream_of(call, self._services.clock.now()),
         )
         remaining_s = call.deadline - self._services.clock.now()
@@ -215,16 +230,19 @@
     ) -> scheduler_api.Dispatched | errors.Refusal:
         services = self._services
         call = progress.call
-        refused = services.authenticator.still_valid(call.identity)
+        refused = _check_caller(progress)
+        refused = refused or services.authenticator.still_valid(call.identity)
         refused = refused or self._check_blame(progress)
         refused = refused or await self._select_software(progress)
         if refused:
             return _with_run_state(refused, progress)
         services.records.queued(call, services.gate.waiting)
         with self._waiting.scope() as waiting:
+            progress.caller.end_with_caller(waiting)
             verdict = await services.gate.dispatch(progress.pending)
+        progress.caller.end_with_caller(None)
         if waiting.cancelled_caught:
-            return _shutting_down(progress)
+            return _check_caller(progress) or _shutting_down(progress)
         if isinstance(verdict, errors.Refusal):
             return _with_run_state(verdict, progress)
         return await self._recheck_dispatched(progress, verdict)
@@ -240,7 +258,9 @@
         services = self._services
         pending = progress.pending
         alone = pending.alone
-        refused = services.authenticator.still_valid(progress.call.identity)
+        refused = _check_caller(progress)
+        valid = services.authenticator.still_valid
+        refused = refused or valid(progress.call.identity)
         refused = refused or self._check_blame(progress)
         if pending.only_server not in {"", verdict.server.name}:
             refused = refused or _incomplete_answer(
@@ -303,6 +323,14 @@
         )
 
 
+def _check_caller(
+    progress: request_attempts.RequestProgress,
+) -> errors.Refusal | None:
+    if progress.caller.gone:
+        return errors.Refusal(_R.CALLER_GONE, progress.run_state)
+    return None
+
+
 def _shutting_down(
     progress: request_attempts.RequestProgress,
 ) -> errors.Refusal:
