--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -13,8 +13,8 @@
 from typing import TypeVar
 import urllib.parse
 
+import attrs
 import httpcore
-import httpx
 
 from figstream import backend_network
 from figstream import errors
@@ -35,12 +35,30 @@
 _UNACKNOWLEDGED_LIMIT_MS: Final = 3_000
 # Errors after which the platform certainly did not receive the request.
 _NOT_SENT_ERRORS: Final = (
-    httpx.ConnectError,
-    httpx.ConnectTimeout,
-    httpx.PoolTimeout,
-    httpx.UnsupportedProtocol,
-    httpx.LocalProtocolError,
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+    httpcore.UnsupportedProtocol,
+    httpcore.LocalProtocolError,
 )
+# Errors after which the platform may have received the request.
+_NO_ANSWER_ERRORS: Final = (
+    httpcore.TimeoutException,
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+)
+
+
+@attrs.frozen
+class HttpAnswer:
+    """A complete answer; the names of `headers` are in lower case."""
+
+    status: int
+    headers: Mapping[str, str]
+    content: bytes
+
+
+CallOutcome = HttpAnswer | platform_api.Unavailable | platform_api.Unknown
 
 
 class PlatformHttpClient:
@@ -51,22 +69,11 @@
         self.url = url
         self.client_name = client_name
         self.timeout_s = timeout_s
-        self._client = httpx.AsyncClient(
-            base_url=url,
-            headers={wire.CLIENT_HEADER: client_name},
-            timeout=timeout_s,
-            transport=httpx.AsyncHTTPTransport(
-                # Loading the certificate authorities takes a tenth of the
-                # start, which plain HTTP does not need.
-                verify=url.startswith("https:"),
-                trust_env=False,
-                limits=httpx.Limits(
-                    max_connections=_MAX_CONNECTIONS,
-                    keepalive_expiry=_KEEP_ALIVE_S,
-                ),
-                socket_options=backend_network.unresponsive_peer_options(
-                    _UNACKNOWLEDGED_LIMIT_MS
-                ),
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_MAX_CONNECTIONS,
+            keepalive_expiry=_KEEP_ALIVE_S,
+            socket_options=backend_network.unresponsive_peer_options(
+                _UNACKNOWLEDGED_LIMIT_MS
             ),
         )
 
@@ -80,26 +87,29 @@
         headers: Mapping[str, str] | None = None,
         extra_timeout_s: float = 0.0,
         allowed: Callable[[], bool] | None = None,
-    ) -> httpx.Response | platform_api.Unavailable | platform_api.Unknown:
+    ) -> CallOutcome:
         """Makes one call; returns answers of any status code.
 
         If `allowed` is given, it is checked just before the write, and the
         call is not sent if it returns False.
         """
+        query = f"?{urllib.parse.urlencode(params)}" if params else ""
+        sent_headers = {wire.CLIENT_HEADER: self.client_name, **(headers or {})}
         try:
-            return await self._client.request(
+            answer = await self._pool.request(
                 method,
-                path,
-                params=params,
-                content=content,
-                headers=headers,
-                timeout=self.timeout_s + extra_timeout_s,
-                extensions=_checked_write(allowed) if allowed else None,
+                self.url + path + query,
+                headers=list(sent_headers.items()),
+                content=None if method == "GET" else content,
+                extensions=_extensions(
+                    self.timeout_s + extra_timeout_s, allowed
+                ),
             )
         except _NOT_SENT_ERRORS as error:
             return platform_api.Unavailable(_describe(error))
-        except httpx.HTTPError as error:
+        except _NO_ANSWER_ERRORS as error:
             return platform_api.Unknown(_describe(error))
+        return _answer(answer)
 
     async def call_if_allowed(
         self,
@@ -108,7 +118,7 @@
         content: bytes,
         headers: Mapping[str, str],
         allowed: Callable[[], bool],
-    ) -> httpx.Response | platform_api.Unavailable | platform_api.Unknown:
+    ) -> CallOutcome:
         """Makes one call if `allowed` returns True just before the write."""
         answer = await order_transport.send(
             method,
@@ -120,7 +130,7 @@
         )
         if not isinstance(answer, httpcore.Response):
             return answer
-        return httpx.Response(answer.status, content=answer.content)
+        return _answer(answer)
 
     async def get(
         self,
@@ -133,9 +143,9 @@
         answer = await self.call(
             "GET", path, params=params, extra_timeout_s=extra_timeout_s
         )
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, HttpAnswer):
             return platform_api.Unavailable(answer.detail)
-        if answer.status_code != wire.OK:
+        if answer.status != wire.OK:
             return platform_api.Unavailable(_failure_detail(answer))
         return _decode(answer, kind) or _undecodable(path)
 
@@ -152,12 +162,12 @@
     ) -> platform_api.ReadOutcome:
         """Reads one object."""
         answer = await self._http_client.call("GET", _object_path(name))
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, HttpAnswer):
             return platform_api.Unavailable(answer.detail)
-        if answer.status_code == wire.NOT_FOUND:
+        if answer.status == wire.NOT_FOUND:
             return platform_api.Absent(name)
         version = answer.headers.get(wire.VERSION_HEADER, "")
-        if answer.status_code != wire.OK or not version.isdigit():
+        if answer.status != wire.OK or not version.isdigit():
             return platform_api.Unavailable(_failure_detail(answer))
         return platform_api.Found(name, int(version), answer.content)
 
@@ -208,12 +218,12 @@
             params={"version": expected_version},
             content=body,
         )
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, HttpAnswer):
             return answer
         found = _decode(answer, wire.VersionBody)
-        if answer.status_code == wire.OK and found:
+        if answer.status == wire.OK and found:
             return platform_api.Written(found.version)
-        if answer.status_code == wire.CONFLICT and found:
+        if answer.status == wire.CONFLICT and found:
             return platform_api.Conflict(found.version)
         return _unavailable_or_unknown(answer)
 
@@ -249,12 +259,12 @@
         found = await self._http_client.call_if_allowed(
             "POST", wire.ORDERS, serialization.to_json(order), {}, allowed
         )
-        if not isinstance(found, httpx.Response):
+        if not isinstance(found, HttpAnswer):
             return found
-        if found.status_code == wire.OK:
+        if found.status == wire.OK:
             accepted = _decode(found, platform_api.OrderAccepted)
             return accepted or _unavailable_or_unknown(found)
-        if found.status_code == wire.CONFLICT:
+        if found.status == wire.CONFLICT:
             refused = _decode(found, platform_api.OrderRefused)
             return refused or _unavailable_or_unknown(found)
         return _unavailable_or_unknown(found)
@@ -291,11 +301,11 @@
             {wire.FENCING_HEADER: str(fencing)},
             allowed,
         )
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, HttpAnswer):
             return answer
-        if answer.status_code == wire.OK:
+        if answer.status == wire.OK:
             return platform_api.ReportAccepted()
-        if answer.status_code == wire.CONFLICT:
+        if answer.status == wire.CONFLICT:
             return platform_api.ReportRefused(_failure_detail(answer))
         return _unavailable_or_unknown(answer)
 
@@ -311,22 +321,39 @@
         """Reserves a load of a model; returns seconds to wait, 0 for none."""
         path = wire.WEIGHTS + _quote(model)
         answer = await self._http_client.call("POST", path)
-        if not isinstance(answer, httpx.Response):
+        if not isinstance(answer, HttpAnswer):
             return platform_api.Unavailable(answer.detail)
         found = _decode(answer, wire.WaitBody)
-        if answer.status_code != wire.OK or found is None:
+        if answer.status != wire.OK or found is None:
             return platform_api.Unavailable(_failure_detail(answer))
         return found.wait_s
 
 
-def _checked_write(allowed: Callable[[], bool]) -> dict[str, Any]:
-    """Returns request extensions that check `allowed` before the write."""
+def _answer(answer: httpcore.Response) -> HttpAnswer:
+    headers = {
+        name.lower().decode("latin-1"): value.decode("latin-1")
+        for name, value in answer.headers
+    }
+    return HttpAnswer(answer.status, headers, answer.content)
+
+
+def _extensions(
+    timeout_s: float, allowed: Callable[[], bool] | None
+) -> dict[str, Any]:
+    """Returns request extensions that bound each step of a call.
+
+    If `allowed` is given, they check it before the write.
+    """
+    steps = ("connect", "read", "write", "pool")
+    extensions: dict[str, Any] = {"timeout": dict.fromkeys(steps, timeout_s)}
+    if allowed is None:
+        return extensions
 
     async def trace(event: str, _: object) -> None:
         if event == _BEFORE_WRITE_EVENT and not allowed():
             raise order_transport.NotAllowedError("no longer allowed")
 
-    return {"trace": trace}
+    return {**extensions, "trace": trace}
 
 
 def _quote(name: str) -> str:
@@ -341,24 +368,24 @@
     return f"{type(error).__name__}: {error}"
 
 
-def _failure_detail(answer: httpx.Response) -> str:
+def _failure_detail(answer: HttpAnswer) -> str:
     found = _decode(answer, wire.DetailBody)
-    return found.detail if found else f"status {answer.status_code}"
+    return found.detail if found else f"status {answer.status}"
 
 
 def _unavailable_or_unknown(
-    answer: httpx.Response,
+    answer: HttpAnswer,
 ) -> platform_api.Unavailable | platform_api.Unknown:
-    if answer.status_code in wire.NO_EFFECT_STATUSES:
+    if answer.status in wire.NO_EFFECT_STATUSES:
         return platform_api.Unavailable(_failure_detail(answer))
-    return platform_api.Unknown(f"status {answer.status_code}")
+    return platform_api.Unknown(f"status {answer.status}")
 
 
 def _undecodable(path: str) -> platform_api.Unavailable:
     return platform_api.Unavailable(f"the answer to {path} can't be decoded")
 
 
-def _decode(answer: httpx.Response, kind: type[_T]) -> _T | None:
+def _decode(answer: HttpAnswer, kind: type[_T]) -> _T | None:
     try:
         return serialization.from_json(answer.content, kind)
     except errors.ConfigurationError:
