--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -29,9 +29,9 @@
 @pytest.mark.parametrize(
     ("seconds", "up_to"),
     [
-        (0.04, (1, 1, 1)),
-        (0.05, (1, 1, 1)),
-        (0.07, (0, 1, 1)),
+        (0.15, (1, 1, 1)),
+        (0.2, (1, 1, 1)),
+        (0.3, (0, 1, 1)),
         (99.0, (0, 0, 1)),
     ],
 )
