--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -21,6 +21,7 @@
 from figstream import explain
 from figstream import feed_peers
 from figstream import feed_relay
+from figstream import fleet_work
 from figstream import gateway_dialect
 from figstream import gateway_options
 from figstream import gateway_pages
@@ -357,6 +358,10 @@
         """Returns the background roles, membership last."""
         context = self.context
         platform = self._platform
+        # No role of its own: the counts that arrive for sealing drive it.
+        fleet_work.make_fleet_work(
+            context, accounting.sealing, self.members.notices
+        )
         return (
             sources.configuration_follower,
             sources.entries,
--- a/figstream/usage_sealing.py
+++ b/figstream/usage_sealing.py
@@ -8,6 +8,7 @@
 holder, and the windows that were stored are read from the object store.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import enum
 import secrets
@@ -75,6 +76,8 @@
         self._loaded_at_ms = 0
         self._drafts: list[usage_window.WindowDraft] = []
         self._draft_being_sealed: usage_window.WindowDraft | None = None
+        self._on_delta: Callable[[usage_delta.UsageDelta], None] | None = None
+        self._on_begin: Callable[[], None] | None = None
 
     @property
     def epoch(self) -> str:
@@ -86,6 +89,21 @@
         """Returns the Unix time before which no delta is accepted."""
         return self._chain.tail.floor_ms if self._chain.tail else 0
 
+    def set_listener(
+        self,
+        on_delta: Callable[[usage_delta.UsageDelta], None],
+        on_begin: Callable[[], None],
+    ) -> None:
+        """Sets what hears of the consumption of the whole fleet.
+
+        Args:
+          on_delta: called with each delta that is added to a draft.
+          on_begin: called when this daemon begins to seal; deltas of the last
+            seconds may follow again.
+        """
+        self._on_delta = on_delta
+        self._on_begin = on_begin
+
     def counted(
         self, run: usage_delta.RunId
     ) -> tuple[sequence_spans.Span, ...]:
@@ -107,6 +125,8 @@
         draft = self._draft_for(delta.opened_ms)
         if draft is None or not draft.add(delta, tail.record_bytes):
             return DeltaStatus.WAIT
+        if self._on_delta:
+            self._on_delta(delta)
         return DeltaStatus.HELD
 
     async def step(self) -> None:
@@ -142,6 +162,8 @@
         assert tail is not None
         self._epoch = secrets.token_hex(_RANDOM_ID_BYTES)
         self._loaded_at_ms = self._now_ms()
+        if self._on_begin:
+            self._on_begin()
         self._drafts = [self._draft_after(tail.end_ms)]
         self._drafts.append(self._draft_after(self._drafts[0].end_ms))
         return True
--- a/figstream/work_groups.py
+++ b/figstream/work_groups.py
@@ -32,6 +32,9 @@
 _MIN_SHARE: Final = 1 / 8
 _MAX_SHARE: Final = 1 / 2
 _MIN_SERVERS: Final = 2
+# In pools of this size, no kind of work depends on a single server.
+_SAFE_POOL_SERVERS: Final = 6
+_MIN_GROUP_SERVERS: Final = 2
 # For this time a server that changes groups gets no new work, so that streams
 # don't run beside the prompts of before. Most answers end within it.
 _SETTLE_S: Final = 1.5
@@ -39,7 +42,7 @@
 # of magnitude, and a daemon sees a few answers a second.
 _SMOOTHING: Final = 0.1
 # Means of fewer answers say little.
-_MIN_ANSWERS: Final = 5
+_MIN_ANSWERS: Final = 3
 # Pools of several software versions beside those of all servers.
 _MAX_CACHED_POOLS: Final = 64
 _MAX_LOGGED_NAMES: Final = 8
@@ -219,6 +222,8 @@
         if need is None:
             need = math.ceil(_DEFAULT_SHARE * servers)
         least = math.ceil(_MIN_SHARE * servers)
+        if servers >= _SAFE_POOL_SERVERS:
+            least = max(least, _MIN_GROUP_SERVERS)
         return max(1, min(max(need, least), math.floor(_MAX_SHARE * servers)))
 
     def _division_of(
--- a/tests/test_shared_forms.py
+++ b/tests/test_shared_forms.py
@@ -16,7 +16,7 @@
 
 # Forms that the old build lacks; a new kind goes here when it is added, and
 # docs/design/upgrades.md says what the old build does without it.
-_ONLY_NEW: frozenset[str] = frozenset()
+_ONLY_NEW = frozenset({"fleet_work.FleetNeed", "fleet_work._KIND"})
 # Classes that no other daemon reads: of settings, of the calls of operators
 # and platforms, and of stand-ins. `_T` and `kind` pass a class on.
 _NOT_SHARED = frozenset(
--- a/tests/test_work_groups.py
+++ b/tests/test_work_groups.py
@@ -5,15 +5,12 @@
 import heapq
 import random
 from typing import Any
-from typing import Final
 
 import attrs
 import hypothesis
 from hypothesis import strategies
 
 from figstream import backend_server
-from figstream import configuration as configuration_lib
-from figstream import gateway_route
 from figstream import paced_placement
 from figstream import placement
 from figstream import request_class
@@ -23,87 +20,18 @@
 from figstream import server_pool
 from figstream import server_selection
 from figstream import work_groups
-
-_SERVICE: Final = "engine"
-_SLOTS: Final = 64
-_CHAT = request_class.RequestClass(
-    "chat",
-    tier=0,
-    service_level=request_class.ServiceLevel(
-        first_token_s=1.0, between_tokens_s=0.2
-    ),
-)
-_PLAN = request_class.RequestClass(
-    "plan",
-    tier=2,
-    service_level=request_class.ServiceLevel(
-        first_token_s=1.2, between_tokens_s=0.8
-    ),
-)
-
-
-def _routes(paced: bool) -> tuple[gateway_route.GatewayRoute, ...]:
-    return tuple(
-        gateway_route.GatewayRoute(
-            name=item.name,
-            host=item.name,
-            prefix="/",
-            services=(gateway_route.WeightedService(_SERVICE, 1),),
-            request_class=item,
-            timeout_s=15.0,
-            streamed=True,
-        )
-        for item in ((_CHAT, _PLAN) if paced else (_PLAN,))
-    )
-
-
-def _server(
-    zone: str, number: int, reclaimable: bool = False, software: str = ""
-) -> backend_server.BackendServer:
-    return backend_server.BackendServer(
-        f"i-{zone}{number}",
-        "http://10.0.0.1:1",
-        zone,
-        service=_SERVICE,
-        slots=_SLOTS,
-        reclaimable=reclaimable,
-        software=software,
-    )
-
-
-def _servers(
-    zones: str = "abcd", each: int = 15
-) -> tuple[backend_server.BackendServer, ...]:
-    """Returns servers of which the first of each zone is permanent."""
-    return tuple(
-        _server(zone, number, number > 0)
-        for zone in zones
-        for number in range(each)
-    )
-
-
-def _configuration(
-    servers: Iterable[backend_server.BackendServer], paced: bool = True
-) -> configuration_lib.Configuration:
-    return configuration_lib.Configuration(
-        servers=tuple(servers), gateway_routes=_routes(paced)
-    )
+from tests import paced_fleet
 
 
-def _pool(
-    servers: Iterable[backend_server.BackendServer], software: str | None = None
-) -> server_pool.ServerPool:
-    index = server_pool.PoolIndex("a")
-    index.set_configuration(_configuration(servers))
-    target = request_target.Target(service=_SERVICE, software=software)
-    return index.pool(target, _CHAT)
+def _pool(zones: str = "abcd", each: int = 15) -> server_pool.ServerPool:
+    return paced_fleet.pool(paced_fleet.servers(zones, each))
 
 
 def _groups(
     servers: Iterable[backend_server.BackendServer],
 ) -> work_groups.WorkGroups:
     groups = work_groups.WorkGroups()
-    groups.set_configuration(_configuration(servers))
+    groups.set_configuration(paced_fleet.configuration(servers))
     return groups
 
 
@@ -111,7 +39,7 @@
     kind: request_class.RequestClass, now: float, **more: Any
 ) -> scheduler_api.PendingRequest:
     return scheduler_api.PendingRequest(
-        "r", "c", kind, now, now + 15.0, service=_SERVICE, **more
+        "r", "c", kind, now, now + 15.0, service=paced_fleet.SERVICE, **more
     )
 
 
@@ -132,7 +60,7 @@
     def set_servers(
         self, servers: Sequence[backend_server.BackendServer]
     ) -> None:
-        configuration = _configuration(servers, self._paced)
+        configuration = paced_fleet.configuration(servers, self._paced)
         self._index.set_configuration(configuration)
         self.placement.set_configuration(configuration)
 
@@ -141,7 +69,7 @@
     ) -> server_selection.Choice:
         """Places a request of a kind with a drawn prompt."""
         thing = self._random.randrange(1, 400)
-        if kind is _CHAT:
+        if kind is paced_fleet.CHAT:
             request = _request(
                 kind,
                 now,
@@ -163,7 +91,7 @@
                 first_block=1000 + thing % 4,
                 first_block_tokens=2520,
             )
-        target = request_target.Target(service=_SERVICE)
+        target = request_target.Target(service=paced_fleet.SERVICE)
         pool = self._index.pool(target, kind)
         found = self.placement.choose(request, pool, True, now)
         assert found
@@ -212,19 +140,23 @@
             self.now += self._random.expovariate(rate)
             self._finish()
             number = self._random.randrange(len(self.daemons))
-            kind = _CHAT if self._random.random() < 0.25 else _PLAN
+            kind = (
+                paced_fleet.CHAT
+                if self._random.random() < 0.25
+                else paced_fleet.PLAN
+            )
             self._start(number, kind)
 
     def busiest(self) -> float:
         """Returns the streams of the busiest server over the mean."""
-        paced = self.daemons[0].groups.servers_for(_pool(_servers()), True)
+        paced = self.daemons[0].groups.servers_for(_pool(), True)
         counts = [self.running.get((name, "chat"), 0) for name in paced]
         return max(counts) * len(counts) / max(1, sum(counts))
 
     def _start(self, number: int, kind: request_class.RequestClass) -> None:
         daemon = self.daemons[number]
         name = daemon.place(kind, self.now).server.name
-        if kind is _CHAT:
+        if kind is paced_fleet.CHAT:
             self.begun += 1
             if self.running.get((name, "plan"), 0):
                 self.mixed.append((name, kind.name))
@@ -232,12 +164,14 @@
             self.mixed.append((name, kind.name))
         key = name, kind.name
         self.running[key] = self.running.get(key, 0) + 1
-        if kind is _CHAT:
+        if kind is paced_fleet.CHAT:
             self.most = max(self.most, self.running[key])
         daemon.book.dispatched(name, self.now)
         total = sum(self.running.get((name, x), 0) for x in ("chat", "plan"))
         daemon.book.report(scheduler_api.ServerLoad(name, total, 0, self.now))
-        seconds = self._random.expovariate(1 / (1.7 if kind is _CHAT else 1.0))
+        seconds = self._random.expovariate(
+            1 / (1.7 if kind is paced_fleet.CHAT else 1.0)
+        )
         end = _End(self.now + seconds, name, kind.name, number)
         heapq.heappush(self._ends, end)
 
@@ -260,13 +194,13 @@
     it from its own requests, beginning with its twentieth.
     """
     play = _Play(80, True, 1)
-    play.set_servers(_servers())
+    play.set_servers(paced_fleet.servers())
     play.run(6.0)
     assert play.begun > 300
     assert play.mixed == []
 
     before = _Play(80, False, 1)
-    before.set_servers(_servers())
+    before.set_servers(paced_fleet.servers())
     before.run(6.0)
     assert len(before.mixed) > 0.3 * before.begun
 
@@ -278,7 +212,7 @@
     gets no work; nothing else is mixed. Without that time twice as many are.
     """
     play = _Play(80, True, 2)
-    everything = _servers()
+    everything = paced_fleet.servers()
     lost = [x for x in everything if not (x.zone == "b" and x.reclaimable)]
     play.set_servers(everything)
     play.run(2.0)
@@ -288,11 +222,11 @@
         (lost, 16, 6.0),
         (everything, 16, 8.0),
     ):
-        pool = _pool(everything)
+        pool = paced_fleet.pool(everything)
         before = play.daemons[0].groups.servers_for(pool, True)
         play.set_servers(servers)
         for daemon in play.daemons:
-            daemon.groups.set_needs({_SERVICE: needs})
+            daemon.groups.set_needs({paced_fleet.SERVICE: needs})
         after = play.daemons[0].groups.servers_for(pool, True)
         present = {item.name for item in servers}
         changed = (before ^ after) & present
@@ -307,13 +241,13 @@
 def test_streams_spread_over_their_group() -> None:
     """Fails if daemons that know little meet at one server."""
     play = _Play(80, True, 3)
-    play.set_servers(_servers())
+    play.set_servers(paced_fleet.servers())
     ratios = []
     for step in range(1, 25):
         play.run(2.0 + step * 0.25)
         ratios.append(play.busiest())
     assert sum(ratios) / len(ratios) < 1.9
-    assert play.most < _SLOTS / 2
+    assert play.most < paced_fleet.SLOTS / 2
 
 
 def test_long_prompts_keep_their_server_beside_unknown_loads() -> None:
@@ -323,7 +257,7 @@
     server that holds the prefix alone.
     """
     daemon = _Daemon(0)
-    daemon.set_servers(_servers())
+    daemon.set_servers(paced_fleet.servers())
     prompt = {
         "prompt_tokens": 9190,
         "max_output_tokens": 52,
@@ -332,10 +266,10 @@
         "first_block": 8,
         "first_block_tokens": 2520,
     }
-    pool = _pool(_servers())
+    pool = _pool()
 
     def choose() -> str:
-        request = _request(_PLAN, 0.0, **prompt)
+        request = _request(paced_fleet.PLAN, 0.0, **prompt)
         found = daemon.placement.choose(request, pool, False, 0.0)
         assert found
         return found.server.name
@@ -357,14 +291,14 @@
 
 def test_streams_leave_a_group_that_failed_to_the_next_in_rank() -> None:
     daemon = _Daemon(0)
-    daemon.set_servers(_servers("a"))
-    ranked = work_groups.rank(list(_servers("a")))
-    pool = _pool(_servers("a"))
+    daemon.set_servers(paced_fleet.servers("a"))
+    ranked = work_groups.rank(list(paced_fleet.servers("a")))
+    pool = _pool("a")
     paced = daemon.groups.servers_for(pool, True)
     events: list[str] = []
     daemon.groups.set_on_outside(events.append)
     _fail(daemon, paced)
-    choices = [daemon.place(_CHAT, 1.1) for _ in range(50)]
+    choices = [daemon.place(paced_fleet.CHAT, 1.1) for _ in range(50)]
     used = {choice.server.name for choice in choices}
     assert used == set(ranked[len(paced) : len(paced) + 2])
     assert {x.reason for x in choices} == {paced_placement.OUTSIDE}
@@ -373,22 +307,24 @@
 
 def test_streams_leave_a_full_group_and_return() -> None:
     daemon = _Daemon(0)
-    daemon.set_servers(_servers("a"))
-    paced = daemon.groups.servers_for(_pool(_servers("a")), True)
+    daemon.set_servers(paced_fleet.servers("a"))
+    paced = daemon.groups.servers_for(_pool("a"), True)
     for name in sorted(paced):
-        daemon.book.report(scheduler_api.ServerLoad(name, _SLOTS, 9, 1.0))
-    assert daemon.place(_CHAT, 1.1).server.name not in paced
+        daemon.book.report(
+            scheduler_api.ServerLoad(name, paced_fleet.SLOTS, 9, 1.0)
+        )
+    assert daemon.place(paced_fleet.CHAT, 1.1).server.name not in paced
     for name in sorted(paced):
         daemon.book.report(scheduler_api.ServerLoad(name, 3, 0, 1.2))
     daemon.book.report(scheduler_api.ServerLoad(min(paced), 3, 0, 1.2))
-    used = {daemon.place(_CHAT, 20.0).server.name for _ in range(40)}
+    used = {daemon.place(paced_fleet.CHAT, 20.0).server.name for _ in range(40)}
     assert used == paced
 
 
 def test_other_work_enters_the_paced_group_only_without_its_own() -> None:
     daemon = _Daemon(0)
-    daemon.set_servers(_servers("ab", 3))
-    pool = _pool(_servers("ab", 3))
+    daemon.set_servers(paced_fleet.servers("ab", 3))
+    pool = _pool("ab", 3)
     rest = daemon.groups.servers_for(pool, False)
     events: list[str] = []
     daemon.groups.set_on_outside(events.append)
@@ -396,25 +332,29 @@
     _fail(daemon, most)
     for name in most:
         daemon.book.pause(name, 9.0, 1.0)
-    assert {daemon.place(_PLAN, 1.1).server.name for _ in range(20)} == {last}
+    assert {
+        daemon.place(paced_fleet.PLAN, 1.1).server.name for _ in range(20)
+    } == {last}
     assert events == []
     daemon.book.pause(last, 9.0, 1.0)
-    assert daemon.place(_PLAN, 1.1).server.name not in rest
+    assert daemon.place(paced_fleet.PLAN, 1.1).server.name not in rest
     assert events == ["work_in_paced_group"]
 
 
 def test_services_without_a_paced_route_are_not_divided() -> None:
     groups = work_groups.WorkGroups()
-    groups.set_configuration(_configuration(_servers(), paced=False))
-    pool = _pool(_servers())
-    assert groups.division(_SERVICE, pool) is None
+    groups.set_configuration(
+        paced_fleet.configuration(paced_fleet.servers(), paced=False)
+    )
+    pool = _pool()
+    assert groups.division(paced_fleet.SERVICE, pool) is None
     assert groups.servers_for(pool, True) == pool.names
 
 
 def test_the_smallest_pools() -> None:
     for count in range(1, 9):
-        servers = _servers("a", count)
-        groups, pool = _groups(servers), _pool(servers)
+        servers = paced_fleet.servers("a", count)
+        groups, pool = _groups(servers), paced_fleet.pool(servers)
         paced = groups.servers_for(pool, True)
         rest = groups.servers_for(pool, False)
         if count == 1:
@@ -426,14 +366,14 @@
 
 
 def test_a_version_whose_servers_are_all_in_one_group_serves_both() -> None:
-    servers = list(_servers("a"))
-    paced = _groups(servers).servers_for(_pool(servers), True)
+    servers = list(paced_fleet.servers("a"))
+    paced = _groups(servers).servers_for(paced_fleet.pool(servers), True)
     marked = [
         attrs.evolve(item, software="v1" if item.name in paced else "v2")
         for item in servers
     ]
     groups = _groups(marked)
-    old, new = _pool(marked, "v1"), _pool(marked, "v2")
+    old, new = paced_fleet.pool(marked, "v1"), paced_fleet.pool(marked, "v2")
     assert groups.servers_for(old, True) == paced
     assert groups.servers_for(old, False) == paced
     assert groups.servers_for(new, True) == new.names
@@ -441,11 +381,11 @@
 
 def test_permanent_servers_run_the_streams_of_their_zone_first() -> None:
     servers = [
-        _server(zone, number, number >= 4)
+        paced_fleet.server(zone, number, number >= 4)
         for zone in "abcd"
         for number in range(15)
     ]
-    paced = _groups(servers).servers_for(_pool(servers), True)
+    paced = _groups(servers).servers_for(paced_fleet.pool(servers), True)
     assert len(paced) == 12
     by_name = {item.name: item for item in servers}
     assert not any(by_name[name].reclaimable for name in paced)
@@ -463,7 +403,7 @@
 ) -> None:
     """Fails if a change of one server divides a pool anew."""
     servers = [
-        _server("abcde"[zone], number, number % 3 > 0)
+        paced_fleet.server("abcde"[zone], number, number % 3 > 0)
         for zone, size in enumerate(sizes)
         for number in range(size)
     ]
@@ -472,10 +412,10 @@
     left = [item for item in servers if item is not gone]
     before, after = _groups(servers), _groups(left)
     for groups in (before, after):
-        groups.set_needs({_SERVICE: need})
-    moved = before.servers_for(_pool(servers), True) ^ after.servers_for(
-        _pool(left), True
-    )
+        groups.set_needs({paced_fleet.SERVICE: need})
+    moved = before.servers_for(
+        paced_fleet.pool(servers), True
+    ) ^ after.servers_for(paced_fleet.pool(left), True)
     assert len(moved - {gone.name}) <= 3
 
 
@@ -483,10 +423,13 @@
 def test_a_change_of_the_need_moves_only_the_difference(
     first: int, second: int
 ) -> None:
-    groups, pool = _groups(_servers()), _pool(_servers())
-    groups.set_needs({_SERVICE: first})
+    groups, pool = (
+        _groups(paced_fleet.servers()),
+        _pool(),
+    )
+    groups.set_needs({paced_fleet.SERVICE: first})
     before = groups.servers_for(pool, True)
-    groups.set_needs({_SERVICE: second})
+    groups.set_needs({paced_fleet.SERVICE: second})
     after = groups.servers_for(pool, True)
     assert before <= after or after <= before
     assert 8 <= len(after) <= 30
