--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -110,7 +110,9 @@
         configuration_holder.ConfigurationHolder(clock),
         scheduler_lib.make_scheduler_with(
             daemon.zone,
-            lambda book, _: placement.make_placement(book, daemon.zone, groups),
+            lambda book, _: placement.make_placement(
+                book, daemon.zone, groups, options.leaving
+            ),
         ),
         explain.DecisionLog(daemon.explain_records),
         metrics,
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -12,6 +12,7 @@
 from figstream import defaults
 from figstream import options as options_lib
 from figstream import settings_file
+from figstream import stream_zones
 
 _Field = settings_file.Field
 _integer_field = settings_file.integer_field
@@ -27,6 +28,9 @@
     port: int
 
 
+# Values of `leaves_zone`.
+_FREELY: Final = "freely"
+_IF_IT_PAYS: Final = "if_it_pays"
 # Heartbeats only divide work among daemons; changes are sent at once. In a
 # fleet of hundreds they are the largest cost of an idle daemon.
 _HEARTBEAT_S: Final = 2.0
@@ -61,6 +65,11 @@
         receive no new requests from any daemon.
       evacuate_ms: milliseconds after which the servers of a zone that the
         operator empties must receive no requests, 0 if zones aren't emptied.
+      zone_latency_ms: milliseconds to another zone and back.
+      zone_megabyte_ms: delay that callers should accept to save a megabyte of
+        traffic between zones.
+      leaves_zone: "if_it_pays" if paced streams leave the zone only where that
+        pays by these two, "freely" if they use all zones alike.
       log_level: lowest level of the lines logged.
     """
 
@@ -84,8 +93,20 @@
     change_ms: int = 2000
     drain_ms: int = 2000
     evacuate_ms: int = 0
+    zone_latency_ms: float = 2.0
+    zone_megabyte_ms: float = 1000.0
+    leaves_zone: str = _FREELY
     log_level: str = defaults.LOG_LEVEL
 
+    @property
+    def leaving(self) -> stream_zones.LeavingPrice | None:
+        """Returns what leaving the zone costs, None if it is free."""
+        if self.leaves_zone == _FREELY:
+            return None
+        return stream_zones.LeavingPrice(
+            self.zone_latency_ms / _MS_PER_S, self.zone_megabyte_ms / _MS_PER_S
+        )
+
     @property
     def daemon(self) -> options_lib.Options:
         """Returns the settings common to all kinds of daemons."""
@@ -117,6 +138,10 @@
     return _Field(section, key, "an address IP:PORT", _address)
 
 
+def _leaving(value: str) -> object | None:
+    return value if value in {_FREELY, _IF_IT_PAYS} else None
+
+
 _FIELDS: Final = (
     *options_lib.VM_FIELDS,
     _address_field("gateway", "front"),
@@ -135,6 +160,17 @@
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
+    settings_file.number_field("zones", "zone_latency_ms", 0, 60_000, 2.0),
+    settings_file.number_field(
+        "zones", "zone_megabyte_ms", 0, 1_000_000, 1000.0
+    ),
+    _Field(
+        "zones",
+        "leaves_zone",
+        f"{_FREELY} or {_IF_IT_PAYS}",
+        _leaving,
+        _FREELY,
+    ),
     options_lib.LOG_LEVEL_FIELD,
 )
 
--- a/figstream/paced_placement.py
+++ b/figstream/paced_placement.py
@@ -12,8 +12,10 @@
 from typing import Final
 
 from figstream import backend_server
+from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_selection
+from figstream import stream_zones
 from figstream import work_groups
 
 # Reasons of a choice, for the log.
@@ -31,14 +33,25 @@
     """Spreads paced streams over the servers of their group."""
 
     def __init__(
-        self, book: server_load.LoadBook, source: random.Random
+        self,
+        book: server_load.LoadBook,
+        source: random.Random,
+        zones: stream_zones.StreamZones | None = None,
     ) -> None:
-        """Stores the load book and the random source."""
+        """Initializes the placement.
+
+        Args:
+          book: loads of the servers.
+          source: random source.
+          zones: chooses the zone of a stream, None for servers of any zone.
+        """
         self._book = book
         self._random = source
+        self._zones = zones
 
     def choose(
         self,
+        request: scheduler_api.PendingRequest,
         division: work_groups.Division,
         settling: frozenset[str],
         usable: Sequence[backend_server.BackendServer],
@@ -47,6 +60,7 @@
         """Returns the server of a stream.
 
         Args:
+          request: the stream.
           division: the groups of servers.
           settling: servers that changed groups a moment ago.
           usable: the servers that take requests, at least one.
@@ -55,12 +69,16 @@
         own = [item for item in usable if item.name in division.paced]
         if settling:
             own = [item for item in own if item.name not in settling] or own
-        candidates = [item for item in own if not self._is_full(item, now)]
+        candidates: Sequence[backend_server.BackendServer] = [
+            item for item in own if not self._is_full(item, now)
+        ]
         reason = INSIDE
         if not candidates:
             outside = self._outside(division, usable, now)
             reason = OUTSIDE if outside else INSIDE
             candidates = outside or own or list(usable)
+        if self._zones:
+            candidates = self._zones.choose(request, candidates, now)
         sample = self._random.sample(candidates, min(_SAMPLES, len(candidates)))
         loads = self._loads(sample, candidates, now)
         chosen = sample[loads.index(min(loads))]
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -30,6 +30,7 @@
 from figstream import server_load
 from figstream import server_pool
 from figstream import server_selection
+from figstream import stream_zones
 from figstream import work_groups
 
 # Delay that each request running at a server adds to a new one. About a fifth
@@ -141,6 +142,7 @@
         zone: str,
         source: random.Random,
         groups: work_groups.WorkGroups,
+        zones: stream_zones.StreamZones | None = None,
     ) -> None:
         """Initializes without a split.
 
@@ -149,12 +151,13 @@
           zone: the own zone.
           source: random source for ties.
           groups: servers for paced streams and for other work.
+          zones: chooses the zone of a paced stream, None for any zone.
         """
         self._book = book
         self._zone = zone
         self._random = source
         self._groups = groups
-        self._paced = paced_placement.PacedPlacement(book, source)
+        self._paced = paced_placement.PacedPlacement(book, source, zones)
         self._split = placement_split.WorkSplit()
         self._hot_blocks = _HotBlocks()
         self._assignments: dict[
@@ -235,9 +238,13 @@
         """Returns the server for a request in a pool with two groups."""
         settling = self._groups.settling(now)
         if paced_routes.is_paced(request.request_class):
-            choice = self._paced.choose(division, settling, usable, now)
+            choice = self._paced.choose(
+                request, division, settling, usable, now
+            )
             if choice.reason == paced_placement.OUTSIDE:
                 self._groups.went_outside("paced_stream_outside_group")
+            if choice.server.zone != self._zone:
+                self._groups.went_outside("paced_stream_left_zone")
             return choice
         if request.prefix:
             self._hot_blocks.observe(request.first_block)
@@ -519,6 +526,7 @@
     book: server_load.LoadBook,
     zone: str,
     groups: work_groups.WorkGroups | None = None,
+    leaving: stream_zones.LeavingPrice | None = None,
 ) -> server_selection.ServerSelection:
     """Creates the server selection of the gateway.
 
@@ -526,7 +534,12 @@
       book: loads of the servers.
       zone: the own zone.
       groups: the groups of servers, if other parts read or set them too.
+      leaving: what traffic between zones costs, None if nothing is said of it.
     """
+    source = random.Random()
+    zones = None
+    if leaving:
+        zones = stream_zones.StreamZones(zone, book, leaving, source)
     return PrefixPlacement(
-        book, zone, random.Random(), groups or work_groups.WorkGroups()
+        book, zone, source, groups or work_groups.WorkGroups(), zones
     )
--- a/figstream/zone_shares.py
+++ b/figstream/zone_shares.py
@@ -41,7 +41,7 @@
 _LEAST_DELAY_S: Final = 1e-3
 # Shares below this are dropped: a zone with so little of the work would only
 # spread prompt prefixes.
-_MIN_SHARE: Final = 0.01
+_MIN_SHARE: Final = 0.001
 # Bounds the memory; more kinds of work than a configuration has routes in use.
 _MAX_KINDS: Final = 256
 
