--- a/tests/test_stream_zones.py
+++ b/tests/test_stream_zones.py
@@ -98,7 +98,7 @@
 def test_streams_leave_a_busy_zone_in_steps() -> None:
     daemon = _Daemon()
     servers = paced_fleet.servers(each=4)
-    daemon.report("a", 40)
+    daemon.report("a", 60)
     for zone in "bcd":
         daemon.report(zone, 4)
     used = daemon.zones_used(servers)
