--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -36,8 +36,11 @@
 # new ones; both close within milliseconds.
 _CRASH_CHECK_DELAY_S: Final = 0.02
 _R = reasons.RetryReason
-# Faults of answers that are not whole, or not those of the call.
-_NOT_THE_ANSWER: Final = frozenset({_R.ANSWER_CROSSED, _R.ANSWER_TRUNCATED})
+# Faults of answers that are not whole, not those of the call, or promise what
+# is not proven.
+_NOT_THE_ANSWER: Final = frozenset(
+    {_R.ANSWER_CROSSED, _R.ANSWER_TRUNCATED, _R.REFUSAL_UNPROVEN}
+)
 
 LoadListener = Callable[[str, engine_protocol.LoadReport], None]
 AnnouncementListener = Callable[
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -71,4 +71,5 @@
     ANSWER_CROSSED = "answer_crossed"
     ANSWER_TRUNCATED = "answer_truncated"
     SERVER_ERROR = "server_error"
+    REFUSAL_UNPROVEN = "refusal_unproven"
     PREEMPTED = "preempted"
--- a/figstream/request_attempts.py
+++ b/figstream/request_attempts.py
@@ -214,6 +214,10 @@
                 progress.pending.attempts_not_run += 1
             if outcome.reason is reasons.RetryReason.CONNECT_FAILED:
                 progress.pending.attempts_unsent += 1
+            if outcome.reason is reasons.RetryReason.REFUSAL_UNPROVEN:
+                services.records.refusal_unproven(
+                    progress.call, server.name, outcome.detail
+                )
             await self._update_health(progress, outcome, server)
         return outcome
 
--- a/figstream/request_records.py
+++ b/figstream/request_records.py
@@ -103,6 +103,19 @@
             f"events={events} fingerprint={call.fingerprint:x} blocks={blocks}",
         )
 
+    def refusal_unproven(
+        self, call: inbound.Call, server: str, detail: str
+    ) -> None:
+        """Records a refusal that does not prove that the request did not run.
+
+        Args:
+          call: the request.
+          server: name of the server.
+          detail: status of its answer.
+        """
+        self._metrics.event("refusal_unproven")
+        self._add_for_call(call, "refusal_unproven", "no_mark", server, detail)
+
     def gave_up(
         self,
         call: inbound.Call,
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -150,9 +150,12 @@
 
 @contextlib.asynccontextmanager
 async def front(
-    *workers: standin_worker.Worker, budget: float = 50.0
+    *workers: standin_worker.Worker,
+    budget: float = 50.0,
+    connector: server_connector.ServerConnector | None = None,
 ) -> AsyncIterator[Front]:
     """Serves a gateway whose workers offer every service."""
+    connector = connector or server_connector.DirectConnector(eager=True)
     clock = clock_lib.SystemClock()
     platform = platform_memory.MemoryPlatform()
     context = daemon_context.DaemonContext(
@@ -181,7 +184,7 @@
             (),
         ),
         usage,
-        server_connector.DirectConnector(eager=True),
+        connector,
     )
     async with anyio.create_task_group() as group:
         for worker in workers:
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import socket
 from typing import Any
 
 import anyio
@@ -28,6 +29,7 @@
 from figstream_platform import callers
 from figstream_platform import standin_worker
 from soak import daemons
+from tests import gateway_front
 
 
 class _Members:
@@ -68,8 +70,12 @@
 
 
 @contextlib.asynccontextmanager
-async def _peers() -> AsyncIterator[_Peers]:
-    """Runs a peer whose directory has one server, "i-1"."""
+async def _peers(server_port: int = 0) -> AsyncIterator[_Peers]:
+    """Runs a peer whose directory has one server, "i-1".
+
+    Args:
+      server_port: port of the server, 0 for one that keeps its connections.
+    """
     clock = clock_lib.SystemClock()
     unexported = metrics.make_unexported_metrics()
     paths = server_paths.ServerPaths(clock, unexported)
@@ -77,7 +83,7 @@
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     connections: list[anyio.abc.SocketStream] = []
     server = backend_server.BackendServer(
-        "i-1", f"http://127.0.0.1:{port}", "a"
+        "i-1", f"http://127.0.0.1:{server_port or port}", "a"
     )
     peer = peer_server.PeerServer("127.0.0.1", 0, 0.1)
     role = tunnel_server.TunnelServer(
@@ -105,6 +111,47 @@
     await peer.stop()
 
 
+class _TunnelConnector(server_connector.DirectConnector):
+    """Opens all connections through a peer."""
+
+    def __init__(self, tunnels: peer_tunnels.PeerTunnels) -> None:
+        super().__init__(eager=True)
+        self._tunnels = tunnels
+
+    async def connect(
+        self, address: server_connector.ServerAddress, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        return await self._tunnels.connect(address.server, timeout_s)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("fault", "status"),
+    [
+        *((fault, 502) for fault in standin_worker.UNPROVEN),
+        (standin_worker.Fault.SHED, 503),
+    ],
+)
+async def test_only_a_marked_refusal_is_a_promise_through_a_peer(
+    fault: standin_worker.Fault, status: int
+) -> None:
+    worker = standin_worker.Worker("i-1", port=_free_port())
+    worker.faults = [fault] * 9
+    async with _peers(worker.port) as peers:
+        connector = _TunnelConnector(peers.tunnels)
+        async with gateway_front.front(worker, connector=connector) as front:
+            answer = await front.send_request("order")
+            assert answer.status_code == status
+            assert len(front.runs) == (status == 502)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
 @pytest.mark.anyio
 async def test_bytes_pass_both_ways_and_the_end_is_orderly() -> None:
     async with _peers() as peers:
