--- a/figstream/asgi.py
+++ b/figstream/asgi.py
@@ -37,18 +37,17 @@
       BodyTooLargeError: the body is longer than the limit.
       CallerGoneError: the caller closed the connection.
     """
-    chunks = []
-    size = 0
+    # Chunks of one byte each would take many times their size as a list.
+    body = bytearray()
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
-        chunks.append(message.get("body", b""))
-        size += len(chunks[-1])
-        if size > limit_bytes:
+        body += message.get("body", b"")
+        if len(body) > limit_bytes:
             raise BodyTooLargeError
         if not message.get("more_body", False):
-            return b"".join(chunks)
+            return bytes(body)
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -19,6 +19,7 @@
 import httpcore
 
 from figstream import asgi
+from figstream import bounded_turn
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -104,6 +105,7 @@
         self._request_count = 0
         self._refused_calls: set[str] = set()
         self._method = b""
+        self._turn = bounded_turn.BoundedTurn()
         self.read_timeout_s: float | None = None
 
     @property
@@ -259,6 +261,9 @@
                 data = await self.stream.read(_READ_BYTES, self.read_timeout_s)
                 self._h11.receive_data(data)
             elif isinstance(event, h11.Event):
+                size = len(event.data) if isinstance(event, h11.Data) else 0
+                if self._turn.handled(size):
+                    await self._turn.pass_on()
                 return event
             else:
                 raise httpcore.RemoteProtocolError(
--- a/figstream/daemon.py
+++ b/figstream/daemon.py
@@ -19,6 +19,7 @@
 from figstream import explain
 from figstream import http_server
 from figstream import logs
+from figstream import loop_delay
 from figstream import membership
 from figstream import metrics as metrics_lib
 from figstream import operator_explain
@@ -108,6 +109,7 @@
             *ordering_roles.make_ordering_roles(
                 context, self.members, self._serving.health
             ),
+            loop_delay.LoopDelay(context.metrics),
             self._operators,
             self.propagation,
             self.members,
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -29,6 +29,7 @@
 from figstream import http_server
 from figstream import limit_spread
 from figstream import logs
+from figstream import loop_delay
 from figstream import membership
 from figstream import metrics as metrics_lib
 from figstream import object_follower
@@ -309,6 +310,7 @@
                 serving.announcements.limits, self.members, context.clock
             ),
             reach.make_probe(serving.backends.close_idle),
+            loop_delay.LoopDelay(context.metrics),
             *stream_parts.make_stream_roles(
                 context,
                 sources,
--- a/figstream/metrics.py
+++ b/figstream/metrics.py
@@ -43,7 +43,12 @@
                 unit="s",
                 explicit_bucket_boundaries_advisory=_DURATION_BUCKETS_S,
             )
-            for name in ("first_token", "between_tokens", "queue_time")
+            for name in (
+                "first_token",
+                "between_tokens",
+                "queue_time",
+                "loop_delay",
+            )
         }
 
     def refused(
@@ -90,6 +95,10 @@
         """Records the time from arrival to dispatch."""
         self._durations["queue_time"].record(seconds, {"class": request_class})
 
+    def loop_delay(self, seconds: float) -> None:
+        """Records how late the event loop ran a task that was due."""
+        self._durations["loop_delay"].record(seconds)
+
 
 def make_metrics() -> Metrics:
     """Creates the instruments and registers them with Prometheus."""
