--- a/figstream/metrics.py
+++ b/figstream/metrics.py
@@ -44,7 +44,12 @@
                 unit="s",
                 explicit_bucket_boundaries_advisory=_DURATION_BUCKETS_S,
             )
-            for name in ("first_token", "between_tokens", "queue_time")
+            for name in (
+                "first_token",
+                "between_tokens",
+                "queue_time",
+                "loop_delay",
+            )
         }
 
     def refused(
@@ -91,6 +96,10 @@
         """Records the time from arrival to dispatch."""
         self._durations["queue_time"].record(seconds, {"class": request_class})
 
+    def loop_delay(self, seconds: float) -> None:
+        """Records how late the event loop ran a task that was due."""
+        self._durations["loop_delay"].record(seconds)
+
 
 # The readers of the instruments that `exposition` writes, one for each daemon
 # of the process.
