--- a/bench/naive_scheduler.py
+++ b/bench/naive_scheduler.py
@@ -62,6 +62,11 @@
     ) -> None:
         """Ignores the limit, since simulated servers name none."""
 
+    def set_cold(
+        self, server: str, per_s: float, epoch: float, now: float, until: float
+    ) -> None:
+        """Ignores the limit, since simulated servers are warm."""
+
     def set_refusal_limit(
         self,
         service: str,
--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -49,6 +49,8 @@
         fencing number.
       software: version of the server's software, not of its model; "" if
         unknown. Servers of one service may run several versions.
+      cold_left_s: seconds for which the server was still warming up when it
+        said so last, 0 if it was warm.
     """
 
     name: str
@@ -67,3 +69,4 @@
     ordered: bool = False
     started_ms: int = 0
     software: str = ""
+    cold_left_s: float = 0.0
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -312,10 +312,13 @@
             crashes,
             self._usage,
             connector,
+            self._options.cold_excess,
         )
         directory = sources.directory
         directory.subscribe(
-            lambda _: serving.announcements.update_servers(directory.servers)
+            lambda _: serving.announcements.update_servers(
+                directory.servers, directory.emptied_zones
+            )
         )
         return serving
 
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -61,6 +61,8 @@
         receive no new requests from any daemon.
       evacuate_ms: milliseconds after which the servers of a zone that the
         operator empties must receive no requests, 0 if zones aren't emptied.
+      cold_excess: factor by which the requests of a single second may exceed
+        what a server bears a second while it warms up.
       log_level: lowest level of the lines logged.
     """
 
@@ -84,6 +86,7 @@
     change_ms: int = 2000
     drain_ms: int = 2000
     evacuate_ms: int = 0
+    cold_excess: float = 1.0
     log_level: str = defaults.LOG_LEVEL
 
     @property
@@ -133,6 +136,7 @@
     _integer_field("platform", "drain_ms", 200, 300_000, 2000),
     _integer_field("platform", "evacuate_ms", 0, 300_000, 0),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
+    settings_file.number_field("servers", "cold_excess", 0, 100, 1.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
     options_lib.LOG_LEVEL_FIELD,
--- a/figstream/gateway_route.py
+++ b/figstream/gateway_route.py
@@ -150,9 +150,14 @@
       slots: requests that a server of the service runs concurrently, 0 if
         unknown.
       scaling: limits of scaling, None if the service is not scaled.
+      cold_start_s: seconds for which a server warms up after its start.
+      cold_per_s: requests a second that a server bears while it warms up, 0 if
+        that is not limited.
     """
 
     name: str
     connection_limit: int = 0
     slots: int = 0
     scaling: ScalingLimits | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -94,15 +94,20 @@
     crashes: crash_parts.CrashParts,
     usage: usage_api.UsageLedger,
     connector: server_connector.ServerConnector,
+    cold_excess: float = 1.0,
 ) -> GatewayServing:
-    """Creates the components that process requests without starting them."""
+    """Creates the components that process requests without starting them.
+
+    A single second may hold `cold_excess` times the requests that a server
+    bears in a second while it warms up.
+    """
     clock, metrics = context.clock, context.metrics
     gate = dispatch_gate.DispatchGate(context.scheduler, clock)
     health = server_health_passive.PassiveHealth(
         context.scheduler, crashes.requests, clock, metrics
     )
     announcements = server_announcements.make_server_announcements(
-        context.scheduler, clock, metrics
+        context.scheduler, context.holder, clock, metrics, cold_excess
     )
     backends = backend_client.BackendClient(
         servers, clock, health.on_load, connector, announcements.receive
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -48,6 +48,9 @@
 # Penalty for a server between the groups, used if those of the own group each
 # run some 8 requests more.
 _BETWEEN_DELAY_MS: Final = 60.0
+# Penalty for a server that warms up, which is slow and bears few requests. It
+# is used if the others each run some 15 requests more.
+_COLD_DELAY_MS: Final = 120.0
 # If this many servers of another zone fail at once, the whole zone is avoided.
 _MIN_FAILING_SERVERS: Final = 2
 # A first prefix block is hot from `_HOT_SHARE` of the requests in a sample on,
@@ -168,8 +171,10 @@
         assigned = (
             self._assignment_of(work_group, request) if request.prefix else None
         )
+        cold = self._book.cold.limited(now) if self._book.cold.any else ()
         delays_ms = [
             self._load_delay_ms(item, now)
+            + (_COLD_DELAY_MS if item.name in cold else 0.0)
             + _missing_tokens(request, assigned, item.name)
             * _DELAY_PER_TOKEN_MS
             + _group_delay_ms(item.name, work_group, other_group)
@@ -191,6 +196,8 @@
             source = self._prompt_source(request, work_group, pool, chosen, now)
         if source:
             inputs += f" source={source.name}"
+        if chosen.name in cold:
+            inputs += " cold"
         return server_selection.Choice(chosen, reason, inputs, source)
 
     def slots(self, pool: server_pool.ServerPool, now: float) -> float:
--- a/figstream/scheduler.py
+++ b/figstream/scheduler.py
@@ -109,6 +109,7 @@
         self._limits.set_live_daemons(in_fleet, self._now)
         self._dispatcher.set_live_daemons(in_zone)
         self._book.limits.set_place(rank, in_fleet)
+        self._book.cold.set_place(rank, in_fleet)
         self._book.refusals.set_place(rank, in_fleet)
 
     def set_leaving(self, servers: frozenset[str]) -> None:
@@ -131,6 +132,13 @@
         else:
             self._book.limits.set_limit(server, per_s, epoch, self._now)
 
+    def set_cold(
+        self, server: str, per_s: float, epoch: float, now: float, until: float
+    ) -> None:
+        """Shares the few requests that a cold server bears."""
+        self._book.cold.end_limits(now)
+        self._book.cold.set_limit(server, per_s, epoch, now, until)
+
     def set_refusal_limit(
         self,
         service: str,
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -223,6 +223,19 @@
           epoch: clock time of the Unix epoch.
         """
 
+    def set_cold(
+        self, server: str, per_s: float, epoch: float, now: float, until: float
+    ) -> None:
+        """Shares the few requests that a cold server bears.
+
+        Args:
+          server: name of the server.
+          per_s: requests a second over all daemons.
+          epoch: clock time of the Unix epoch.
+          now: the time in seconds.
+          until: the time at which the server is warm.
+        """
+
     def set_refusal_limit(
         self,
         service: str,
--- a/figstream/server_announcements.py
+++ b/figstream/server_announcements.py
@@ -17,6 +17,8 @@
 from figstream import backend_server
 from figstream import bounded_records
 from figstream import clock as clock_lib
+from figstream import cold_servers
+from figstream import configuration_holder
 from figstream import limit_announcements
 from figstream import logs
 from figstream import metrics as metrics_lib
@@ -40,6 +42,7 @@
       limit_unreadable: whether the server names a limit that is no rate.
       refusal_limit_per_s: refusals a second above which the server crashes,
         None for no limit.
+      cold_s: seconds for which the server still warms up, 0 if it doesn't.
     """
 
     leaving: bool = False
@@ -47,6 +50,7 @@
     limit_per_s: float | None = None
     limit_unreadable: bool = False
     refusal_limit_per_s: float | None = None
+    cold_s: float = 0.0
 
 
 class ServerAnnouncements:
@@ -57,8 +61,10 @@
         scheduler: scheduler_api.Scheduler,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        cold: cold_servers.ColdServers,
     ) -> None:
         """Initializes without announcements."""
+        self._cold = cold
         self._scheduler = scheduler
         self._clock = clock
         self._metrics = metrics
@@ -88,6 +94,8 @@
             return
         if not announcement.limit_unreadable:
             self.limits.receive(server, announcement.limit_per_s, sent_at)
+        if announcement.cold_s:
+            self._cold.heard(server, announcement.cold_s)
         refusals_per_s = announcement.refusal_limit_per_s
         epoch = self._clock.now() - self._clock.wall()
         if self._scheduler.set_refusal_limit(
@@ -121,9 +129,18 @@
             self._scheduler.pause_server(name, self._clock.now() + pause_s)
 
     def update_servers(
-        self, servers: Iterable[backend_server.BackendServer]
+        self,
+        servers: Iterable[backend_server.BackendServer],
+        emptied_zones: frozenset[str] = frozenset(),
     ) -> None:
-        """Discards the announcements of servers that were restarted."""
+        """Discards the announcements of servers that were restarted.
+
+        Args:
+          servers: the present servers.
+          emptied_zones: zones whose servers get no requests at present.
+        """
+        servers = tuple(servers)
+        self._cold.update_servers(servers, emptied_zones)
         self._known_runs = {item.name: item.started_ms for item in servers}
         self.limits.update_servers(self._known_runs)
         for name in self._restarted(self._paused_runs):
@@ -146,8 +163,22 @@
 
 def make_server_announcements(
     scheduler: scheduler_api.Scheduler,
+    holder: configuration_holder.ConfigurationHolder,
     clock: clock_lib.Clock,
     metrics: metrics_lib.Metrics,
+    cold_excess: float = 1.0,
 ) -> ServerAnnouncements:
-    """Creates the receiver of announcements of one daemon."""
-    return ServerAnnouncements(scheduler, clock, metrics)
+    """Creates the receiver of announcements of one daemon.
+
+    Args:
+      scheduler: receives what servers announce.
+      holder: the operator's configuration.
+      clock: time source.
+      metrics: instruments.
+      cold_excess: factor by which a single second may exceed the rate that a
+        server bears while it warms up.
+    """
+    cold = cold_servers.ColdServers(
+        scheduler, holder, cold_excess, clock, metrics
+    )
+    return ServerAnnouncements(scheduler, clock, metrics, cold)
--- a/figstream/server_limits.py
+++ b/figstream/server_limits.py
@@ -10,7 +10,9 @@
 to differences between clocks and between views of the fleet.
 
 The scheduler's load book asks for servers without a turn and records the turns
-that are used. Nothing here does input or output.
+that are used. It has a second set of limits for servers that warm up
+(`cold_servers`), which end by themselves and whose turns lapse sooner. Nothing
+here does input or output.
 """
 
 import math
@@ -24,6 +26,8 @@
 # Part of the period between turns within which times count as equal. Covers
 # rounding, since turns are counted from the Unix epoch.
 _EQUAL_TURNS_RATIO: Final = 1e-3
+# A daemon that has just started knows its place after about this time.
+_UNPLACED_WAIT_S: Final = 1.0
 
 
 @attrs.define
@@ -34,19 +38,31 @@
       per_s: requests a second over all daemons.
       epoch: clock time from which turns are counted.
       used: time of the last turn that was used, or from which turns count.
+      until: time at which the limit ends.
     """
 
     per_s: float
     epoch: float
     used: float
+    until: float
 
 
 class ServerLimits:
     """The turns of one daemon at the servers that named a limit."""
 
-    def __init__(self) -> None:
-        """Initializes without limits, as the only daemon."""
+    def __init__(
+        self, lifetime_s: float = TURN_LIFETIME_S, *, placed: bool = True
+    ) -> None:
+        """Initializes without limits.
+
+        Args:
+          lifetime_s: seconds after which an unused turn lapses.
+          placed: whether this daemon counts as the only one until `set_place`
+            is called; otherwise it has no turns until then.
+        """
         self._limits: dict[str, _Limit] = {}
+        self._lifetime_s = lifetime_s
+        self._placed = placed
         self._rank = 0
         self._daemons = 1
 
@@ -62,9 +78,15 @@
         """
         self._rank = rank
         self._daemons = max(1, daemons)
+        self._placed = True
 
     def set_limit(
-        self, server: str, per_s: float, epoch: float, now: float
+        self,
+        server: str,
+        per_s: float,
+        epoch: float,
+        now: float,
+        until: float = math.inf,
     ) -> None:
         """Applies the limit of a server, or another value of it.
 
@@ -73,10 +95,25 @@
           per_s: requests a second over all daemons, above 0.
           epoch: clock time of the Unix epoch, which all daemons share.
           now: the time in seconds.
+          until: the time at which the limit ends.
         """
         known = self._limits.get(server)
         used = known.used if known else now
-        self._limits[server] = _Limit(per_s, epoch, used)
+        self._limits[server] = _Limit(per_s, epoch, used, until)
+
+    def end_limits(self, now: float) -> None:
+        """Removes the limits that have ended."""
+        self._limits = {
+            name: limit
+            for name, limit in self._limits.items()
+            if limit.until > now
+        }
+
+    def limited(self, now: float) -> frozenset[str]:
+        """Returns the servers that have a limit at present."""
+        return frozenset(
+            name for name, limit in self._limits.items() if limit.until > now
+        )
 
     def remove_limit(self, server: str) -> None:
         """Removes the limit of a server, if there is one."""
@@ -91,7 +128,11 @@
     def next_turn(self, server: str, now: float) -> float:
         """Returns when a request may be sent, `now` if one may be."""
         limit = self._limits.get(server)
-        return now if limit is None else max(now, self._turn(limit, now))
+        if limit is None or limit.until <= now:
+            return now
+        if not self._placed:
+            return min(limit.until, now + _UNPLACED_WAIT_S)
+        return max(now, min(limit.until, self._turn(limit, now)))
 
     def use(self, server: str, now: float) -> None:
         """Records that a request was sent to a server."""
@@ -103,6 +144,6 @@
         """Returns the first turn that is neither used nor lapsed."""
         period_s = self._daemons / limit.per_s
         first = limit.epoch + self._rank / limit.per_s
-        after = max(limit.used, now - TURN_LIFETIME_S)
+        after = max(limit.used, now - self._lifetime_s)
         passed = math.floor((after - first) / period_s + _EQUAL_TURNS_RATIO)
         return first + (passed + 1) * period_s
--- a/figstream/server_load.py
+++ b/figstream/server_load.py
@@ -16,6 +16,7 @@
 import attrs
 
 from figstream import backend_server
+from figstream import cold_servers
 from figstream import refusal_limits
 from figstream import scheduler_api
 from figstream import server_limits
@@ -98,6 +99,9 @@
         )
         self._pauses: dict[str, float] = {}
         self.limits = server_limits.ServerLimits()
+        self.cold = server_limits.ServerLimits(
+            cold_servers.TURN_LIFETIME_S, placed=False
+        )
         self.refusals = refusal_limits.RefusalLimits()
 
     def state(self, server: str) -> ServerState:
@@ -124,10 +128,12 @@
     def paused(self, now: float) -> frozenset[str]:
         """Returns the servers that want no request of this daemon now.
 
-        They have asked for a pause, or have named a limit of which this daemon
-        has no part at present.
+        They have asked for a pause, or have named a limit or warm up and this
+        daemon has no turn at present.
         """
         limited = self.limits.without_turn(now)
+        if self.cold.any:
+            limited |= self.cold.without_turn(now)
         if not self._pauses:
             return limited
         return limited.union(
@@ -154,12 +160,17 @@
     def wanted_at(self, servers: frozenset[str], now: float) -> float:
         """Returns the first time at which one of the servers wants a request.
 
-        Considers both pauses and limits.
+        Considers pauses, limits and servers that warm up.
         """
-        if not self._pauses and not self.limits.any:
+        if not self._pauses and not self.limits.any and not self.cold.any:
             return now
         times = (
-            self.limits.next_turn(name, max(now, self._pauses.get(name, now)))
+            self.cold.next_turn(
+                name,
+                self.limits.next_turn(
+                    name, max(now, self._pauses.get(name, now))
+                ),
+            )
             for name in servers
         )
         return min(times, default=now)
@@ -168,6 +179,7 @@
         """Records that this daemon sent a request to a server."""
         self._states[server].change_own_requests(1, now)
         self.limits.use(server, now)
+        self.cold.use(server, now)
 
     def finished(
         self, server: str, result: scheduler_api.AttemptResult, now: float
--- a/tests/test_server_announcements.py
+++ b/tests/test_server_announcements.py
@@ -13,6 +13,7 @@
 
 from figstream import backend_server
 from figstream import clock as clock_lib
+from figstream import configuration_holder
 from figstream import errors
 from figstream import metrics
 from figstream import paused_pool
@@ -164,8 +165,9 @@
 def test_late_answers_of_an_earlier_run_and_long_pauses_are_bounded() -> None:
     recorded = _RecordingScheduler()
     clock = clock_lib.ManualClock(100.0)
-    announcements = server_announcements.ServerAnnouncements(
+    announcements = server_announcements.make_server_announcements(
         recorded,  # type: ignore[arg-type]
+        configuration_holder.ConfigurationHolder(clock),
         clock,
         metrics.make_unexported_metrics(),
     )
