--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -70,6 +70,8 @@
         traffic between zones.
       leaves_zone: "if_it_pays" if paced streams leave the zone only where that
         pays by these two, "freely" if they use all zones alike.
+      cold_excess: factor by which the requests of a single second may exceed
+        what a server bears a second while it warms up.
       log_level: lowest level of the lines logged.
     """
 
@@ -96,6 +98,7 @@
     zone_latency_ms: float = 2.0
     zone_megabyte_ms: float = 1000.0
     leaves_zone: str = _FREELY
+    cold_excess: float = 1.0
     log_level: str = defaults.LOG_LEVEL
 
     @property
@@ -158,6 +161,7 @@
     _integer_field("platform", "drain_ms", 200, 300_000, 2000),
     _integer_field("platform", "evacuate_ms", 0, 300_000, 0),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
+    settings_file.number_field("servers", "cold_excess", 0, 100, 1.0),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
     settings_file.number_field("zones", "zone_latency_ms", 0, 60_000, 2.0),
