--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -15,7 +15,10 @@
 
 import anyio
 import hypercorn.asyncio
+from hypercorn.asyncio import run as hypercorn_run
+from hypercorn.asyncio import tcp_server
 import hypercorn.config
+import hypercorn.events
 
 # Connections that may wait to be accepted while the event loop is busy.
 _BACKLOG: Final = 1024
@@ -32,6 +35,28 @@
 # Hypercorn's own default.
 HEADER_LIMIT_BYTES: Final = 65_536
 
+
+class _Connection(tcp_server.TCPServer):
+    """A connection that is released as soon as its caller has closed it.
+
+    Hypercorn's own keeps its descriptor and memory for as long as an idle
+    connection may stay open.
+    """
+
+    async def _read_data(self) -> None:
+        await super()._read_data()
+        await self.idle_task.stop()
+
+    async def protocol_send(self, event: hypercorn.events.Event) -> None:
+        """Sends data; a closed connection does not become idle."""
+        idle = isinstance(event, hypercorn.events.Updated) and event.idle
+        if not (idle and self.reader.at_eof()):
+            await super().protocol_send(event)
+
+
+# Hypercorn has no parameter for it.
+hypercorn_run.TCPServer = _Connection  # type: ignore[attr-defined]
+
 # Any ASGI application, whatever types it gives its scope and channels.
 Application = Callable[[Any, Any, Any], Awaitable[None]]
 
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -148,6 +148,7 @@
             ):
                 return await self._attempt_until_answered(progress)
         finally:
+            relay.release_listener()
             if progress.stream:
                 self._services.streams.ended(progress.stream)
             if progress.run_state is reasons.RunState.NOT_RUN:
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -153,6 +153,14 @@
         self.monitor.feed(ready)
         await self._answer.write(ready)
 
+    def release_listener(self) -> None:
+        """Forgets the listener, which refers to the request and its body.
+
+        The request refers to the relay. The garbage collector would find them
+        only after some thousands of requests.
+        """
+        self._on_first_event = _ignore_first_event
+
     async def end(self) -> None:
         """Ends the caller's answer."""
         await self._answer.end()
@@ -223,6 +231,10 @@
     return (len(new), new) > (len(old), old)
 
 
+def _ignore_first_event() -> None:
+    return None
+
+
 def _last_id(events: bytes) -> bytes:
     """Returns the id of the last event that has one, or b""."""
     found = _EVENT_ID.findall(events)
