--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -215,7 +215,7 @@
         assigned = (
             self._assignment_of(work_group, request) if request.prefix else None
         )
-        cold = self._book.cold.limited(now) if self._book.cold.any else ()
+        cold = self._cold_servers(now)
         delays_ms = [
             self._load_delay_ms(item, now)
             + (_COLD_DELAY_MS if item.name in cold else 0.0)
@@ -264,8 +264,10 @@
             else None
         )
         candidates = own or usable
+        cold = self._cold_servers(now)
         delays_ms = [
             delay_ms
+            + (_COLD_DELAY_MS if item.name in cold else 0.0)
             + _missing_tokens(request, assigned, item.name)
             * _DELAY_PER_TOKEN_MS
             for item, delay_ms in zip(
@@ -276,6 +278,12 @@
             request, pool, division.rest, assigned, candidates, delays_ms, now
         )
 
+    def _cold_servers(self, now: float) -> frozenset[str]:
+        """Returns the servers that warm up."""
+        if not self._book.cold.any:
+            return frozenset()
+        return self._book.cold.limited(now)
+
     def _excess_delays_ms(
         self, servers: Sequence[backend_server.BackendServer], now: float
     ) -> Sequence[float]:
@@ -329,7 +337,7 @@
             source = self._prompt_source(request, work_group, pool, chosen, now)
         if source:
             inputs += f" source={source.name}"
-        if chosen.name in cold:
+        if chosen.name in self._cold_servers(now):
             inputs += " cold"
         return server_selection.Choice(chosen, reason, inputs, source)
 
