--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -259,7 +259,7 @@
         if not own:
             self._groups.went_outside("work_in_paced_group")
         assigned = (
-            self._assignment_of(division.rest, request)
+            self._assignment_of(division.rest, request, divided=True)
             if request.prefix
             else None
         )
@@ -275,7 +275,14 @@
             )
         ]
         return self._choice_of(
-            request, pool, division.rest, assigned, candidates, delays_ms, now
+            request,
+            pool,
+            division.rest,
+            assigned,
+            candidates,
+            delays_ms,
+            now,
+            divided=True,
         )
 
     def _cold_servers(self, now: float) -> frozenset[str]:
@@ -319,6 +326,8 @@
         usable: Sequence[backend_server.BackendServer],
         delays_ms: Sequence[float],
         now: float,
+        *,
+        divided: bool = False,
     ) -> server_selection.Choice:
         """Returns the server with the least delay as a choice."""
         least_ms = min(delays_ms)
@@ -334,7 +343,9 @@
         )
         source = None
         if request.prefix:
-            source = self._prompt_source(request, work_group, pool, chosen, now)
+            source = self._prompt_source(
+                request, work_group, pool, chosen, now, divided=divided
+            )
         if source:
             inputs += f" source={source.name}"
         if chosen.name in self._cold_servers(now):
@@ -403,6 +414,8 @@
         pool: server_pool.ServerPool,
         chosen: backend_server.BackendServer,
         now: float,
+        *,
+        divided: bool,
     ) -> backend_server.BackendServer | None:
         """Returns the server from which the prefix can be copied, if any.
 
@@ -412,7 +425,9 @@
         settled = self._settled_names(work_group, now)
         if not settled:
             return None
-        assigned_server = self._assignment_of(settled, request).whole_prefix
+        assigned_server = self._assignment_of(
+            settled, request, divided=divided
+        ).whole_prefix
         # Only failures exclude the server: one that refuses requests for lack
         # of capacity can still transfer its cached blocks.
         if (
@@ -449,9 +464,26 @@
         return settled
 
     def _assignment_of(
-        self, names: frozenset[str], request: scheduler_api.PendingRequest
+        self,
+        names: frozenset[str],
+        request: scheduler_api.PendingRequest,
+        *,
+        divided: bool = False,
     ) -> _Assignment:
-        hot = self._hot_blocks.is_hot(request.first_block)
+        """Returns the servers that a request's prefix is assigned to.
+
+        Args:
+          names: the servers for such work.
+          request: the request.
+          divided: whether the pool is divided by kinds of work. There, prefixes
+            of several blocks are spread over all servers from the start, since
+            a daemon of many needs half a minute to find out that a few first
+            blocks are hot.
+        """
+        several_blocks = request.shared_tokens > request.first_block_tokens
+        hot = (divided and several_blocks) or self._hot_blocks.is_hot(
+            request.first_block
+        )
         key = names, hot, request.first_block, request.prefix
         found = self._assignments.get(key)
         if found is None:
--- a/figstream/work_groups.py
+++ b/figstream/work_groups.py
@@ -37,7 +37,7 @@
 _MIN_GROUP_SERVERS: Final = 2
 # For this time a server that changes groups gets no new work, so that streams
 # don't run beside the prompts of before. Most answers end within it.
-_SETTLE_S: Final = 1.5
+_SETTLE_S: Final = 2.0
 # Weight of the newest answer in the mean duration. Durations differ by an order
 # of magnitude, and a daemon sees a few answers a second.
 _SMOOTHING: Final = 0.1
--- a/tests/test_work_groups.py
+++ b/tests/test_work_groups.py
@@ -1,5 +1,6 @@
 """Tests of the servers for paced streams and of the placement among them."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Sequence
 import heapq
@@ -250,6 +251,29 @@
     assert play.most < paced_fleet.SLOTS / 2
 
 
+def test_long_prompts_spread_over_their_group_from_the_start() -> None:
+    """Plays a fleet's first two seconds: few requests at each daemon.
+
+    Four first blocks begin all prompts. Fails if daemons assign each block to
+    a third of the servers until they have seen that it is hot.
+    """
+    daemons = [_Daemon(number) for number in range(80)]
+    prompts: collections.Counter[str] = collections.Counter()
+    for daemon in daemons:
+        daemon.set_servers(paced_fleet.servers())
+        prompts.update(
+            daemon.place(paced_fleet.PLAN, 0.0).server.name for _ in range(6)
+        )
+    rest = daemons[0].groups.servers_for(
+        paced_fleet.pool(paced_fleet.servers()), False
+    )
+    assert set(prompts) <= rest
+    mean = prompts.total() / len(rest)
+    assert max(prompts.values()) < 2.5 * mean
+    idle = [name for name in rest if prompts[name] < 0.2 * mean]
+    assert len(idle) <= 0.05 * len(rest)
+
+
 def test_long_prompts_keep_their_server_beside_unknown_loads() -> None:
     """Fails if a known load counts against servers of unknown load.
 
