--- a/figstream/answer_buffers.py
+++ b/figstream/answer_buffers.py
@@ -1,4 +1,4 @@
-"""Bounds the memory of answers that are being buffered, over all requests.
+"""Bounds the memory of buffered answers and of bodies, over all requests.
 
 A faulty backend server may send bytes without end. The bound for one answer is
 what is left for all others: one endless answer takes half of the memory, the
@@ -6,8 +6,12 @@
 how much each answer has buffered.
 """
 
+from collections.abc import Iterator
+import contextlib
 from typing import Final
 
+import anyio
+
 # With the daemon itself, about two thirds of the memory of a small entry VM.
 LIMIT_BYTES: Final = 32_000_000
 
@@ -23,6 +27,7 @@
         """Initializes without answers."""
         self._limit_bytes = limit_bytes
         self._used_bytes = 0
+        self._freed: anyio.Event | None = None
 
     @property
     def used_bytes(self) -> int:
@@ -41,6 +46,27 @@
         if grows and after_bytes > self._limit_bytes - used_bytes:
             raise AnswerTooLongError
         self._used_bytes = used_bytes
+        if self._freed and not grows:
+            self._freed.set()
+            self._freed = None
+
+    async def freed(self) -> None:
+        """Waits until memory has been freed."""
+        if self._freed is None:
+            self._freed = anyio.Event()
+        await self._freed.wait()
+
+    @contextlib.contextmanager
+    def holding(self, size_bytes: int) -> Iterator[None]:
+        """Counts a whole answer until its caller has received it.
+
+        It was counted before, while it was read, so that it is never refused.
+        """
+        self._used_bytes += size_bytes
+        try:
+            yield
+        finally:
+            self.resize(size_bytes, 0)
 
 
 class AnswerBuffer:
--- a/figstream/asgi.py
+++ b/figstream/asgi.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+import sys
 from typing import Any
 from typing import Final
+from typing import Protocol
 
 Scope = dict[str, Any]
 Message = dict[str, Any]
@@ -30,24 +32,99 @@
     """Raised when a body exceeds the size limit."""
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes:
-    """Reads a request body to its end.
+class NoRoomError(Exception):
+    """Raised when there is no memory for a body, which was read to its end."""
+
+
+class Room(Protocol):
+    """The memory that a body may take."""
+
+    @property
+    def size_bytes(self) -> int:
+        """Returns the bytes that the body may have."""
+
+    async def take(self, size_bytes: int, most_bytes: int) -> bool:
+        """Makes room for a body; returns whether there is room.
+
+        Args:
+          size_bytes: size that the body has at least.
+          most_bytes: size that it can't exceed.
+        """
+
+    def shrink(self, size_bytes: int) -> None:
+        """Gives the bytes beyond a size back."""
+
+
+class _Unbounded:
+    """Room without a bound; implements `Room`."""
+
+    size_bytes: Final = sys.maxsize
+
+    async def take(self, size_bytes: int, most_bytes: int) -> bool:
+        """Returns True."""
+        return True
+
+    def shrink(self, size_bytes: int) -> None:
+        """Does nothing."""
+
+
+_UNBOUNDED: Final = _Unbounded()
+
+
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    room: Room = _UNBOUNDED,
+    declared_bytes: int = 0,
+) -> bytes:
+    """Reads a request body to its end, once there is memory for it.
+
+    Args:
+      receive: the channel of the caller.
+      limit_bytes: largest size of a body.
+      room: the memory that the body may take.
+      declared_bytes: its length by its head, 0 if that names none.
 
     Raises:
       BodyTooLargeError: the body is longer than the limit.
       CallerGoneError: the caller closed the connection.
+      NoRoomError: there is no memory for the body.
     """
+    fits = True
+    if declared_bytes:
+        needed_bytes = min(declared_bytes, limit_bytes)
+        fits = await room.take(needed_bytes, needed_bytes)
     # Chunks of one byte each would take many times their size as a list.
     body = bytearray()
+    size = 0
     while True:
         message = await receive()
         if message["type"] == "http.disconnect":
             raise CallerGoneError
-        body += message.get("body", b"")
-        if len(body) > limit_bytes:
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > limit_bytes:
             raise BodyTooLargeError
-        if not message.get("more_body", False):
-            return bytes(body)
+        if fits and size > room.size_bytes:
+            fits = await room.take(size, limit_bytes)
+        if fits:
+            body += chunk
+        else:
+            body.clear()
+        if message.get("more_body", False):
+            continue
+        if not fits:
+            raise NoRoomError
+        room.shrink(size)
+        return bytes(body)
+
+
+def declared_length(scope: Scope) -> int:
+    """Returns the length of the body that the head of a request names, or 0."""
+    for name, value in scope["headers"]:
+        if name == b"content-length":
+            return int(value)
+    return 0
 
 
 async def wait_for_disconnect(receive: Receive) -> None:
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -79,6 +79,11 @@
         self._transport = backend_transport.BackendTransport(connector)
         self._buffers = answer_buffers.AnswerBuffers()
 
+    @property
+    def buffers(self) -> answer_buffers.AnswerBuffers:
+        """Returns the memory of answers, which other parts may share."""
+        return self._buffers
+
     async def attempt(
         self,
         attempt: backend_dialect.Attempt,
--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -98,7 +98,7 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
-        self._unsent = b""
+        self._unsent: tuple[bytes, ...] = ()
         self._idle_since = time.monotonic()
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._closed = False
@@ -160,7 +160,7 @@
         self._request_count += 1
         self._method = request.method
         self._unsent = self._encode(request)
-        if len(self._unsent) <= _READ_BYTES:
+        if len(self._unsent) == 1:
             await self._write()
             return await self._read_head()
         result: Head | Exception
@@ -201,7 +201,7 @@
         self._closed = True
         await self.stream.aclose()
 
-    def _encode(self, request: Request) -> bytes:
+    def _encode(self, request: Request) -> tuple[bytes, ...]:
         head = h11.Request(
             method=request.method,
             target=request.target,
@@ -211,11 +211,16 @@
         if request.body:
             parts.append(self._h11.send(h11.Data(data=request.body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        sent = tuple(part for part in parts if part)
+        if len(request.body) > _READ_BYTES:
+            # Joined, a long body would be in memory twice.
+            return sent
+        return (b"".join(sent),)
 
     async def _write(self) -> None:
-        await self.stream.write(self._unsent)
-        self._unsent = b""
+        for part in self._unsent:
+            await self.stream.write(part)
+        self._unsent = ()
 
     async def _write_ignoring_errors(self) -> None:
         # A server may answer and close without reading the complete body.
--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -11,6 +11,7 @@
 
 from figstream import asgi
 from figstream import authentication
+from figstream import body_memory
 from figstream import caller_answer
 from figstream import caller_watch
 from figstream import clock as clock_lib
@@ -47,6 +48,7 @@
         authenticator: authentication.Authenticator,
         path: request_path.RequestPath,
         records: request_records.RequestRecords,
+        bodies: body_memory.BodyMemory,
     ) -> None:
         """Initializes the application for a daemon's services."""
         self._options = options
@@ -55,6 +57,7 @@
         self._authenticator = authenticator
         self._path = path
         self._records = records
+        self._bodies = bodies
         self.leaving = False
 
     @property
@@ -83,7 +86,8 @@
         answer = caller_answer.CallerAnswer(send, caller_id, request_id)
         try:
             if not await self._serve_own_page(scope["path"], answer):
-                await self._serve(scope, headers, receive, answer)
+                with self._bodies.room() as room:
+                    await self._serve(scope, headers, receive, answer, room)
         except asgi.CallerGoneError:
             pass
         except Exception as error:
@@ -117,6 +121,7 @@
         headers: Mapping[str, str],
         receive: asgi.Receive,
         answer: caller_answer.CallerAnswer,
+        room: body_memory.BodyRoom,
     ) -> None:
         arrival = inbound.Arrival(
             self._clock.now(),
@@ -125,7 +130,7 @@
             answer.caller_id,
         )
         identity, checked = await self._check(
-            scope, headers, receive, answer, arrival
+            scope, headers, receive, answer, arrival, room
         )
         if isinstance(checked, errors.Refusal):
             self._records.refused_unchecked(
@@ -152,6 +157,7 @@
         receive: asgi.Receive,
         answer: caller_answer.CallerAnswer,
         arrival: inbound.Arrival,
+        room: body_memory.BodyRoom,
     ) -> tuple[authentication.Identity, CheckResult | None]:
         anonymous = authentication.ANONYMOUS
         configuration = self._holder.current
@@ -166,9 +172,18 @@
             await self._list_models(identity, configuration, answer)
             return identity, None
         try:
-            body = await asgi.read_body(receive, self._options.body_limit_bytes)
+            body = await asgi.read_body(
+                receive,
+                self._options.body_limit_bytes,
+                room,
+                asgi.declared_length(scope),
+            )
         except asgi.BodyTooLargeError:
             return identity, errors.Refusal(_R.BODY_TOO_LARGE)
+        except asgi.NoRoomError:
+            return identity, errors.Refusal(
+                _R.BODY_MEMORY_FULL, retry_after_s=body_memory.RETRY_AFTER_S
+            )
         http = inbound.HttpRequest(
             scope["method"],
             path,
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -10,6 +10,7 @@
 
 from figstream import asgi
 from figstream import authentication
+from figstream import body_memory
 from figstream import caller_watch
 from figstream import clock as clock_lib
 from figstream import configuration_holder
@@ -41,6 +42,7 @@
         authenticator: authentication.Authenticator,
         path: request_path.RequestPath,
         records: request_records.RequestRecords,
+        bodies: body_memory.BodyMemory,
     ) -> None:
         """Initializes the application.
 
@@ -51,6 +53,7 @@
           authenticator: identifies customers by their keys.
           path: carries checked calls to backend servers.
           records: records requests and refusals.
+          bodies: memory of the bodies of requests.
         """
         self._dialect = dialect
         self._clock = clock
@@ -58,6 +61,7 @@
         self._authenticator = authenticator
         self._path = path
         self._records = records
+        self._bodies = bodies
         self._in_flight = 0
         self.leaving = False
         self._refusing = False
@@ -89,14 +93,19 @@
             return
         self._in_flight += 1
         try:
-            await self._serve(scope, receive, send)
+            with self._bodies.room() as room:
+                await self._serve(scope, receive, send, room)
         except asgi.CallerGoneError:
             return
         finally:
             self._in_flight -= 1
 
     async def _serve(
-        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        room: body_memory.BodyRoom,
     ) -> None:
         arrived = self._clock.now()
         head = self._dialect.read(scope)
@@ -106,7 +115,8 @@
         answer = gateway_answer.GatewayAnswer(
             send, self._dialect, caller_id, lambda: self.leaving
         )
-        call = await self._check(head, receive, arrived)
+        declared_bytes = asgi.declared_length(scope)
+        call = await self._check(head, receive, arrived, room, declared_bytes)
         if self._refusing:
             # A request on an open connection might not end before the daemon
             # is killed.
@@ -150,12 +160,20 @@
         head: gateway_dialect.CallerHead | errors.Refusal,
         receive: asgi.Receive,
         arrived: float,
+        room: body_memory.BodyRoom,
+        declared_bytes: int,
     ) -> inbound.Call | errors.Refusal:
         limits = self._holder.current.gateway_limits
         try:
-            body = await asgi.read_body(receive, limits.body_bytes)
+            body = await asgi.read_body(
+                receive, limits.body_bytes, room, declared_bytes
+            )
         except asgi.BodyTooLargeError:
             return errors.Refusal(_R.BODY_TOO_LARGE)
+        except asgi.NoRoomError:
+            return errors.Refusal(
+                _R.BODY_MEMORY_FULL, retry_after_s=body_memory.RETRY_AFTER_S
+            )
         if isinstance(head, errors.Refusal):
             return head
         if head.size_bytes > limits.header_bytes:
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -13,6 +13,7 @@
 from figstream import authentication
 from figstream import backend_client
 from figstream import backend_dialect
+from figstream import body_memory
 from figstream import claims_api
 from figstream import crash_parts
 from figstream import daemon_context
@@ -134,5 +135,6 @@
         authenticator,
         request_path.RequestPath(services),
         records,
+        body_memory.BodyMemory(backends.buffers, metrics),
     )
     return GatewayServing(gate, backends, app, announcements, streams)
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -136,6 +136,8 @@
         "No server runs the software version that began the stream; begin a "
         "new stream."
     ),
+    _R.BODY_MEMORY_FULL: "This VM has no memory left for the body; send the "
+    "request again.",
     _R.CALLER_GONE: "The connection was closed while the request waited; send "
     "the request again.",
     _R.SHUTTING_DOWN: "This VM is shutting down; send the request again.",
@@ -178,6 +180,7 @@
     _R.BACKEND_SERVER_FAILED: 502,
     _R.BACKEND_SERVER_REFUSED: 502,
     _R.ANSWER_INCOMPLETE: 502,
+    _R.BODY_MEMORY_FULL: 503,
     _R.CALLER_GONE: 503,
     _R.SHUTTING_DOWN: 503,
     _R.INTERNAL_ERROR: 500,
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -27,6 +27,7 @@
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_CLASS = "unknown_class"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_MEMORY_FULL = "body_memory_full"
     HEADERS_TOO_LARGE = "headers_too_large"
     MALFORMED_JSON = "malformed_json"
     INVALID_UTF8 = "invalid_utf8"
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -76,7 +76,9 @@
         elif answer.started:
             await answer.end()
         else:
-            await answer.whole(result)
+            buffers = self._services.backends.buffers
+            with buffers.holding(len(result.body)):
+                await answer.whole(result)
 
     async def _serve_with_claim(
         self,
--- a/figstream/serving_parts.py
+++ b/figstream/serving_parts.py
@@ -9,6 +9,7 @@
 from figstream import authentication
 from figstream import backend_client
 from figstream import backend_dialect
+from figstream import body_memory
 from figstream import caller_app
 from figstream import claims_api
 from figstream import crash_parts
@@ -90,5 +91,6 @@
         authenticator,
         request_path.RequestPath(services),
         records,
+        body_memory.BodyMemory(backends.buffers, context.metrics),
     )
     return ServingParts(gate, health, backends, app)
