--- a/figstream/stream_monitor.py
+++ b/figstream/stream_monitor.py
@@ -16,6 +16,8 @@
 
 # The terminator and the usage record fit into the tail.
 _TAIL_BYTES: Final = 2_048
+# Many times the tokens of any answer; sums are stored as numbers of 64 bits.
+_MAX_TOKENS: Final = 1_000_000_000
 _USAGE: Final = re.compile(rb'"usage"\s*:\s*(\{[^{}]*\})')
 
 
@@ -84,4 +86,6 @@
 
 
 def _token_count(value: object) -> int | None:
-    return value if isinstance(value, int) and value >= 0 else None
+    if not isinstance(value, int) or not 0 <= value <= _MAX_TOKENS:
+        return None
+    return value
