--- a/figstream/answer_buffers.py
+++ b/figstream/answer_buffers.py
@@ -8,18 +8,40 @@
 
 from collections.abc import Iterator
 import contextlib
+import time
 from typing import Final
 
 import anyio
+import attrs
+
+from figstream import logs
 
 # With the daemon itself, about two thirds of the memory of a small entry VM.
 LIMIT_BYTES: Final = 32_000_000
+# Time that a caller has for a whole answer before it gives way to others, if
+# there is no memory for them.
+GIVE_WAY_S: Final = 2.0
 
 
 class AnswerTooLongError(Exception):
     """Raised when an answer takes more memory than is left for the others."""
 
 
+@attrs.frozen(eq=False)
+class _Holder:
+    """A whole answer that its caller reads.
+
+    Attributes:
+      size_bytes: size of its body.
+      since: monotonic time at which sending began.
+      scope: ends the sending.
+    """
+
+    size_bytes: int
+    since: float
+    scope: anyio.CancelScope
+
+
 class AnswerBuffers:
     """The memory of all buffered answers of one daemon."""
 
@@ -28,6 +50,8 @@
         self._limit_bytes = limit_bytes
         self._used_bytes = 0
         self._freed: anyio.Event | None = None
+        # The one that began first is the first.
+        self._holders: dict[_Holder, None] = {}
 
     @property
     def used_bytes(self) -> int:
@@ -41,11 +65,14 @@
           AnswerTooLongError: the answer grows beyond what is left. Its old
             size stays recorded.
         """
-        used_bytes = self._used_bytes + after_bytes - before_bytes
-        grows = after_bytes > before_bytes
-        if grows and after_bytes > self._limit_bytes - used_bytes:
-            raise AnswerTooLongError
-        self._used_bytes = used_bytes
+        added_bytes = after_bytes - before_bytes
+        grows = added_bytes > 0
+        while grows and (
+            after_bytes > self._limit_bytes - self._used_bytes - added_bytes
+        ):
+            if not self._end_slowest():
+                raise AnswerTooLongError
+        self._used_bytes += added_bytes
         if self._freed and not grows:
             self._freed.set()
             self._freed = None
@@ -57,16 +84,40 @@
         await self._freed.wait()
 
     @contextlib.contextmanager
-    def holding(self, size_bytes: int) -> Iterator[None]:
+    def holding(self, size_bytes: int) -> Iterator[anyio.CancelScope]:
         """Counts a whole answer until its caller has received it.
 
         It was counted before, while it was read, so that it is never refused.
+        The scope is cancelled if a slow caller must give way.
         """
-        self._used_bytes += size_bytes
-        try:
-            yield
-        finally:
-            self.resize(size_bytes, 0)
+        with anyio.CancelScope() as scope:
+            holder = _Holder(size_bytes, time.monotonic(), scope)
+            self._holders[holder] = None
+            self._used_bytes += size_bytes
+            try:
+                yield scope
+            finally:
+                if holder in self._holders:
+                    del self._holders[holder]
+                    self.resize(size_bytes, 0)
+
+    def _end_slowest(self) -> bool:
+        """Ends the answer that is read for longest; returns whether it did."""
+        holder = next(iter(self._holders), None)
+        if holder is None:
+            return False
+        held_s = time.monotonic() - holder.since
+        if held_s < GIVE_WAY_S:
+            return False
+        logs.warning(
+            "slow_reader_ended",
+            bytes=holder.size_bytes,
+            held_s=round(held_s, 3),
+        )
+        del self._holders[holder]
+        self._used_bytes -= holder.size_bytes
+        holder.scope.cancel()
+        return True
 
 
 class AnswerBuffer:
--- a/figstream/caller_watch.py
+++ b/figstream/caller_watch.py
@@ -24,6 +24,7 @@
     """
     caller = caller_presence.CallerPresence()
     served = False
+    failure: Exception | None = None
 
     async def end_when_disconnected(scope: anyio.CancelScope) -> None:
         await asgi.wait_for_disconnect(receive)
@@ -34,10 +35,20 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(end_when_disconnected, group.cancel_scope)
-        await path.serve(call, answer, caller)
+        try:
+            await path.serve(call, answer, caller)
+        except Exception as error:
+            # The task group would wrap it in a group.
+            failure = error
         # ASGI reports the end of the answer as a disconnect, too, which
         # must not count as a caller that left.
         served = True
         group.cancel_scope.cancel()
+    try:
+        if failure:
+            raise failure
+    finally:
+        # Its traceback refers to this frame, and so to the request's body.
+        del failure
     if not served:
         records.caller_gone(call)
--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -49,10 +49,22 @@
 
     async def protocol_send(self, event: hypercorn.events.Event) -> None:
         """Sends data; a closed connection does not become idle."""
+        if isinstance(event, hypercorn.events.Closed):
+            self._drop_unread_answer()
         idle = isinstance(event, hypercorn.events.Updated) and event.idle
         if not (idle and self.reader.at_eof()):
             await super().protocol_send(event)
 
+    def _drop_unread_answer(self) -> None:
+        """Frees what is left of an answer whose sending was broken off.
+
+        After a complete write, the buffer is below its limit.
+        """
+        transport = self.writer.transport
+        _, most_bytes = transport.get_write_buffer_limits()
+        if transport.get_write_buffer_size() > most_bytes:
+            transport.abort()
+
 
 # Hypercorn has no parameter for it.
 hypercorn_run.TCPServer = _Connection  # type: ignore[attr-defined]
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -9,6 +9,7 @@
 
 import anyio
 
+from figstream import asgi
 from figstream import attempt_outcome
 from figstream import blame_api
 from figstream import caller_answer
@@ -32,6 +33,8 @@
 # be without an answer. The rest is for refusals to arrive.
 _WAITING_PART: Final = 0.75
 _UNANSWERED_PART: Final = 0.96
+# The buffers of a connection take it at once.
+_SMALL_ANSWER_BYTES: Final = 65_536
 
 _ServeResult = attempt_outcome.Answered | errors.Refusal
 
@@ -76,9 +79,24 @@
         elif answer.started:
             await answer.end()
         else:
-            buffers = self._services.backends.buffers
-            with buffers.holding(len(result.body)):
-                await answer.whole(result)
+            await self._send_whole(answer, result)
+
+    async def _send_whole(
+        self, answer: caller_answer.Answer, answered: attempt_outcome.Answered
+    ) -> None:
+        """Sends a whole answer.
+
+        Raises:
+          asgi.CallerGoneError: the caller read so slowly that it gave way.
+        """
+        if len(answered.body) <= _SMALL_ANSWER_BYTES:
+            await answer.whole(answered)
+            return
+        buffers = self._services.backends.buffers
+        with buffers.holding(len(answered.body)) as sending:
+            await answer.whole(answered)
+        if sending.cancelled_caught:
+            raise asgi.CallerGoneError
 
     async def _serve_with_claim(
         self,
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -181,6 +181,25 @@
         assert _held_bytes() < _MOST_HELD_BYTES
 
 
+@pytest.mark.anyio
+async def test_a_slow_reader_gives_way_to_others() -> None:
+    size = 12 * _MB
+    worker = _FastWorker()
+    worker.data = _head(b"text/plain", size) + bytes(size)
+    async with gateway_front.front(worker) as front:
+        buffers = front.serving.backends.buffers
+        async with _slow_reader(front, "order"):
+            with pytest.raises(answer_buffers.AnswerTooLongError):
+                buffers.resize(0, size)
+            await anyio.sleep(answer_buffers.GIVE_WAY_S)
+            buffers.resize(0, size)
+            assert buffers.used_bytes == size
+            await anyio.sleep(0.1)
+            assert _held_bytes() < _MOST_HELD_BYTES
+            buffers.resize(size, 0)
+        assert buffers.used_bytes == 0
+
+
 @pytest.mark.anyio
 async def test_an_answer_counts_until_its_slow_reader_has_it() -> None:
     size = 12 * _MB
