--- a/figstream/fleet_work.py
+++ b/figstream/fleet_work.py
@@ -42,6 +42,9 @@
 _COUNT_LAG_S: Final = 1.0
 # Below this time of counts a rate would be a guess.
 _MIN_COUNTED_S: Final = 2.0
+# Duration of a stream of some hundred tokens. Taken until the daemon has answered
+# streams itself, which takes one of many daemons longer than a burst lasts.
+_DEFAULT_STREAM_S: Final = 2.0
 # Share of a server's slots that streams take. The rest is for servers that are
 # slow or disturbed, and for streams that meet by chance.
 _SLOT_SHARE: Final = 1 / 4
@@ -242,10 +245,10 @@
             self._publish(now, wall)
 
     def _need(self, service: str, starts_per_s: float) -> int | None:
-        """Returns how many servers hold the streams, None if unknown."""
-        stream_s = self._groups.stream_s(service)
+        """Returns how many servers hold the streams, None without servers."""
+        stream_s = self._groups.stream_s(service) or _DEFAULT_STREAM_S
         slots = self._groups.slots(service)
-        if stream_s is None or not slots:
+        if not slots:
             return None
         streams = starts_per_s * stream_s * _MARGIN
         return max(1, math.ceil(streams / max(1.0, slots * _SLOT_SHARE)))
--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -30,7 +30,12 @@
     """The need, groups and notices of one daemon."""
 
     def __init__(
-        self, number: int, clock: clock_lib.ManualClock, *, paced: bool = True
+        self,
+        number: int,
+        clock: clock_lib.ManualClock,
+        *,
+        paced: bool = True,
+        answers: int = 20,
     ) -> None:
         self.published: list[bytes] = []
         self.notices = notices_lib.Notices(number, "a", clock, _METRICS)
@@ -41,7 +46,7 @@
         configuration = paced_fleet.configuration(paced_fleet.servers(), paced)
         self.groups.set_configuration(configuration)
         self.work.set_configuration(configuration)
-        for _ in range(20):
+        for _ in range(answers):
             self.groups.answered(paced_fleet.SERVICE, _STREAM_S)
 
     @property
@@ -54,10 +59,12 @@
 class _Fleet:
     """Some daemons of which one seals, and the counts of all 80."""
 
-    def __init__(self, members: int = 4, *, paced: bool = True) -> None:
+    def __init__(
+        self, members: int = 4, *, paced: bool = True, answers: int = 20
+    ) -> None:
         self.clock = clock_lib.ManualClock(1000.0)
         self.members = [
-            _Member(number + 1, self.clock, paced=paced)
+            _Member(number + 1, self.clock, paced=paced, answers=answers)
             for number in range(members)
         ]
         self.sealing = self.members[0]
@@ -134,6 +141,13 @@
     assert 26 <= fleet.members[1].paced <= 30
 
 
+def test_a_daemon_without_answers_of_its_own_follows_a_burst() -> None:
+    """Fails if the need waits until the sealing daemon has answered streams."""
+    fleet = _Fleet(answers=0)
+    fleet.play(4.0, 200.0)
+    assert fleet.members[1].paced >= 20
+
+
 def test_the_need_of_an_even_load_does_not_swing() -> None:
     fleet = _Fleet()
     fleet.play(60.0, 120.0)
