--- a/figstream/fleet_work.py
+++ b/figstream/fleet_work.py
@@ -42,8 +42,9 @@
 _COUNT_LAG_S: Final = 1.0
 # Below this time of counts a rate would be a guess.
 _MIN_COUNTED_S: Final = 2.0
-# Duration of a stream of some hundred tokens. Taken until the daemon has answered
-# streams itself, which takes one of many daemons longer than a burst lasts.
+# Duration of a stream of some hundred tokens. Taken until the daemon has
+# answered streams itself, for which one of many daemons needs longer than a
+# burst lasts.
 _DEFAULT_STREAM_S: Final = 2.0
 # Share of a server's slots that streams take. The rest is for servers that are
 # slow or disturbed, and for streams that meet by chance.
