--- a/tests/test_fleet_work.py
+++ b/tests/test_fleet_work.py
@@ -17,6 +17,7 @@
 from figstream import usage_delta
 from figstream import usage_sealing
 from figstream import work_groups
+from tests import lease_parts
 from tests import paced_fleet
 
 _METRICS: Final = metrics_lib.make_unexported_metrics()
@@ -281,3 +282,38 @@
         return heard
 
     assert len(anyio.run(play)) == 1
+
+
+def test_a_daemon_is_connected_to_what_it_seals() -> None:
+    """Fails if counts that a daemon seals don't reach its groups."""
+
+    async def play() -> int:
+        clock = clock_lib.ManualClock(1000.0)
+        platform = platform_memory.MemoryPlatform().interfaces()
+        context = lease_parts.make_context("d", 1, platform, clock)
+        notices = notices_lib.Notices(1, "a", clock, _METRICS)
+        sealing = usage_sealing.UsageSealing(
+            _Lease(),  # type: ignore[arg-type]
+            platform,
+            clock,
+            _METRICS,
+            50.0,
+        )
+        fleet_work.make_fleet_work(context, sealing, notices)
+        servers = paced_fleet.servers()
+        configuration = attrs.evolve(
+            paced_fleet.configuration(servers), generation=1
+        )
+        context.holder.replace(configuration)
+        context.groups.set_configuration(configuration)
+        await sealing.step()
+        for number in range(40):
+            clock.advance(0.1)
+            context.groups.answered(paced_fleet.SERVICE, _STREAM_S)
+            opened_ms = round((clock.wall() - 0.9) * 1000)
+            delta = _delta(number, opened_ms, 20.0)
+            sealing.accept(attrs.evolve(delta, items=delta.items[:1]))
+        pool = paced_fleet.pool(servers)
+        return len(context.groups.servers_for(pool, True))
+
+    assert anyio.run(play) >= 20
--- a/tests/test_work_groups.py
+++ b/tests/test_work_groups.py
@@ -9,12 +9,14 @@
 import attrs
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from figstream import backend_server
 from figstream import paced_placement
 from figstream import placement
 from figstream import request_class
 from figstream import request_target
+from figstream import scheduler
 from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_pool
@@ -341,6 +343,29 @@
     assert events == ["work_in_paced_group"]
 
 
+def test_the_scheduler_keeps_streams_in_their_group_and_learns() -> None:
+    """Fails if the scheduler doesn't tell its selection what it needs."""
+    groups = work_groups.WorkGroups()
+    made = scheduler.make_scheduler_with(
+        "a",
+        lambda book, _: placement.make_placement(book, "a", groups),
+    )
+    made.set_configuration(paced_fleet.configuration(paced_fleet.servers()))
+    paced = groups.servers_for(_pool(), True)
+    for number in range(6):
+        kind = paced_fleet.CHAT if number % 2 else paced_fleet.PLAN
+        request = _request(kind, 1.0)
+        assert made.offer(request, 1.0) is None
+        [decision] = made.poll(1.0)
+        assert isinstance(decision, scheduler_api.Dispatched)
+        assert (decision.server.name in paced) == (kind is paced_fleet.CHAT)
+        report = scheduler_api.AttemptReport(
+            scheduler_api.AttemptResult.ANSWERED, total_s=float(number)
+        )
+        made.finish(request, decision.server, report, 2.0)
+    assert groups.stream_s(paced_fleet.SERVICE) == pytest.approx(3.0)
+
+
 def test_services_without_a_paced_route_are_not_divided() -> None:
     groups = work_groups.WorkGroups()
     groups.set_configuration(
