--- a/figstream/fleet_work.py
+++ b/figstream/fleet_work.py
@@ -45,8 +45,12 @@
 # Share of a server's slots that streams take. The rest is for servers that are
 # slow or disturbed, and for streams that meet by chance.
 _SLOT_SHARE: Final = 1 / 4
-# More streams than the present rate, since a burst may be rising.
-_MARGIN: Final = 1.25
+# More streams than the present rate, since a burst may be rising, and servers
+# that join the group take over a second to settle.
+_MARGIN: Final = 1.5
+# Expected duration of a stream in targets of its first event. A route that lets
+# callers wait for the first event has answers that take longer than that.
+_EXPECTED_TARGETS: Final = 2.0
 # The need falls only to this share of the published one or below, for
 # `_FALL_TIME_S`, so that servers don't change groups to and fro.
 _FALL_RATIO: Final = 0.75
@@ -160,6 +164,7 @@
         self._clock = clock
         self._metrics = metrics
         self._class_services: Mapping[str, tuple[str, ...]] = {}
+        self._expected_s: Mapping[str, float] = {}
         self._rates = StartRates()
         self._published: dict[str, _Published] = {}
         self._published_at = -math.inf
@@ -173,12 +178,22 @@
         self, configuration: configuration_lib.Configuration
     ) -> None:
         """Applies a new configuration."""
+        paced = [
+            route
+            for route in configuration.gateway_routes
+            if route.streamed and paced_routes.is_paced(route.request_class)
+        ]
         self._class_services = {
             route.request_class.name: tuple(
                 item.service for item in route.services
             )
-            for route in configuration.gateway_routes
-            if route.streamed and paced_routes.is_paced(route.request_class)
+            for route in paced
+        }
+        self._expected_s = {
+            item.service: _EXPECTED_TARGETS
+            * route.request_class.service_level.first_token_s
+            for route in paced
+            for item in route.services
         }
 
     def count(self, delta: usage_delta.UsageDelta) -> None:
@@ -235,7 +250,7 @@
                     service=service,
                     servers=before.servers,
                     starts_per_s=round(rates[service], 1),
-                    stream_s=round(self._groups.stream_s(service) or 0.0, 2),
+                    stream_s=round(self._stream_s(service), 2),
                 )
         due = now - self._published_at >= _REPEAT_INTERVAL_S
         if self._published and (changed or due):
@@ -243,13 +258,16 @@
 
     def _need(self, service: str, starts_per_s: float) -> int | None:
         """Returns how many servers hold the streams, None if unknown."""
-        stream_s = self._groups.stream_s(service)
         slots = self._groups.slots(service)
-        if stream_s is None or not slots:
+        if not slots:
             return None
-        streams = starts_per_s * stream_s * _MARGIN
+        streams = starts_per_s * self._stream_s(service) * _MARGIN
         return max(1, math.ceil(streams / max(1.0, slots * _SLOT_SHARE)))
 
+    def _stream_s(self, service: str) -> float:
+        expected_s = self._expected_s.get(service, 0.0)
+        return self._groups.stream_s(service, expected_s)
+
     def _publish(self, now: float, wall: float) -> None:
         need = FleetNeed(
             round(wall * _MS_PER_S),
--- a/figstream/work_groups.py
+++ b/figstream/work_groups.py
@@ -29,7 +29,7 @@
 # short in prompts and long in answers; a fifth holds some of a mixed load.
 _DEFAULT_SHARE: Final = 1 / 5
 # Bounds, so that a wrong figure leaves servers to each kind of work.
-_MIN_SHARE: Final = 1 / 8
+_MIN_SHARE: Final = 1 / 6
 _MAX_SHARE: Final = 1 / 2
 _MIN_SERVERS: Final = 2
 # In pools of this size, no kind of work depends on a single server.
@@ -41,8 +41,9 @@
 # Weight of the newest answer in the mean duration. Durations differ by an order
 # of magnitude, and a daemon sees a few answers a second.
 _SMOOTHING: Final = 0.1
-# Means of fewer answers say little.
-_MIN_ANSWERS: Final = 3
+# The expected duration counts like this many answers. The first ones to end are
+# the short ones.
+_EXPECTED_ANSWERS: Final = 5
 # Pools of several software versions beside those of all servers.
 _MAX_CACHED_POOLS: Final = 64
 _MAX_LOGGED_NAMES: Final = 8
@@ -160,12 +161,18 @@
         """Records how long a complete paced stream took."""
         self._durations.setdefault(service, _Duration()).add(seconds)
 
-    def stream_s(self, service: str) -> float | None:
-        """Returns the mean duration of paced streams, None if unknown."""
+    def stream_s(self, service: str, expected_s: float) -> float:
+        """Returns the mean duration of paced streams.
+
+        Args:
+          service: the service.
+          expected_s: duration to assume while few streams have ended.
+        """
         found = self._durations.get(service)
-        if found is None or found.answers < _MIN_ANSWERS:
-            return None
-        return found.seconds
+        if found is None:
+            return expected_s
+        weight = found.answers / (found.answers + _EXPECTED_ANSWERS)
+        return expected_s + weight * (found.seconds - expected_s)
 
     def slots(self, service: str) -> float:
         """Returns the mean number of slots of a paced service's servers."""
