--- a/figstream/fleet_work.py
+++ b/figstream/fleet_work.py
@@ -35,12 +35,12 @@
 _REPEAT_INTERVAL_S: Final = 5.0
 # Shortest time between two computations; counts arrive more often.
 _INTERVAL_S: Final = 0.5
-# Time in which a past request loses most of its weight. A burst lasts longer,
-# and chance evens out over the hundred streams that all daemons start in it.
+# Time in which a past request loses most of its weight, shorter than a burst.
+# The fleet starts a hundred streams in it, so that chance evens out.
 _RATE_TIME_S: Final = 2.0
 # Counts of a daemon arrive this long after its requests.
 _COUNT_LAG_S: Final = 1.0
-# Below this time of counts a rate would be a guess.
+# Counts of less time give no rate.
 _MIN_COUNTED_S: Final = 2.0
 # Share of a server's slots that streams take. The rest is for servers that are
 # slow or disturbed, and for streams that meet by chance.
