--- a/figstream/paced_placement.py
+++ b/figstream/paced_placement.py
@@ -3,8 +3,8 @@
 `placement` calls this for services whose servers `work_groups` divides. Every
 daemon places few streams and knows the loads of few servers, so streams are
 spread by two random choices. Shared prefixes count for nothing: the prompts of
-paced streams are short and read again in a few milliseconds, while a herd at one
-server breaks the pauses of all its streams.
+paced streams are short and read again in a few milliseconds, while a herd at
+one server breaks the pauses of all its streams.
 """
 
 from collections.abc import Sequence
