--- a/figstream/fleet_work.py
+++ b/figstream/fleet_work.py
@@ -35,22 +35,22 @@
 _REPEAT_INTERVAL_S: Final = 5.0
 # Shortest time between two computations; counts arrive more often.
 _INTERVAL_S: Final = 0.5
-# Time in which a past request loses most of its weight. A burst lasts longer,
-# and chance evens out over the hundreds of requests that all daemons start.
-_RATE_TIME_S: Final = 3.0
+# Time in which a past request loses most of its weight, shorter than a burst.
+# The fleet starts a hundred streams in it, so that chance evens out.
+_RATE_TIME_S: Final = 2.0
 # Counts of a daemon arrive this long after its requests.
 _COUNT_LAG_S: Final = 1.0
-# Below this time of counts a rate would be a guess.
+# Counts of less time give no rate.
 _MIN_COUNTED_S: Final = 2.0
-# Duration of a stream of some hundred tokens. Taken until the daemon has
-# answered streams itself, for which one of many daemons needs longer than a
-# burst lasts.
-_DEFAULT_STREAM_S: Final = 2.0
 # Share of a server's slots that streams take. The rest is for servers that are
 # slow or disturbed, and for streams that meet by chance.
 _SLOT_SHARE: Final = 1 / 4
-# More streams than the present rate, since a burst may be rising.
+# More streams than the present rate, since a burst may be rising, and servers
+# that join the group take over a second to settle.
 _MARGIN: Final = 1.25
+# Expected duration of a stream in targets of its first event. A route that lets
+# callers wait for the first event has answers that take longer than that.
+_EXPECTED_TARGETS: Final = 2.0
 # The need falls only to this share of the published one or below, for
 # `_FALL_TIME_S`, so that servers don't change groups to and fro.
 _FALL_RATIO: Final = 0.75
@@ -164,6 +164,7 @@
         self._clock = clock
         self._metrics = metrics
         self._class_services: Mapping[str, tuple[str, ...]] = {}
+        self._expected_s: Mapping[str, float] = {}
         self._rates = StartRates()
         self._published: dict[str, _Published] = {}
         self._published_at = -math.inf
@@ -177,12 +178,22 @@
         self, configuration: configuration_lib.Configuration
     ) -> None:
         """Applies a new configuration."""
+        paced = [
+            route
+            for route in configuration.gateway_routes
+            if route.streamed and paced_routes.is_paced(route.request_class)
+        ]
         self._class_services = {
             route.request_class.name: tuple(
                 item.service for item in route.services
             )
-            for route in configuration.gateway_routes
-            if route.streamed and paced_routes.is_paced(route.request_class)
+            for route in paced
+        }
+        self._expected_s = {
+            item.service: _EXPECTED_TARGETS
+            * route.request_class.service_level.first_token_s
+            for route in paced
+            for item in route.services
         }
 
     def count(self, delta: usage_delta.UsageDelta) -> None:
@@ -239,21 +250,24 @@
                     service=service,
                     servers=before.servers,
                     starts_per_s=round(rates[service], 1),
-                    stream_s=round(self._groups.stream_s(service) or 0.0, 2),
+                    stream_s=round(self._stream_s(service), 2),
                 )
         due = now - self._published_at >= _REPEAT_INTERVAL_S
         if self._published and (changed or due):
             self._publish(now, wall)
 
     def _need(self, service: str, starts_per_s: float) -> int | None:
-        """Returns how many servers hold the streams, None without servers."""
-        stream_s = self._groups.stream_s(service) or _DEFAULT_STREAM_S
+        """Returns how many servers hold the streams, None if unknown."""
         slots = self._groups.slots(service)
         if not slots:
             return None
-        streams = starts_per_s * stream_s * _MARGIN
+        streams = starts_per_s * self._stream_s(service) * _MARGIN
         return max(1, math.ceil(streams / max(1.0, slots * _SLOT_SHARE)))
 
+    def _stream_s(self, service: str) -> float:
+        expected_s = self._expected_s.get(service, 0.0)
+        return self._groups.stream_s(service, expected_s)
+
     def _publish(self, now: float, wall: float) -> None:
         need = FleetNeed(
             round(wall * _MS_PER_S),
