--- a/soak/backends.py
+++ b/soak/backends.py
@@ -91,6 +91,8 @@
         self.removed: list[tuple[str, float, float]] = []
         self.revoked: dict[str, float] = {}
         self.drained: dict[str, float] = {}
+        self.zones: dict[str, str] = {}
+        self._emptied: set[str] = set()
 
     async def start(self) -> None:
         """Starts the workers and stores their entries and the manifest."""
@@ -175,6 +177,15 @@
         self._register(site)
         self.drained[site.worker.name] = time.monotonic()
 
+    def set_emptied(self, zone: str, *, emptied: bool) -> None:
+        """Asks that nothing be sent to a zone, or takes the zone back."""
+        if emptied:
+            self._emptied.add(zone)
+            self.store.put("evacuations", zone, {})
+        else:
+            self._emptied.discard(zone)
+            self.store.remove("evacuations", zone)
+
     def toggle_route(self, name: str) -> None:
         """Adds a route, or removes the route if it exists."""
         now = time.monotonic()
@@ -211,6 +222,8 @@
                 self.store.remove("servers", name)
         for site in self.sites:
             self._register(site)
+        for zone in ZONES:
+            self.set_emptied(zone, emptied=zone in self._emptied)
 
     def _configure(self) -> None:
         self._version += 3
@@ -244,6 +257,7 @@
 
     def _register(self, site: WorkerSite) -> None:
         self._entry_sequence += 1
+        self.zones[site.worker.name] = site.zone
         self.store.put(
             "servers",
             site.worker.name,
--- a/soak/builds.py
+++ b/soak/builds.py
@@ -39,6 +39,7 @@
         plan_lib.EventKind.RESUMES_FAIL,
         plan_lib.EventKind.WORKER_REPEATS,
         plan_lib.EventKind.ODD_ENTRY,
+        plan_lib.EventKind.EVACUATE,
     }
 )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -95,6 +95,8 @@
       duties: reports and orders that the stand-in of the platform received.
       fault_periods: periods in which faults affected daemons.
       drained: time when draining was stored, by worker name.
+      zones: zone of each worker, by its name.
+      evacuations: zone that was emptied, since when and until when.
       removed: route name, time of its removal and time of its return
         (infinite if the route was not added again).
       revoked: time when the removal of a key was stored, by key.
@@ -115,6 +117,8 @@
     duties: list[standin_store.DutyCall] = attrs.field(factory=list)
     fault_periods: list[FaultPeriod] = attrs.field(factory=list)
     drained: dict[str, float] = attrs.field(factory=dict)
+    zones: dict[str, str] = attrs.field(factory=dict)
+    evacuations: list[tuple[str, float, float]] = attrs.field(factory=list)
     removed: list[tuple[str, float, float]] = attrs.field(factory=list)
     revoked: dict[str, float] = attrs.field(factory=dict)
     partitions: list[tuple[int, float, float]] = attrs.field(factory=list)
@@ -257,6 +261,25 @@
                 )
 
 
+def _emptied_zones_get_nothing(observed: Observations) -> Iterable[str]:
+    sent = {item.request_id: item for item in observed.sent}
+    for zone, since, until in observed.evacuations:
+        for name, run in observed.all_runs():
+            request = sent.get(run.request_id)
+            late_s = run.at - since - PROPAGATION_LIMIT_S
+            if (
+                request
+                and observed.zones.get(name) == zone
+                and late_s > 0
+                and run.at < until
+                and observed.bounds_hold(request.daemon, since, run.at)
+            ):
+                yield (
+                    f"{run.request_id} reached {name} in the emptied zone "
+                    f"{zone} {late_s:.2f} s too late"
+                )
+
+
 def _configuration_propagation(observed: Observations) -> Iterable[str]:
     for sent in observed.sent:
         removal_times = [
@@ -424,6 +447,7 @@
     _streams_keep_software,
     _runs_match_requests,
     _drain_propagation,
+    _emptied_zones_get_nothing,
     _configuration_propagation,
     _incomplete_answers_excused,
     _crashing_requests_refused,
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -26,7 +26,7 @@
 GRACE_S: Final = 4.0
 # Linux gives ports from 32768 on to outgoing connections.
 _PORTS: Final = range(20_000, 32_000)
-_DAEMON_TIMES: Final = standin_program.DaemonTimes(
+DAEMON_TIMES: Final = standin_program.DaemonTimes(
     GRACE_S, window_s=1.0, lease_ms=1000
 )
 
@@ -104,7 +104,7 @@
     ports: standin_program.DaemonPorts
     folder: pathlib.Path
     tree: pathlib.Path = ROOT
-    times: standin_program.DaemonTimes = _DAEMON_TIMES
+    times: standin_program.DaemonTimes = DAEMON_TIMES
     _process: subprocess.Popen[bytes] | None = None
 
     @property
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,6 +56,7 @@
     RESUMES_FAIL = "resumes_fail"  # Rests of streams are answered wrongly.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
     ODD_ENTRY = "odd_entry"  # Another writer leaves an entry with the workers.
+    EVACUATE = "evacuate"  # A zone is emptied and taken back.
 
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
@@ -76,6 +77,7 @@
         EventKind.WORKER_REPEATS,
         EventKind.ODD_ENTRY,
         EventKind.RESUMES_FAIL,
+        EventKind.EVACUATE,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -102,6 +104,7 @@
 _OWN_DRAWS: Final = {
     EventKind.WORKER_REPEATS: ("repeats", 2),
     EventKind.ODD_ENTRY: ("odd entries", 3),
+    EventKind.EVACUATE: ("evacuations", 2),
 }
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
--- a/soak/system.py
+++ b/soak/system.py
@@ -61,6 +61,10 @@
     links.LinkMode.DEAF,
     links.LinkMode.RESET,
 )
+_EVACUATING_TIMES: Final = attrs.evolve(
+    daemons_lib.DAEMON_TIMES,
+    evacuate_ms=round(1_000 * checks.PROPAGATION_LIMIT_S),
+)
 _KIND = plan_lib.EventKind
 _SCOPE = checks.Scope
 
@@ -151,6 +155,7 @@
         ]
         observed.duties = self._backends.store.duties
         observed.drained = self._backends.drained
+        observed.zones = self._backends.zones
         observed.removed = self._backends.removed
         observed.revoked = self._backends.revoked
         served = sum(
@@ -190,6 +195,9 @@
                 self._folder,
                 self._build_plan.first[number],
             )
+            # Older builds refuse settings that they don't know.
+            if len(self._build_plan.trees) == 1:
+                daemon.times = _EVACUATING_TIMES
             daemon.write_settings(store_link.port, [x.peers for x in ports])
             daemon.start()
             self._daemons.append(daemon)
@@ -286,6 +294,7 @@
             _KIND.RESUMES_FAIL: self._worker_events.answer_resumes_wrongly,
             _KIND.WORKER_SILENT: self._worker_events.fall_silent,
             _KIND.ODD_ENTRY: self._worker_events.leave_odd_entry,
+            _KIND.EVACUATE: self._worker_events.empty_zone,
             _KIND.PARTITION: self._partition,
             _KIND.REFUSAL_LIMIT: self._worker_events.limit_refusals,
         }
--- a/soak/worker_events.py
+++ b/soak/worker_events.py
@@ -30,6 +30,8 @@
 # Time between two workers of a release, and for which each drains.
 _RELEASE_GAP_S: Final = 0.5
 _DRAIN_S: Final = checks.PROPAGATION_LIMIT_S + 0.5
+# Least time for which a zone is empty, so that some is left to be judged.
+_EMPTIED_S: Final = checks.PROPAGATION_LIMIT_S + 1.0
 # Entries that name no worker to use, as another writer may leave them.
 _ODD_ENTRIES: Final = (
     b"[" * 20_000 + b"]" * 20_000,
@@ -56,6 +58,7 @@
         self._backends = backends
         self._observations = observations
         self._crashed: set[str] = set()
+        self._emptied: set[str] = set()
 
     async def crash(self, event: plan_lib.Event) -> None:
         """Crashes a worker; another one starts in its place."""
@@ -152,6 +155,19 @@
         if event.target % 2:
             self._backends.store.remove("servers", name)
 
+    async def empty_zone(self, event: plan_lib.Event) -> None:
+        """Empties a zone, unless it is empty, and takes it back."""
+        zone = backends_lib.ZONES[event.target % len(backends_lib.ZONES)]
+        if zone in self._emptied:
+            return
+        self._emptied.add(zone)
+        self._backends.set_emptied(zone, emptied=True)
+        since = time.monotonic()
+        await anyio.sleep(_EMPTIED_S + event.for_s)
+        self._observations.evacuations.append((zone, since, time.monotonic()))
+        self._backends.set_emptied(zone, emptied=False)
+        self._emptied.discard(zone)
+
     async def drain(self, event: plan_lib.Event) -> None:
         """Drains a worker until the soak ends."""
         site = self._backends.choose_site(event.target)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -189,6 +189,16 @@
         },
         "too late",
     ),
+    (
+        "a zone that is not empty in time",
+        {
+            "sent": [_sent_request("a")],
+            "runs": {"w-1": [_worker_run("a", at=12.5)]},
+            "zones": {"w-1": "a"},
+            "evacuations": [("b", 9.0, 30.0), ("a", 10.0, 30.0)],
+        },
+        "emptied zone a 0.50 s too late",
+    ),
     (
         "a key that is accepted after its removal",
         {
