--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -49,6 +49,7 @@
         fencing number.
       software: version of the server's software, not of its model; "" if
         unknown. Servers of one service may run several versions.
+      region: region of the zone, "" if unknown.
       cold_left_s: seconds for which the server was still warming up when it
         said so last, 0 if it was warm.
     """
@@ -70,3 +71,4 @@
     started_ms: int = 0
     software: str = ""
     cold_left_s: float = 0.0
+    region: str = ""
--- a/figstream/customer.py
+++ b/figstream/customer.py
@@ -30,9 +30,11 @@
       weight: weight of the customer in the fair division of capacity.
       limits: usage limits.
       classes: names of the request classes that the customer may use.
+      regions: home regions, in which its requests may run; empty for all.
     """
 
     name: str
     weight: float = 1.0
     limits: CustomerLimits = CustomerLimits()
     classes: tuple[str, ...] = ()
+    regions: frozenset[str] = frozenset()
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -17,6 +17,7 @@
 from figstream import gateway_answer
 from figstream import gateway_dialect
 from figstream import gateway_route
+from figstream import homes
 from figstream import inbound
 from figstream import logs
 from figstream import reasons
@@ -214,5 +215,16 @@
                 self._holder.current.generation,
                 head.resumed_stream,
                 head.resumed_after,
+                self._homes(route, identity),
             ),
         )
+
+    def _homes(
+        self,
+        route: gateway_route.GatewayRoute,
+        identity: authentication.Identity,
+    ) -> homes.Homes:
+        """Returns the regions in which a request may run, None for all."""
+        known = self._holder.current.customers_by_name.get(identity.customer)
+        regions = known.regions if known else frozenset()
+        return homes.common(route.regions, regions)
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -295,6 +295,7 @@
             options.change_ms / _MS_PER_S,
             options.drain_ms / _MS_PER_S,
             evacuations,
+            options.zone_regions,
         )
 
     def _make_serving(
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -4,7 +4,9 @@
 that settings are parsed and validated only here.
 """
 
+from collections.abc import Mapping
 import pathlib
+import types
 from typing import Final
 
 import attrs
@@ -61,6 +63,7 @@
         receive no new requests from any daemon.
       evacuate_ms: milliseconds after which the servers of a zone that the
         operator empties must receive no requests, 0 if zones aren't emptied.
+      zone_regions: region of each zone in which servers run.
       cold_excess: factor by which the requests of a single second may exceed
         what a server bears a second while it warms up.
       log_level: lowest level of the lines logged.
@@ -86,6 +89,7 @@
     change_ms: int = 2000
     drain_ms: int = 2000
     evacuate_ms: int = 0
+    zone_regions: Mapping[str, str] = types.MappingProxyType({})
     cold_excess: float = 1.0
     log_level: str = defaults.LOG_LEVEL
 
@@ -120,6 +124,13 @@
     return _Field(section, key, "an address IP:PORT", _address)
 
 
+def _regions(value: str) -> object | None:
+    pairs = [item.strip().partition(":") for item in value.split(",") if item]
+    if not all(zone and region for zone, _, region in pairs):
+        return None
+    return {zone: region for zone, _, region in pairs}
+
+
 _FIELDS: Final = (
     *options_lib.VM_FIELDS,
     _address_field("gateway", "front"),
@@ -137,6 +148,13 @@
     _integer_field("platform", "evacuate_ms", 0, 300_000, 0),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
     settings_file.number_field("servers", "cold_excess", 0, 100, 1.0),
+    _Field(
+        "servers",
+        "zone_regions",
+        "ZONE:REGION, with commas between",
+        _regions,
+        {},
+    ),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
     options_lib.LOG_LEVEL_FIELD,
--- a/figstream/gateway_route.py
+++ b/figstream/gateway_route.py
@@ -39,6 +39,7 @@
       streamed: whether answers are streams of events.
       resumable: whether a broken stream may continue at another server.
       open: whether requests need no key.
+      regions: home regions, in which requests may run; empty for all.
     """
 
     name: str
@@ -52,6 +53,7 @@
     streamed: bool = False
     resumable: bool = False
     open: bool = False
+    regions: frozenset[str] = frozenset()
 
     def choose_service(self, name: str) -> str:
         """Chooses a service by weight; returns "" if the route has none.
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -4,12 +4,14 @@
 active configuration and to the scheduler.
 """
 
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 import attrs
 
 from figstream import configuration_feed
 from figstream import daemon_context
+from figstream import homes
 from figstream import object_follower
 from figstream import platform_api
 from figstream import server_directory
@@ -80,6 +82,7 @@
     change_s: float,
     drain_s: float,
     evacuations: object_follower.ObjectFollower | None,
+    regions: Mapping[str, str],
 ) -> Sources:
     """Creates the followers and connects them to holder and scheduler.
 
@@ -91,6 +94,7 @@
       drain_s: seconds after which a leaving server must receive no requests.
       evacuations: follows the objects that name emptied zones, None if zones
         aren't emptied.
+      regions: region of each zone.
     """
     clock, metrics = context.clock, context.metrics
     configuration_follower = object_follower.ObjectFollower(
@@ -113,7 +117,12 @@
         clock,
         metrics,
         frozenset() if evacuations is None else None,
+        regions,
     )
+    if regions:
+        context.holder.subscribe(
+            lambda found: homes.log_homeless(found, regions.values())
+        )
     emptied_zones = None
     if evacuations:
         emptied_zones = zone_evacuations.ZoneEvacuations(
--- a/figstream/inbound.py
+++ b/figstream/inbound.py
@@ -93,6 +93,7 @@
         it, None if the request resumes none.
       resumed_after: id of the last event that the caller has of that stream,
         b"" for none.
+      homes: regions of the servers that may run the request, None for all.
     """
 
     route: gateway_route.GatewayRoute
@@ -101,6 +102,7 @@
     generation: int = 0
     resumed_stream: str | None = None
     resumed_after: bytes = b""
+    homes: frozenset[str] | None = None
 
 
 @attrs.frozen
--- a/figstream/peer_tunnels.py
+++ b/figstream/peer_tunnels.py
@@ -4,6 +4,7 @@
 or does not answer, is left out for a moment.
 """
 
+from collections.abc import Callable
 import random
 from typing import Final
 
@@ -39,8 +40,19 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         source: random.Random,
+        region_of: Callable[[str], str],
     ) -> None:
-        """Initializes with no peer left out."""
+        """Initializes with no peer left out.
+
+        Args:
+          members: the live daemons.
+          clock: time source.
+          metrics: instruments.
+          source: orders the peers.
+          region_of: returns the region in which the peers for a server must
+            be, "" for any.
+        """
+        self._region_of = region_of
         self._members = members
         self._clock = clock
         self._metrics = metrics
@@ -63,7 +75,7 @@
         """
         detail = "no peer"
         ends_at = self._clock.now() + timeout_s
-        for peer in self._candidates():
+        for peer in self._candidates(self._region_of(server)):
             left_s = ends_at - self._clock.now()
             if left_s <= 0.0:
                 raise httpcore.ConnectTimeout("peers did not answer in time")
@@ -79,11 +91,15 @@
         self._metrics.event("server_tunnel_failed")
         raise httpcore.ConnectError(f"tunnel: {detail}")
 
-    def _candidates(self) -> list[membership_api.Member]:
+    def _candidates(self, region: str) -> list[membership_api.Member]:
         """Returns the peers in random order, those left out last."""
         now = self._clock.now()
         this = self._members.this().name
-        peers = [item for item in self._members.live() if item.name != this]
+        peers = [
+            item
+            for item in self._members.live()
+            if item.name != this and region in {"", item.region}
+        ]
         self._random.shuffle(peers)
         return sorted(
             peers, key=lambda item: self._skipped_until.get(item.name, 0) > now
@@ -121,6 +137,7 @@
     members: membership_api.Members,
     clock: clock_lib.Clock,
     metrics: metrics_lib.Metrics,
+    region_of: Callable[[str], str] = lambda _: "",
 ) -> PeerTunnels:
     """Creates the tunnels of a daemon."""
-    return PeerTunnels(members, clock, metrics, random.Random())
+    return PeerTunnels(members, clock, metrics, random.Random(), region_of)
--- a/figstream/request_path.py
+++ b/figstream/request_path.py
@@ -266,9 +266,9 @@
         resumed = progress.call.passed and progress.call.passed.resumed_stream
         if progress.relay.events_relayed:
             pending.software = progress.software
-        elif resumed is None:
+        elif resumed is None and pending.homes is None:
             pending.software = self._services.streams.for_new(stream)
-        elif pending.software is None:
+        elif resumed is not None and pending.software is None:
             await self._services.streams.prepare_to_resume(stream)
             found = self._services.streams.for_resumed(stream)
             if isinstance(found, errors.Refusal):
@@ -339,6 +339,7 @@
         resumable=call.resumable,
         idempotent=call.idempotent,
         attempt_limit=call.attempt_limit,
+        homes=call.passed.homes if call.passed else None,
     )
 
 
--- a/figstream/scheduler_api.py
+++ b/figstream/scheduler_api.py
@@ -50,6 +50,7 @@
       only_server: the only server that can resume the stream, or "".
       software: the only software version of backend servers at which the
         stream may run, None for any.
+      homes: regions of the servers that may run the request, None for all.
       attempt: number of attempts made so far.
       attempts_not_run: number of attempts that certainly did not run.
       attempts_unsent: number of attempts that reached no server.
@@ -78,6 +79,7 @@
     tried: set[str] = attrs.field(factory=set)
     only_server: str = ""
     software: str | None = None
+    homes: frozenset[str] | None = None
     attempt: int = 0
     attempts_not_run: int = 0
     attempts_unsent: int = 0
--- a/figstream/server_directory.py
+++ b/figstream/server_directory.py
@@ -15,7 +15,9 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import itertools
+import types
 from typing import Final
 
 import anyio
@@ -60,6 +62,7 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         emptied_zones: frozenset[str] | None = frozenset(),
+        regions: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         """Subscribes to store entries and to the configuration.
 
@@ -72,6 +75,7 @@
           metrics: instruments.
           emptied_zones: zones whose servers get no new requests, None if no
             server may get any until `set_emptied_zones` is called.
+          regions: region of each zone.
         """
         self._follower = follower
         self._decode = decode
@@ -94,6 +98,7 @@
         self._outdated_versions: dict[str, int] = {}
         self._era = 0
         self._emptied_zones = emptied_zones
+        self._regions = regions
         self._listeners: list[Listener] = []
         self._wake = anyio.Event()
         follower.subscribe(self._apply_items)
@@ -251,7 +256,9 @@
         self, item: platform_api.StoredItem
     ) -> backend_server.BackendServer | None:
         try:
-            return self._decode(item)
+            server = self._decode(item)
+            region = self._regions.get(server.zone, "")
+            return attrs.evolve(server, region=region) if region else server
         except errors.ConfigurationError as error:
             if self._logged_faults.get(item.name) != item.version:
                 logs.warning(
--- a/figstream/server_reach.py
+++ b/figstream/server_reach.py
@@ -11,6 +11,7 @@
 
 from figstream import daemon_context
 from figstream import gateway_sources
+from figstream import homes
 from figstream import membership
 from figstream import path_probe
 from figstream import peer_tunnels
@@ -45,7 +46,15 @@
     directory = sources.directory
     paths = server_paths.ServerPaths(clock, metrics)
     direct = server_connector.DirectConnector(eager=True)
-    tunnels = peer_tunnels.make_peer_tunnels(members, clock, metrics)
+
+    def region_of(name: str) -> str:
+        # Without homes, a body may go through any peer.
+        if not homes.are_used(context.holder.current):
+            return ""
+        regions = (x.region for x in directory.servers if x.name == name)
+        return next(regions, "")
+
+    tunnels = peer_tunnels.make_peer_tunnels(members, clock, metrics, region_of)
     return ServerReach(
         server_connector.PathConnector(direct, paths, tunnels),
         tunnel_server.TunnelServer(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -267,12 +267,14 @@
         for name, run in observed.all_runs():
             request = sent.get(run.request_id)
             late_s = run.at - since - PROPAGATION_LIMIT_S
+            # A daemon that was calm for long enough must have heard since.
+            judged_since = max(since, run.at - PROPAGATION_LIMIT_S)
             if (
                 request
                 and observed.zones.get(name) == zone
                 and late_s > 0
                 and run.at < until
-                and observed.bounds_hold(request.daemon, since, run.at)
+                and observed.bounds_hold(request.daemon, judged_since, run.at)
             ):
                 yield (
                     f"{run.request_id} reached {name} in the emptied zone "
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -104,7 +104,6 @@
 _OWN_DRAWS: Final = {
     EventKind.WORKER_REPEATS: ("repeats", 2),
     EventKind.ODD_ENTRY: ("odd entries", 3),
-    EventKind.EVACUATE: ("evacuations", 2),
 }
 # Share of the plans with a partitioned daemon, and of those with refusal
 # limits. Both last beyond the time in which a daemon may fail to cope; half of
@@ -112,6 +111,9 @@
 _PARTITION_SHARE: Final = 0.4
 _LATE_SHARE: Final = 0.5
 _PARTITION_LASTS_S: Final = 7.0
+# Most zones that a plan empties; half of them come last, since faults excuse
+# requests that reach the zone late.
+_MAX_EVACUATIONS: Final = 2
 # Share of the plans in which workers answer wrongly to what resumes a stream.
 _RESUMES_FAIL_SHARE: Final = 0.4
 # Share of the plans with a restore of the store; some have two.
@@ -182,6 +184,12 @@
             if partitions.random() < _LATE_SHARE:
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_PARTITION_LASTS_S))
+    evacuations = random.Random(f"evacuations {seed}")
+    for _ in range(evacuations.randint(0, _MAX_EVACUATIONS)):
+        event = _draw_event(evacuations, EventKind.EVACUATE)
+        if evacuations.random() < _LATE_SHARE:
+            event = attrs.evolve(event, at_s=_LAST_START_S)
+        events.append(event)
     resumes = random.Random(f"resumes {seed}")
     if resumes.random() < _RESUMES_FAIL_SHARE:
         events.append(_draw_event(resumes, EventKind.RESUMES_FAIL))
