--- a/figstream/backend_server.py
+++ b/figstream/backend_server.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from figstream import serialization
+
 
 class ServerKind(enum.Enum):
     """Kinds of backend servers."""
@@ -49,6 +51,7 @@
         fencing number.
       software: version of the server's software, not of its model; "" if
         unknown. Servers of one service may run several versions.
+      region: region of the zone, "" if unknown.
       cold_left_s: seconds for which the server was still warming up when it
         said so last, 0 if it was warm.
     """
@@ -69,4 +72,7 @@
     ordered: bool = False
     started_ms: int = 0
     software: str = ""
-    cold_left_s: float = 0.0
+    cold_left_s: float = attrs.field(
+        default=0.0, metadata=serialization.NOT_ENCODED
+    )
+    region: str = attrs.field(default="", metadata=serialization.NOT_ENCODED)
--- a/figstream/customer.py
+++ b/figstream/customer.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from figstream import serialization
+
 
 @attrs.frozen
 class CustomerLimits:
@@ -30,9 +32,13 @@
       weight: weight of the customer in the fair division of capacity.
       limits: usage limits.
       classes: names of the request classes that the customer may use.
+      regions: home regions, in which its requests may run; empty for all.
     """
 
     name: str
     weight: float = 1.0
     limits: CustomerLimits = CustomerLimits()
     classes: tuple[str, ...] = ()
+    regions: frozenset[str] = attrs.field(
+        default=frozenset(), metadata=serialization.NOT_ENCODED
+    )
--- a/figstream/gateway_options.py
+++ b/figstream/gateway_options.py
@@ -4,7 +4,9 @@
 that settings are parsed and validated only here.
 """
 
+from collections.abc import Mapping
 import pathlib
+import types
 from typing import Final
 
 import attrs
@@ -70,6 +72,7 @@
         traffic between zones.
       leaves_zone: "if_it_pays" if paced streams leave the zone only where that
         pays by these two, "freely" if they use all zones alike.
+      zone_regions: region of each zone in which servers run.
       cold_excess: factor by which the requests of a single second may exceed
         what a server bears a second while it warms up.
       log_level: lowest level of the lines logged.
@@ -98,6 +101,7 @@
     zone_latency_ms: float = 2.0
     zone_megabyte_ms: float = 1000.0
     leaves_zone: str = _FREELY
+    zone_regions: Mapping[str, str] = types.MappingProxyType({})
     cold_excess: float = 1.0
     log_level: str = defaults.LOG_LEVEL
 
@@ -145,6 +149,13 @@
     return value if value in {_FREELY, _IF_IT_PAYS} else None
 
 
+def _regions(value: str) -> object | None:
+    pairs = [item.strip().partition(":") for item in value.split(",") if item]
+    if not all(zone and region for zone, _, region in pairs):
+        return None
+    return {zone: region for zone, _, region in pairs}
+
+
 _FIELDS: Final = (
     *options_lib.VM_FIELDS,
     _address_field("gateway", "front"),
@@ -162,6 +173,13 @@
     _integer_field("platform", "evacuate_ms", 0, 300_000, 0),
     _seconds_field("platform", "window_s", 0.5, 86_400, 5.0),
     settings_file.number_field("servers", "cold_excess", 0, 100, 1.0),
+    _Field(
+        "servers",
+        "zone_regions",
+        "ZONE:REGION, with commas between",
+        _regions,
+        {},
+    ),
     settings_file.number_field("retries", "retry_share", 0, 10, 0.2),
     settings_file.number_field("retries", "retry_burst", 0, 1_000_000, 50.0),
     settings_file.number_field("zones", "zone_latency_ms", 0, 60_000, 2.0),
--- a/figstream/serialization.py
+++ b/figstream/serialization.py
@@ -3,9 +3,13 @@
 Stored objects, settings and usage reports use this encoding.
 """
 
+from typing import Any
+from typing import Final
 from typing import TypeVar
 
+import attrs
 import cattrs
+import cattrs.gen
 import cattrs.preconf.orjson
 import orjson
 
@@ -13,9 +17,47 @@
 
 _T = TypeVar("_T")
 
+# Metadata of a field that is known only while a daemon runs and is not encoded.
+# Builds that lack the field then read the object.
+NOT_ENCODED: Final = {"figstream_not_encoded": True}
+
 _converter = cattrs.preconf.orjson.make_converter(forbid_extra_keys=True)
 
 
+def _fields_not_encoded(target_class: Any) -> list[str]:
+    return [
+        field.name
+        for field in attrs.fields(target_class)
+        if NOT_ENCODED.items() <= field.metadata.items()
+    ]
+
+
+def _has_fields_not_encoded(target_class: Any) -> bool:
+    return attrs.has(target_class) and bool(_fields_not_encoded(target_class))
+
+
+def _omitted(target_class: Any) -> dict[str, Any]:
+    omit = cattrs.gen.override(omit=True)
+    return dict.fromkeys(_fields_not_encoded(target_class), omit)
+
+
+_converter.register_unstructure_hook_factory(
+    _has_fields_not_encoded,
+    lambda target_class: cattrs.gen.make_dict_unstructure_fn(
+        target_class, _converter, **_omitted(target_class)
+    ),
+)
+_converter.register_structure_hook_factory(
+    _has_fields_not_encoded,
+    lambda target_class: cattrs.gen.make_dict_structure_fn(
+        target_class,
+        _converter,
+        _cattrs_forbid_extra_keys=True,
+        **_omitted(target_class),
+    ),
+)
+
+
 def to_json(value: object) -> bytes:
     """Encodes an attrs object as JSON with a stable order of keys."""
     return orjson.dumps(
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -56,6 +56,7 @@
     RESUMES_FAIL = "resumes_fail"  # Rests of streams are answered wrongly.
     KILL_ALL = "kill_all"  # SIGKILL of all daemons; restart after it.
     ODD_ENTRY = "odd_entry"  # Another writer leaves an entry with the workers.
+    EVACUATE = "evacuate"  # A zone is emptied and taken back.
 
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
@@ -76,6 +77,7 @@
         EventKind.WORKER_REPEATS,
         EventKind.ODD_ENTRY,
         EventKind.RESUMES_FAIL,
+        EventKind.EVACUATE,
     }
 )
 # Share of the plans in which requests crash servers, for each kind.
@@ -109,6 +111,9 @@
 _PARTITION_SHARE: Final = 0.4
 _LATE_SHARE: Final = 0.5
 _PARTITION_LASTS_S: Final = 7.0
+# Most zones that a plan empties; half of them come last, since faults excuse
+# requests that reach the zone late.
+_MAX_EVACUATIONS: Final = 2
 # Share of the plans in which workers answer wrongly to what resumes a stream.
 _RESUMES_FAIL_SHARE: Final = 0.4
 # Share of the plans with a restore of the store; some have two.
@@ -179,6 +184,12 @@
             if partitions.random() < _LATE_SHARE:
                 event = attrs.evolve(event, at_s=_LAST_START_S)
             events.append(attrs.evolve(event, for_s=_PARTITION_LASTS_S))
+    evacuations = random.Random(f"evacuations {seed}")
+    for _ in range(evacuations.randint(0, _MAX_EVACUATIONS)):
+        event = _draw_event(evacuations, EventKind.EVACUATE)
+        if evacuations.random() < _LATE_SHARE:
+            event = attrs.evolve(event, at_s=_LAST_START_S)
+        events.append(event)
     resumes = random.Random(f"resumes {seed}")
     if resumes.random() < _RESUMES_FAIL_SHARE:
         events.append(_draw_event(resumes, EventKind.RESUMES_FAIL))
