--- a/figstream/metrics.py
+++ b/figstream/metrics.py
@@ -39,6 +39,9 @@
         )
         self._requests = instruments.Counter("figstream_requests", "class")
         self._events = instruments.Counter("figstream_events", "event")
+        self._store_calls = instruments.Counter(
+            "figstream_store_calls", "call", "kind", "outcome"
+        )
         self._tokens = instruments.Counter(
             "figstream_tokens", "kind", "customer"
         )
@@ -54,6 +57,7 @@
             self._retries,
             self._requests,
             self._events,
+            self._store_calls,
             self._tokens,
         )
 
@@ -82,6 +86,16 @@
         """Counts an event of a background role under its name."""
         self._events.add(amount, name)
 
+    def store_call(self, call: str, kind: str, outcome: str) -> None:
+        """Counts a call to the platform's store, which is paid.
+
+        Args:
+          call: what is asked for, such as "list" or "watch".
+          kind: kind of the objects.
+          outcome: status of the answer, "none" without an answer.
+        """
+        self._store_calls.add(1, call, kind, outcome)
+
     def tokens(self, kind: str, customer: str, amount: int) -> None:
         """Counts tokens of a customer.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 
 from figstream import clock as clock_lib
 from figstream import http_server
+from figstream import metrics as metrics_lib
 from figstream import object_follower
 from figstream import platform_api
 from figstream import platform_http
@@ -25,7 +26,8 @@
         self.store = store
         self.http_client = platform_http.PlatformHttpClient(url, "entry-1", 1.0)
         self.era = store_era.StoreEra(clock_lib.ManualClock())
-        client = store_lib.StoreClient(self.http_client, self.era)
+        self.metrics = metrics_lib.make_unexported_metrics()
+        client = store_lib.StoreClient(self.http_client, self.era, self.metrics)
         self.objects = store_lib.StoreObjects(client)
         self.feed = store_lib.StoreFeed(client)
 
@@ -291,3 +293,33 @@
     # The next call is a list, which is readable once the object is gone.
     gone = await adapter.feed.changes("servers", listed.position, 0.0)
     assert gone == platform_api.HistoryGone()
+
+
+@pytest.mark.anyio
+async def test_calls_are_counted_by_what_they_ask_for(
+    adapter: _Adapter,
+) -> None:
+    written = await adapter.objects.write("leases/usage", b"{}", 0)
+    assert isinstance(written, platform_api.Written)
+    await adapter.objects.read("leases/usage", stale=True)
+    await adapter.objects.read("leases/none")
+    found = await adapter.feed.snapshot("figstream-leases")
+    assert isinstance(found, platform_api.Snapshot)
+    for timeout_s in (0.0, 0.01):
+        await adapter.feed.changes(
+            "figstream-leases", found.position, timeout_s
+        )
+    calls = next(
+        item.sums
+        for item in adapter.metrics.counters
+        if item.name == "figstream_store_calls"
+    )
+    kind = "figstream-leases"
+    assert calls == {
+        ("post", kind, "201"): 1,
+        ("stale_read", kind, "200"): 1,
+        ("read", kind, "404"): 1,
+        ("list", kind, "200"): 1,
+        ("poll", kind, "200"): 1,
+        ("watch", kind, "200"): 1,
+    }
