--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -103,11 +103,17 @@
     async def changes(
         self, kind: str, position: int, timeout_s: float
     ) -> _Changes:
-        """Waits for changes from a relay, or from the store without a relay."""
-        relay = self._next_relay() if timeout_s else None
+        """Waits for changes from a relay, or from the store without a relay.
+
+        A call that does not wait goes to a relay too. In an outage that only
+        some daemons have, relays that reach the store answer the others, whose
+        calls would be refused until its end.
+        """
+        relay = self._next_relay()
         if relay is None:
             return await self._store.changes(kind, position, timeout_s)
-        result = await self._poll_relay(relay, kind, position)
+        wait_s = min(timeout_s, self._poll_timeout_s)
+        result = await self._poll_relay(relay, kind, position, wait_s)
         if result is not None:
             return result
         self._skipped_until[relay.name] = self._clock.now() + _RELAY_BACKOFF_S
@@ -129,18 +135,22 @@
         return usable[self._rotation % len(usable)]
 
     async def _poll_relay(
-        self, relay: membership_api.Member, kind: str, position: int
+        self,
+        relay: membership_api.Member,
+        kind: str,
+        position: int,
+        wait_s: float,
     ) -> platform_api.FeedChanges | platform_api.HistoryGone | None:
         """Returns the answer of a relay, or None if there was no usable one."""
         stub = feed_pb2_grpc.FeedRelayStub(self._members.channel(relay))
         request = feed_pb2.FollowRequest(
             kind=kind,
             position=position,
-            wait_ms=int(self._poll_timeout_s * _MS_PER_S),
+            wait_ms=int(wait_s * _MS_PER_S),
         )
         try:
             answer: feed_pb2.FollowAnswer = await stub.Follow(
-                request, timeout=self._poll_timeout_s + _CALL_MARGIN_S
+                request, timeout=wait_s + _CALL_MARGIN_S
             )
             return self._decode_answer(answer)
         except grpc.aio.AioRpcError as error:
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -147,7 +147,7 @@
             context, feed, platform.kinds, change_s, drain_s
         )
         plans = stream_parts.make_plan_follower(
-            context, platform.feed, platform.kinds.plans_kind, self.members
+            context, platform.feed, platform.kinds, sources, self.members
         )
         followers = (sources.configuration_follower, sources.entries, plans)
         peers = feed_peers.make_feed_peers(
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -68,12 +68,12 @@
       drain_s: seconds after which a leaving server must receive no requests.
     """
     clock, metrics = context.clock, context.metrics
-    configuration_follower = object_follower.ObjectFollower(
-        kinds.configuration_kind, feed, clock, metrics, change_s
-    )
     entries = object_follower.ObjectFollower(
         kinds.servers_kind, feed, clock, metrics, drain_s
     )
+    configuration_follower = object_follower.ObjectFollower(
+        kinds.configuration_kind, feed, clock, metrics, change_s, entries
+    )
     feed_of_configuration = configuration_feed.ConfigurationFeed(
         configuration_follower,
         kinds.configuration_name,
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -11,6 +11,10 @@
 become active.
 After the store was restored from an older copy, an object may be missing until
 its writer has written it again, as after an outage.
+
+While the store refuses all calls, one follower of a daemon is enough to find
+out that it answers again: the others follow its lead. Calls are paid, also
+those that are refused, and a fleet makes them everywhere at once.
 """
 
 import collections
@@ -42,6 +46,9 @@
 # limits an outage to two calls per second.
 _MIN_BACKOFF_S: Final = 0.1
 _MAX_BACKOFF_S: Final = 0.5
+# Interval of checks whether the follower that leads has got an answer; a small
+# part of the time within which a change must become active.
+_LEAD_CHECK_S: Final = 0.05
 # Entries that expired during an outage are written again within two seconds of
 # the store's recovery; the remainder covers the latency of the write and of
 # its event.
@@ -81,6 +88,7 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         change_s: float,
+        lead: "ObjectFollower | None" = None,
     ) -> None:
         """Initializes the follower without objects.
 
@@ -90,7 +98,10 @@
           clock: time source.
           metrics: instruments.
           change_s: seconds within which a change must become active.
+          lead: follower of another kind that shows when the store answers
+            again, None if this one finds out itself.
         """
+        self._lead = lead
         self._kind = kind
         self._watch_s = WATCH_FRACTION * change_s
         self._answer_s = _ANSWER_FRACTION * change_s
@@ -239,14 +250,25 @@
         while True:
             called_at = self._clock.now()
             if not await self._poll_once():
-                # A watch without an answer has already taken longer than the
-                # pause; the next call must still be in time.
-                pause_s = self._backoff_s() - (self._clock.now() - called_at)
-                await self._clock.sleep(max(0.0, pause_s))
+                await self._pause(called_at)
 
     async def hand_over(self) -> None:
         """Does nothing, since this role has nothing to hand over."""
 
+    async def _pause(self, called_at: float) -> None:
+        """Waits after a failed call until the next one is due."""
+        if self._lead is not None and self._lead.failing:
+            # The lead may fail because of its own kind. Without it the next
+            # call comes no later than that after a watch without changes.
+            ends_at = called_at + self._watch_s
+            while self._lead.failing and self._clock.now() < ends_at:
+                await self._clock.sleep(_LEAD_CHECK_S)
+            return
+        # A watch without an answer has already taken longer than the pause;
+        # the next call must still be in time.
+        pause_s = self._backoff_s() - (self._clock.now() - called_at)
+        await self._clock.sleep(max(0.0, pause_s))
+
     def _backoff_s(self) -> float:
         """Returns seconds from the start of a failed call to the next call."""
         ceiling = min(
--- a/figstream/stream_parts.py
+++ b/figstream/stream_parts.py
@@ -21,7 +21,8 @@
 def make_plan_follower(
     context: daemon_context.DaemonContext,
     store: platform_api.ObjectFeed,
-    kind: str,
+    kinds: gateway_sources.SourceKinds,
+    sources: gateway_sources.Sources,
     members: membership.Membership,
 ) -> object_follower.ObjectFollower:
     """Creates the follower of the plan of software versions.
@@ -29,13 +30,19 @@
     Args:
       context: objects shared by the roles of the daemon.
       store: feed of the platform's store.
-      kind: kind of the plan in the store.
+      kinds: kinds of objects in the store.
+      sources: the backend servers, whose follower leads after an outage.
       members: the live daemons.
     """
     follow_s = software_planner.FOLLOW_S
     feed = feed_relay.make_relayed_feed(context, store, members, follow_s)
     return object_follower.ObjectFollower(
-        kind, feed, context.clock, context.metrics, follow_s
+        kinds.plans_kind,
+        feed,
+        context.clock,
+        context.metrics,
+        follow_s,
+        sources.entries,
     )
 
 
--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -223,3 +223,21 @@
         if isinstance(item, platform_api.FeedChanges)
     ]
     assert 7 in positions[:2]
+
+
+@pytest.mark.anyio
+async def test_a_relay_answers_a_daemon_whose_own_calls_are_refused() -> None:
+    """Fails if such a daemon calls the store until its outage ends."""
+    relay, client = _Daemon("a", "abcdef"), _Daemon("f", "aaadef")
+    await relay.apply_snapshot(5, "x")
+    await client.apply_snapshot(5, "x")
+    await relay.apply_changes(7, changed="z")
+    refusal = platform_api.Unavailable("status 503")
+    client.store.answers.extend([refusal, refusal])
+    async with relay.serving(client):
+        found = await client.feed.changes(_KIND, 5, 0.0)
+        unchanged = await client.feed.changes(_KIND, 7, 0.0)
+    assert isinstance(found, platform_api.FeedChanges)
+    assert found.position == 7
+    assert unchanged == platform_api.FeedChanges((), (), 7)
+    assert client.store.call_timeouts == [None]
