--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -154,7 +154,7 @@
         )
         sources = self._make_sources(feed)
         plans = stream_parts.make_plan_follower(
-            context, platform.feed, platform.kinds.plans_kind, self.members
+            context, platform.feed, platform.kinds, sources, self.members
         )
         followers = (*sources.followers, plans)
         peers = feed_peers.make_feed_peers(
--- a/figstream/metrics.py
+++ b/figstream/metrics.py
@@ -37,6 +37,7 @@
         self._retries = meter.create_counter("figstream_retries")
         self._requests = meter.create_counter("figstream_requests")
         self._events = meter.create_counter("figstream_events")
+        self._store_calls = meter.create_counter("figstream_store_calls")
         self._tokens = meter.create_counter("figstream_tokens")
         self._durations = {
             name: meter.create_histogram(
@@ -72,6 +73,18 @@
         """Counts an event of a background role under its name."""
         self._events.add(amount, {"event": name})
 
+    def store_call(self, call: str, kind: str, outcome: str) -> None:
+        """Counts a call to the platform's store, which is paid.
+
+        Args:
+          call: what is asked for, such as "list" or "watch".
+          kind: kind of the objects.
+          outcome: status of the answer, "none" without an answer.
+        """
+        self._store_calls.add(
+            1, {"call": call, "kind": kind, "outcome": outcome}
+        )
+
     def tokens(self, kind: str, customer: str, amount: int) -> None:
         """Counts tokens of a customer.
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 
 from figstream import clock as clock_lib
 from figstream import http_server
+from figstream import metrics as metrics_lib
 from figstream import object_follower
 from figstream import platform_api
 from figstream import platform_http
@@ -25,7 +26,8 @@
         self.store = store
         self.http_client = platform_http.PlatformHttpClient(url, "entry-1", 1.0)
         self.era = store_era.StoreEra(clock_lib.ManualClock())
-        client = store_lib.StoreClient(self.http_client, self.era)
+        self.metrics = metrics_lib.make_metrics()
+        client = store_lib.StoreClient(self.http_client, self.era, self.metrics)
         self.objects = store_lib.StoreObjects(client)
         self.feed = store_lib.StoreFeed(client)
 
@@ -291,3 +293,41 @@
     # The next call is a list, which is readable once the object is gone.
     gone = await adapter.feed.changes("servers", listed.position, 0.0)
     assert gone == platform_api.HistoryGone()
+
+
+def _call_lines() -> list[str]:
+    """Returns the lines of the page that count calls of one test."""
+    return [
+        line
+        for line in metrics_lib.exposition().decode().splitlines()
+        if line.startswith("figstream_store_calls_total{")
+        and "figstream-counted" in line
+    ]
+
+
+@pytest.mark.anyio
+async def test_calls_are_counted_by_what_they_ask_for(
+    adapter: _Adapter,
+) -> None:
+    written = await adapter.objects.write("counted/usage", b"{}", 0)
+    assert isinstance(written, platform_api.Written)
+    await adapter.objects.read("counted/usage", stale=True)
+    await adapter.objects.read("counted/none")
+    found = await adapter.feed.snapshot("figstream-counted")
+    assert isinstance(found, platform_api.Snapshot)
+    for timeout_s in (0.0, 0.01):
+        await adapter.feed.changes(
+            "figstream-counted", found.position, timeout_s
+        )
+    kind = "figstream-counted"
+    for call, outcome in (
+        ("post", 201),
+        ("stale_read", 200),
+        ("read", 404),
+        ("list", 200),
+        ("poll", 200),
+        ("watch", 200),
+    ):
+        labels = f'call="{call}",kind="{kind}",outcome="{outcome}"'
+        assert f"figstream_store_calls_total{{{labels}}} 1.0" in _call_lines()
+    assert len(_call_lines()) == 6
