--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -48,6 +48,9 @@
     "khazain-grown",
     "ssc-remates-grown",
     "capturista-large",
+    "capturista-now-grown",
+    "mobsz-foglalas-grown",
+    "pampa-grown",
 )
 # Options of the bench that change a day so that its figures do not count.
 _SCALING_OPTIONS: Final = frozenset({"--small", "--no-cpu", "--until"})
