--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Sequence
+import functools
 import pathlib
 import time
 from typing import Final
@@ -286,9 +287,10 @@
     ) -> gateway_sources.Sources:
         """Returns what is read from the store, through the given feed."""
         options, kinds = self._options, self._platform.kinds
-        evacuations = None
+        follow_evacuations = None
         if options.evacuate_ms:
-            evacuations = zone_evacuations.make_evacuation_follower(
+            follow_evacuations = functools.partial(
+                zone_evacuations.make_evacuation_follower,
                 self.context,
                 self._platform.feed,
                 kinds.evacuations_kind,
@@ -301,7 +303,7 @@
             kinds,
             options.change_ms / _MS_PER_S,
             options.drain_ms / _MS_PER_S,
-            evacuations,
+            follow_evacuations,
             options.zone_regions,
         )
 
--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -4,6 +4,7 @@
 active configuration and to the scheduler.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -17,6 +18,11 @@
 from figstream import server_directory
 from figstream import zone_evacuations
 
+# Creates the follower of evacuations, given the one that leads after an outage.
+FollowEvacuations = Callable[
+    [object_follower.ObjectFollower], object_follower.ObjectFollower
+]
+
 
 @attrs.frozen
 class SourceKinds:
@@ -81,7 +87,7 @@
     kinds: SourceKinds,
     change_s: float,
     drain_s: float,
-    evacuations: object_follower.ObjectFollower | None,
+    follow_evacuations: FollowEvacuations | None,
     regions: Mapping[str, str],
 ) -> Sources:
     """Creates the followers and connects them to holder and scheduler.
@@ -92,14 +98,15 @@
       kinds: kinds, names and decoders of the objects.
       change_s: seconds within which a configuration must become active.
       drain_s: seconds after which a leaving server must receive no requests.
-      evacuations: follows the objects that name emptied zones, None if zones
-        aren't emptied.
+      follow_evacuations: creates the follower of the objects that name emptied
+        zones, None if zones aren't emptied.
       regions: region of each zone.
     """
     clock, metrics = context.clock, context.metrics
     entries = object_follower.ObjectFollower(
         kinds.servers_kind, feed, clock, metrics, drain_s
     )
+    evacuations = follow_evacuations(entries) if follow_evacuations else None
     configuration_follower = object_follower.ObjectFollower(
         kinds.configuration_kind, feed, clock, metrics, change_s, entries
     )
--- a/figstream/zone_evacuations.py
+++ b/figstream/zone_evacuations.py
@@ -150,6 +150,7 @@
     kind: str,
     members: membership_api.Members,
     evacuate_s: float,
+    lead: object_follower.ObjectFollower,
 ) -> object_follower.ObjectFollower:
     """Creates the follower of the objects that name emptied zones.
 
@@ -160,9 +161,10 @@
       members: the live daemons.
       evacuate_s: seconds within which nothing more may reach a server of an
         emptied zone.
+      lead: follower that shows when the store answers again after an outage.
     """
     heard_s = _HEARD_FRACTION * evacuate_s
     feed = feed_relay.make_relayed_feed(context, store, members, heard_s)
     return object_follower.ObjectFollower(
-        kind, feed, context.clock, context.metrics, heard_s
+        kind, feed, context.clock, context.metrics, heard_s, lead
     )
