--- a/figstream/http_server.py
+++ b/figstream/http_server.py
@@ -43,8 +43,11 @@
     connection may stay open.
     """
 
+    _caller_left = False
+
     async def _read_data(self) -> None:
         await super()._read_data()
+        self._caller_left = True
         await self.idle_task.stop()
 
     async def protocol_send(self, event: hypercorn.events.Event) -> None:
@@ -52,7 +55,7 @@
         if isinstance(event, hypercorn.events.Closed):
             self._drop_unread_answer()
         idle = isinstance(event, hypercorn.events.Updated) and event.idle
-        if not (idle and self.reader.at_eof()):
+        if not (idle and self._caller_left):
             await super().protocol_send(event)
 
     def _drop_unread_answer(self) -> None:
--- a/tests/test_released_memory.py
+++ b/tests/test_released_memory.py
@@ -6,6 +6,8 @@
 import asyncio
 import gc
 import os
+import socket
+import struct
 
 import anyio
 import pytest
@@ -15,6 +17,8 @@
 from tests import gateway_front
 
 _COUNT = 5
+# Value of SO_LINGER with which closing a socket resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 _CONNECTIONS = 40
 _BODY = b"x" * 100_000
 
@@ -47,10 +51,12 @@
 
 @pytest.mark.anyio
 @pytest.mark.parametrize("route", ["order", "rewrite"])
+@pytest.mark.parametrize("answered", [True, False])
+@pytest.mark.parametrize("reset", [True, False])
 async def test_the_descriptor_of_a_closed_connection_is_released(
-    route: str,
+    route: str, answered: bool, reset: bool
 ) -> None:
-    worker = standin_worker.Worker()
+    worker = standin_worker.Worker(pause_s=0.0 if answered else 0.1)
     async with gateway_front.front(worker) as front:
         await front.send_request(route, "first")
         before = _descriptors()
@@ -63,7 +69,13 @@
             writer.write(
                 f"POST /{route}/x HTTP/1.1\r\n{''.join(lines)}\r\n".encode()
             )
-            await reader.readuntil(b"\r\n\r\n")
+            if answered:
+                await reader.readuntil(b"\r\n\r\n")
+            else:
+                await anyio.sleep(0.02)
+            if reset:
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
             writer.close()
-        await anyio.sleep(0.3)
+        await anyio.sleep(0.5)
         assert _descriptors() - before < _CONNECTIONS / 4
