--- a/figstream/peer_tunnels.py
+++ b/figstream/peer_tunnels.py
@@ -4,6 +4,7 @@
 or does not answer, is left out for a moment.
 """
 
+import asyncio
 from collections.abc import Callable
 import random
 from typing import Final
@@ -127,6 +128,11 @@
                 "server_tunnel_broken", peer=peer.name, detail=str(error)
             )
             return code
+        except asyncio.CancelledError:
+            if not tunnel_stream.ended_by_channel():
+                raise
+            logs.debug("server_tunnel_broken", peer=peer.name, detail="closed")
+            return grpc.StatusCode.UNAVAILABLE
         finally:
             if not opened:
                 call.cancel()
--- a/figstream/tunnel_stream.py
+++ b/figstream/tunnel_stream.py
@@ -4,6 +4,7 @@
 the same as over a TCP connection of this daemon.
 """
 
+import asyncio
 import ssl
 from typing import Any
 from typing import Final
@@ -20,6 +21,16 @@
 Call = grpc.aio.StreamStreamCall[tunnel_pb2.Chunk, tunnel_pb2.Chunk]
 
 
+def ended_by_channel() -> bool:
+    """Returns whether a cancellation came from the channel of a call.
+
+    Closing a channel cancels its calls, whose waiting tasks then see a
+    cancellation that nobody has asked of them.
+    """
+    task = asyncio.current_task()
+    return task is not None and not task.cancelling()
+
+
 class TunnelStream(httpcore.AsyncNetworkStream):
     """Bytes to and from a backend server over an open call."""
 
@@ -45,6 +56,10 @@
             raise httpcore.ReadTimeout from error
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             raise httpcore.ReadError(type(error).__name__) from error
+        except asyncio.CancelledError as error:
+            if not ended_by_channel():
+                raise
+            raise httpcore.ReadError("channel closed") from error
         if code is not grpc.StatusCode.OK:
             raise httpcore.ReadError(f"tunnel {code.name}")
         return b""
@@ -65,6 +80,10 @@
             raise httpcore.WriteTimeout from error
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             raise httpcore.WriteError(type(error).__name__) from error
+        except asyncio.CancelledError as error:
+            if not ended_by_channel():
+                raise
+            raise httpcore.WriteError("channel closed") from error
 
     async def aclose(self) -> None:
         """Closes the connection at both ends."""
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -25,6 +25,7 @@
 from figstream import server_paths
 from figstream import stream_relay
 from figstream import tunnel_server
+from figstream.rpc import tunnel_pb2_grpc
 from figstream_platform import callers
 from figstream_platform import standin_worker
 from soak import daemons
@@ -236,3 +237,45 @@
         await connection.send(b"ta: x\n\n")
         await connection.aclose()
     assert body == b"id: 1\n\nid: 2\ndata: x\n\n"
+
+
+class _MutePeer(tunnel_pb2_grpc.ServerTunnelServicer):
+    """A peer that takes calls and answers none."""
+
+    async def Connect(  # noqa: N802
+        self, request_iterator: object, context: object
+    ) -> None:
+        await anyio.sleep(5.0)
+
+
+@pytest.mark.anyio
+async def test_a_channel_that_closes_ends_an_attempt_and_not_the_request() -> (
+    None
+):
+    """Fails if the closing of a silent channel cancels the request's task.
+
+    Callers then got status 500 without a word in the log, 1,017 of them in a
+    zone that was emptied and cut off at the same time.
+    """
+    server = grpc.aio.server()
+    tunnel_pb2_grpc.add_ServerTunnelServicer_to_server(_MutePeer(), server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    members = _Members([f"127.0.0.1:{port}"])
+    tunnels = peer_tunnels.make_peer_tunnels(
+        members, clock_lib.SystemClock(), metrics.make_unexported_metrics()
+    )
+
+    async def close() -> None:
+        await anyio.sleep(0.1)
+        await members.close()
+
+    outcomes = []
+    async with anyio.create_task_group() as group:
+        group.start_soon(close)
+        try:
+            await tunnels.connect("i-1", 5.0)
+        except httpcore.ConnectError as error:
+            outcomes.append(str(error))
+    await server.stop(0.0)
+    assert outcomes == ["tunnel: entry-1 UNAVAILABLE"]
