--- a/figstream/gateway_sources.py
+++ b/figstream/gateway_sources.py
@@ -126,10 +126,9 @@
         frozenset() if evacuations is None else None,
         regions,
     )
-    if regions:
-        context.holder.subscribe(
-            lambda found: homes.log_homeless(found, regions.values())
-        )
+    context.holder.subscribe(
+        lambda found: homes.log_homeless(found, regions.values())
+    )
     emptied_zones = None
     if evacuations:
         emptied_zones = zone_evacuations.ZoneEvacuations(
--- a/figstream/homes.py
+++ b/figstream/homes.py
@@ -41,12 +41,14 @@
 
     Args:
       configuration: the operator's configuration.
-      regions: the regions that exist.
+      regions: the regions that exist, none if the settings name none.
 
     Yields:
       The name of the route, and that of the customer or "" for all.
     """
     known = frozenset(regions)
+    if not known:
+        return
     bound = [item for item in configuration.customers if item.regions]
     for route in configuration.gateway_routes:
         if route.regions and not route.regions & known:
--- a/figstream/placement.py
+++ b/figstream/placement.py
@@ -1,31 +1,27 @@
 """Chooses backend servers by prompt prefix and load, over all zones.
 
 The scheduler uses this selection in gateway mode. A server caches the prefix
-blocks that it has read, and reading a block again costs prefill time. Every
-daemon ranks the servers by the same rendezvous hashes: the first prefix block
-of a prompt is assigned to a few servers, and the whole shared prefix to one of
-these. Requests with the same prefix thus reach the same server through any
-daemon. A request goes to the server with the least expected delay, computed
-from the requests that run there and the prefix blocks that it lacks.
+blocks that it has read, and reading a block again costs prefill time. Requests
+with the same prefix reach the same server through any daemon, since all daemons
+assign it alike (`prefix_assignment`). A request goes to the server with the
+least expected delay, computed from the requests that run there and the prefix
+blocks that it lacks.
 
 In pools of services with paced routes, `work_groups` names the servers for each
 kind of work; paced streams are placed by `paced_placement`.
 """
 
-import collections
 from collections.abc import Sequence
 import math
 import random
 from typing import Final
 
-import attrs
-import xxhash
-
 from figstream import backend_server
 from figstream import configuration as configuration_lib
 from figstream import paced_placement
 from figstream import paced_routes
 from figstream import placement_split
+from figstream import prefix_assignment
 from figstream import scheduler_api
 from figstream import server_load
 from figstream import server_pool
@@ -43,10 +39,6 @@
 # Delay per token that must be read again. Engines read about 80 tokens per
 # millisecond; the value is higher since reading a block twice is also charged.
 _DELAY_PER_TOKEN_MS: Final = 0.02
-# Share of the servers that one first prefix block is assigned to.
-_ASSIGNED_SHARE: Final = 1 / 3
-# At least two, since one assigned server may be down.
-_MIN_ASSIGNED_SERVERS: Final = 2
 # The latency to another zone counts as this many running requests.
 _OTHER_ZONE_REQUESTS: Final = 1.0
 # Penalty for a server of the group for the other kind of work (prefill or
@@ -61,76 +53,13 @@
 _COLD_DELAY_MS: Final = 120.0
 # If this many servers of another zone fail at once, the whole zone is avoided.
 _MIN_FAILING_SERVERS: Final = 2
-# A first prefix block is hot from `_HOT_SHARE` of the requests in a sample on,
-# and no longer hot below `_COLD_SHARE`. The two shares are far apart so that
-# daemons agree although their samples differ.
-_SAMPLE_REQUESTS: Final = 100
-_HOT_SHARE: Final = 0.05
-_COLD_SHARE: Final = 0.02
 # For this time a server that joined copies prefixes from the servers that were
 # assigned before; a few times the interval between two requests of one session
 # (7 s).
 _JOIN_PERIOD_S: Final = 20.0
-# An assignment of a prefix takes about 200 bytes.
-_MAX_ASSIGNMENTS: Final = 8_192
 # Bounds of the caches; more pools and servers than are in use at once.
 _MAX_POOLS: Final = 16
 _MAX_SERVERS: Final = 8_192
-_SEED_MASK: Final = 0xFFFF_FFFF_FFFF_FFFF
-
-
-@attrs.frozen
-class _Assignment:
-    """The servers that a prompt prefix is assigned to.
-
-    Attributes:
-      first: names of the servers that cache the first prefix block.
-      whole_prefix: name of the server that caches the whole shared prefix.
-      hot: whether the first prefix block is hot, so that requests without
-        further blocks use all servers in `first`.
-    """
-
-    first: frozenset[str]
-    whole_prefix: str
-    hot: bool
-
-
-class _HotBlocks:
-    """Detects first prefix blocks that a large share of the requests have.
-
-    Such hot blocks are assigned to all servers. A few hot blocks, each
-    assigned to its own third of the servers, would overlap at some servers
-    and leave others idle.
-    """
-
-    def __init__(self) -> None:
-        """Initializes an empty sample without hot blocks."""
-        self._counts: collections.Counter[int] = collections.Counter()
-        self._sampled = 0
-        self._hot: set[int] = set()
-
-    def observe(self, first: int) -> None:
-        """Counts a request with the given first prefix block."""
-        self._counts[first] += 1
-        self._sampled += 1
-        if self._sampled >= _SAMPLE_REQUESTS:
-            self._evaluate_sample()
-
-    def is_hot(self, first: int) -> bool:
-        """Returns whether a first prefix block is assigned to all servers."""
-        return first in self._hot
-
-    def _evaluate_sample(self) -> None:
-        """Evaluates the sample and starts the next one."""
-        for first, count in self._counts.items():
-            share = count / self._sampled
-            if share >= _HOT_SHARE:
-                self._hot.add(first)
-            elif share < _COLD_SHARE:
-                self._hot.discard(first)
-        self._hot &= self._counts.keys()
-        self._counts.clear()
-        self._sampled = 0
 
 
 class PrefixPlacement:
@@ -162,10 +91,7 @@
         self._groups = groups
         self._paced = paced_placement.PacedPlacement(book, source, zones)
         self._split = placement_split.WorkSplit()
-        self._hot_blocks = _HotBlocks()
-        self._assignments: dict[
-            tuple[frozenset[str], bool, int, int], _Assignment
-        ] = {}
+        self._prefixes = prefix_assignment.PrefixAssignments()
         self._joined_at: dict[str, float] = {}
         self._settled: dict[frozenset[str], tuple[float, frozenset[str]]] = {}
 
@@ -210,16 +136,18 @@
             return self._choose_divided(request, pool, division, usable, now)
         self._split.observe(request, now)
         if request.prefix:
-            self._hot_blocks.observe(request.first_block)
+            self._prefixes.observe(request)
         work_group, other_group = self._split.groups(pool.names, request)
         assigned = (
-            self._assignment_of(work_group, request) if request.prefix else None
+            self._prefixes.assignment_of(work_group, request)
+            if request.prefix
+            else None
         )
         cold = self._cold_servers(now)
         delays_ms = [
             self._load_delay_ms(item, now)
             + (_COLD_DELAY_MS if item.name in cold else 0.0)
-            + _missing_tokens(request, assigned, item.name)
+            + prefix_assignment.missing_tokens(request, assigned, item.name)
             * _DELAY_PER_TOKEN_MS
             + _group_delay_ms(item.name, work_group, other_group)
             for item in usable
@@ -252,14 +180,14 @@
                 self._groups.went_outside("paced_stream_left_zone")
             return choice
         if request.prefix:
-            self._hot_blocks.observe(request.first_block)
+            self._prefixes.observe(request)
         own = [item for item in usable if item.name in division.rest]
         if settling:
             own = [item for item in own if item.name not in settling] or own
         if not own:
             self._groups.went_outside("work_in_paced_group")
         assigned = (
-            self._assignment_of(division.rest, request, divided=True)
+            self._prefixes.assignment_of(division.rest, request, divided=True)
             if request.prefix
             else None
         )
@@ -268,7 +196,7 @@
         delays_ms = [
             delay_ms
             + (_COLD_DELAY_MS if item.name in cold else 0.0)
-            + _missing_tokens(request, assigned, item.name)
+            + prefix_assignment.missing_tokens(request, assigned, item.name)
             * _DELAY_PER_TOKEN_MS
             for item, delay_ms in zip(
                 candidates, self._excess_delays_ms(candidates, now), strict=True
@@ -322,7 +250,7 @@
         request: scheduler_api.PendingRequest,
         pool: server_pool.ServerPool,
         work_group: frozenset[str],
-        assigned: _Assignment | None,
+        assigned: prefix_assignment.Assignment | None,
         usable: Sequence[backend_server.BackendServer],
         delays_ms: Sequence[float],
         now: float,
@@ -425,7 +353,7 @@
         settled = self._settled_names(work_group, now)
         if not settled:
             return None
-        assigned_server = self._assignment_of(
+        assigned_server = self._prefixes.assignment_of(
             settled, request, divided=divided
         ).whole_prefix
         # Only failures exclude the server: one that refuses requests for lack
@@ -463,37 +391,6 @@
         self._settled[names] = until, settled
         return settled
 
-    def _assignment_of(
-        self,
-        names: frozenset[str],
-        request: scheduler_api.PendingRequest,
-        *,
-        divided: bool = False,
-    ) -> _Assignment:
-        """Returns the servers that a request's prefix is assigned to.
-
-        Args:
-          names: the servers for such work.
-          request: the request.
-          divided: whether the pool is divided by kinds of work. There, prefixes
-            of several blocks are spread over all servers from the start, since
-            a daemon of many needs half a minute to find out that a few first
-            blocks are hot.
-        """
-        several_blocks = request.shared_tokens > request.first_block_tokens
-        hot = (divided and several_blocks) or self._hot_blocks.is_hot(
-            request.first_block
-        )
-        key = names, hot, request.first_block, request.prefix
-        found = self._assignments.get(key)
-        if found is None:
-            if len(self._assignments) >= _MAX_ASSIGNMENTS:
-                self._assignments.clear()
-            found = self._assignments[key] = _assign(
-                names, request.first_block, request.prefix, on_all_servers=hot
-            )
-        return found
-
     def _load_delay_ms(
         self, server: backend_server.BackendServer, now: float
     ) -> float:
@@ -535,40 +432,6 @@
     return _OTHER_GROUP_DELAY_MS if name in other else _BETWEEN_DELAY_MS
 
 
-def _missing_tokens(
-    request: scheduler_api.PendingRequest,
-    assigned: _Assignment | None,
-    name: str,
-) -> int:
-    """Returns the tokens of the shared prefix that a server lacks."""
-    if assigned is None or name == assigned.whole_prefix:
-        return 0
-    further_tokens = request.shared_tokens - request.first_block_tokens
-    # A prefix of a single block is cached by one server only: few requests
-    # share it, and it may be as long as the rest of the prompt.
-    if name in assigned.first and (further_tokens > 0 or assigned.hot):
-        return further_tokens
-    return request.shared_tokens
-
-
-def _assign(
-    names: frozenset[str], first: int, prefix: int, *, on_all_servers: bool
-) -> _Assignment:
-    share = 1.0 if on_all_servers else _ASSIGNED_SHARE
-    count = max(_MIN_ASSIGNED_SERVERS, math.ceil(len(names) * share))
-    ranked = sorted(names, key=lambda name: _weight(name, first))
-    assigned = ranked[:count]
-    return _Assignment(
-        frozenset(assigned),
-        min(assigned, key=lambda name: _weight(name, prefix)),
-        on_all_servers,
-    )
-
-
-def _weight(server: str, block: int) -> int:
-    return xxhash.xxh3_64_intdigest(server.encode(), seed=block & _SEED_MASK)
-
-
 def make_placement(
     book: server_load.LoadBook,
     zone: str,
--- a/figstream/stream_zones.py
+++ b/figstream/stream_zones.py
@@ -107,7 +107,7 @@
         by_zone: Mapping[str, Sequence[backend_server.BackendServer]],
         now: float,
     ) -> Sequence[zone_shares.ZoneState]:
-        """Returns what is known of each zone; no news means the mean load."""
+        """Returns what is known of each zone; without reports the mean load."""
         loads = {
             zone: [
                 load
--- a/figstream/zone_shares.py
+++ b/figstream/zone_shares.py
@@ -7,11 +7,11 @@
 a burst, while the others have room.
 
 A share moves only in small steps, towards zones where a request costs less,
-counting the delay there and what leaving costs. All daemons of a zone hear the
-same news, and none of them knows what the others do with it: small steps let
-the news catch up with the moves. What needs no news is done at once: a zone
-without usable servers gets nothing, and a zone that has lost capacity keeps no
-more than its capacity is of the mean.
+counting the delay there and what leaving costs. All daemons of a zone see the
+same loads, and none of them knows what the others do about them: small steps
+let the reported loads follow the moves. What needs no reports is done at once:
+a zone without usable servers gets nothing, and a zone that has lost capacity
+keeps no more than its capacity is of the mean.
 
 Nothing here does input or output; times are clock seconds.
 """
@@ -28,7 +28,7 @@
 # them before the next one or two follow.
 _STEP_INTERVAL_S: Final = 0.5
 # Largest part of the work that leaves the zone in one step. Three other zones
-# may send as much to the same servers before the news shows it.
+# may send as much to the same servers before reports show it.
 _LEAVING_STEP: Final = 0.05
 # Largest part that returns in one step; only daemons of the zone return to it.
 _RETURNING_STEP: Final = 0.1
