--- a/figstream/peer_tunnels.py
+++ b/figstream/peer_tunnels.py
@@ -129,8 +129,7 @@
             )
             return code
         except asyncio.CancelledError:
-            if not tunnel_stream.ended_by_channel():
-                raise
+            await tunnel_stream.raise_if_cancelled()
             logs.debug("server_tunnel_broken", peer=peer.name, detail="closed")
             return grpc.StatusCode.UNAVAILABLE
         finally:
--- a/figstream/tunnel_stream.py
+++ b/figstream/tunnel_stream.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 import anyio
+import anyio.lowlevel
 import grpc
 import httpcore
 
@@ -21,14 +22,18 @@
 Call = grpc.aio.StreamStreamCall[tunnel_pb2.Chunk, tunnel_pb2.Chunk]
 
 
-def ended_by_channel() -> bool:
-    """Returns whether a cancellation came from the channel of a call.
+async def raise_if_cancelled() -> None:
+    """Raises the cancellation of the present task, if it was cancelled.
 
     Closing a channel cancels its calls, whose waiting tasks then see a
-    cancellation that nobody has asked of them.
+    cancellation that nobody has asked of them; this returns. If a task was
+    cancelled, gRPC replaces its cancellation by one that no cancel scope knows;
+    this raises that of the scope.
     """
     task = asyncio.current_task()
-    return task is not None and not task.cancelling()
+    if task is None or task.cancelling():
+        await anyio.lowlevel.checkpoint_if_cancelled()
+        raise asyncio.CancelledError
 
 
 class TunnelStream(httpcore.AsyncNetworkStream):
@@ -57,8 +62,7 @@
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             raise httpcore.ReadError(type(error).__name__) from error
         except asyncio.CancelledError as error:
-            if not ended_by_channel():
-                raise
+            await raise_if_cancelled()
             raise httpcore.ReadError("channel closed") from error
         if code is not grpc.StatusCode.OK:
             raise httpcore.ReadError(f"tunnel {code.name}")
@@ -81,8 +85,7 @@
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             raise httpcore.WriteError(type(error).__name__) from error
         except asyncio.CancelledError as error:
-            if not ended_by_channel():
-                raise
+            await raise_if_cancelled()
             raise httpcore.WriteError("channel closed") from error
 
     async def aclose(self) -> None:
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -326,3 +326,28 @@
             outcomes.append(str(error))
     await server.stop(0.0)
     assert outcomes == ["tunnel: entry-1 UNAVAILABLE"]
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("limit_s", [0.05, 0.1, 0.2])
+async def test_a_time_limit_ends_a_wait_for_a_tunnel_quietly(
+    limit_s: float,
+) -> None:
+    """Fails if the scope of the limit does not know the cancellation again.
+
+    gRPC answers a cancellation with an error of its own; callers then got
+    status 500 without a word in the log.
+    """
+    server = grpc.aio.server()
+    tunnel_pb2_grpc.add_ServerTunnelServicer_to_server(_MutePeer(), server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    members = _Members([f"127.0.0.1:{port}"])
+    tunnels = peer_tunnels.make_peer_tunnels(
+        members, clock_lib.SystemClock(), metrics.make_unexported_metrics()
+    )
+    with anyio.move_on_after(limit_s) as limit:
+        await tunnels.connect("i-1", 5.0)
+    assert limit.cancelled_caught
+    await members.close()
+    await server.stop(0.0)
