--- a/review/fleet_parts.py
+++ b/review/fleet_parts.py
@@ -597,6 +597,11 @@
         loop.add_reader(output.fileno(), read)
         await asyncio.wait_for(started.wait(), 10)
 
+    def leave(self) -> None:
+        """Has the answers say from now on that the worker leaves."""
+        if self._process:
+            self._process.send_signal(signal.SIGUSR1)
+
     def kill(self) -> None:
         """Kills the process."""
         if self._process:
@@ -613,6 +618,10 @@
     for key in ("framed", "parts", "pause_s", "deadly"):
         if key in fields:
             setattr(worker, key, fields[key])
+    leaving = {"Server-Leaving": "1"}
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGUSR1, worker.extra.update, leaving
+    )
     await worker.listen(fields["port"])
     os.write(1, f"{time.time():.6f} listening -\n".encode())
     await asyncio.Event().wait()
