--- a/review/fleet_parts.py
+++ b/review/fleet_parts.py
@@ -59,7 +59,10 @@
 
 
 class Record:
-    """The record of a run: what was sent, answered and run, in order."""
+    """The record of a run: what was sent, answered and run.
+
+    Lines bear the time of what they tell; some are added at the end.
+    """
 
     def __init__(self, folder: pathlib.Path) -> None:
         """Opens `record.txt` in the folder of a case."""
@@ -137,7 +140,7 @@
         self.revision = 1
         self.answer_s = STORE_ANSWER_S
         self.page_items = PAGE_ITEMS
-        self.era = 0
+        self.era = 1
         self.duties: list[tuple[float, str, str, int, Any]] = []
         self.on_duty: Callable[[str, str, int, Any], None] | None = None
         self.on_list: Callable[[str, str, int], None] | None = None
@@ -378,9 +381,7 @@
     }
 
 
-def entry(
-    service: str, address: str, zone: str, started_ms: int = 1, **more: Any
-) -> dict[str, Any]:
+def entry(service: str, address: str, zone: str, **more: Any) -> dict[str, Any]:
     """Returns the entry of a worker in the store."""
     return {
         "service": service,
@@ -391,7 +392,7 @@
         "state": "ready",
         "coldLeftMs": 0,
         "seq": 1,
-        "born": started_ms,
+        "born": round(time.time() * 1000),
         **more,
     }
 
@@ -929,6 +930,13 @@
         await worker.start()
         for link in self._links_to(worker):
             await link.accept()
+        self.note_start(worker)
+
+    def note_start(self, worker: WorkerProcess) -> None:
+        """Has a worker that has started again write its entry."""
+        spec = self.store.spec("servers", worker.name)
+        born = round(time.time() * 1000)
+        self.store.put("servers", worker.name, {**spec, "born": born})
 
     def _links_to(self, worker: WorkerProcess) -> list[Link]:
         found = (x for links in self.links.values() for x in links)
