Move the peer of the tunnel tests to a module of its own

Other tests reach servers through a peer, too: over direct connections of both kinds of stream and over tunnels, an answer must be read alike.

--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -1,8 +1,5 @@
 """Tests of connections to backend servers through a peer."""
 
-from collections.abc import AsyncIterator
-import contextlib
-import socket
 from typing import Any
 
 import anyio
@@ -14,115 +11,20 @@
 
 from figstream import answer_buffers
 from figstream import backend_connection
-from figstream import backend_server
 from figstream import backend_transport
 from figstream import clock as clock_lib
 from figstream import gateway_answer
-from figstream import membership_api
 from figstream import metrics
-from figstream import peer_server
 from figstream import peer_tunnels
 from figstream import server_connector
 from figstream import server_paths
 from figstream import stream_relay
-from figstream import tunnel_server
 from figstream.rpc import tunnel_pb2_grpc
 from figstream_platform import callers
 from figstream_platform import standin_worker
 from soak import daemons
 from tests import gateway_front
-
-
-class _Members:
-    """Two peers, the second of which does not answer, and this daemon."""
-
-    def __init__(self, addresses: list[str]) -> None:
-        self._members = [
-            membership_api.Member(f"entry-{number}", "a", "r", address, 1)
-            for number, address in enumerate(["", *addresses])
-        ]
-        self._channels = {
-            item.address: grpc.aio.insecure_channel(item.address)
-            for item in self._members[1:]
-        }
-
-    def this(self) -> membership_api.Member:
-        return self._members[0]
-
-    def live(self) -> list[membership_api.Member]:
-        return self._members
-
-    def ranked(self, role: str, zone: str = "") -> list[membership_api.Member]:
-        return self._members
-
-    def channel(self, member: membership_api.Member) -> grpc.aio.Channel:
-        return self._channels[member.address]
-
-    async def close(self) -> None:
-        for channel in self._channels.values():
-            await channel.close()
-
-
-@attrs.define
-class _Peers:
-    tunnels: peer_tunnels.PeerTunnels
-    paths: server_paths.ServerPaths
-    connections: list[anyio.abc.SocketStream]
-
-
-@contextlib.asynccontextmanager
-async def _peers(server_port: int = 0) -> AsyncIterator[_Peers]:
-    """Runs a peer whose directory has one server, "i-1".
-
-    Args:
-      server_port: port of the server, 0 for one that keeps its connections.
-    """
-    clock = clock_lib.SystemClock()
-    unexported = metrics.make_unexported_metrics()
-    paths = server_paths.ServerPaths(clock, unexported)
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
-    connections: list[anyio.abc.SocketStream] = []
-    server = backend_server.BackendServer(
-        "i-1", f"http://127.0.0.1:{server_port or port}", "a"
-    )
-    peer = peer_server.PeerServer("127.0.0.1", 0, 0.1)
-    role = tunnel_server.TunnelServer(
-        lambda name: server if name == "i-1" else None,
-        paths,
-        server_connector.DirectConnector(eager=True),
-        unexported,
-    )
-    await peer.start([role])
-
-    async def keep(stream: anyio.abc.SocketStream) -> None:
-        connections.append(stream)
-        await anyio.sleep_forever()
-
-    members = _Members([peer.address, "127.0.0.1:1"])
-    async with listener, anyio.create_task_group() as group:
-        group.start_soon(listener.serve, keep)
-        yield _Peers(
-            peer_tunnels.make_peer_tunnels(members, clock, unexported),
-            paths,
-            connections,
-        )
-        group.cancel_scope.cancel()
-    await members.close()
-    await peer.stop()
-
-
-class _TunnelConnector(server_connector.DirectConnector):
-    """Opens all connections through a peer."""
-
-    def __init__(self, tunnels: peer_tunnels.PeerTunnels) -> None:
-        super().__init__(eager=True)
-        self._tunnels = tunnels
-
-    async def connect(
-        self, address: server_connector.ServerAddress, timeout_s: float
-    ) -> httpcore.AsyncNetworkStream:
-        return await self._tunnels.connect(address.server, timeout_s)
+from tests import tunnel_parts
 
 
 @pytest.mark.anyio
@@ -136,26 +38,19 @@
 async def test_only_a_marked_refusal_is_a_promise_through_a_peer(
     fault: standin_worker.Fault, status: int
 ) -> None:
-    worker = standin_worker.Worker("i-1", port=_free_port())
+    worker = standin_worker.Worker("i-1", port=tunnel_parts.free_port())
     worker.faults = [fault] * 9
-    async with _peers(worker.port) as peers:
-        connector = _TunnelConnector(peers.tunnels)
+    async with tunnel_parts.peers(worker.port) as peers:
+        connector = tunnel_parts.TunnelConnector(peers.tunnels)
         async with gateway_front.front(worker, connector=connector) as front:
             answer = await front.send_request("order")
             assert answer.status_code == status
             assert len(front.runs) == (status == 502)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-    return port
-
-
 @pytest.mark.anyio
 async def test_bytes_pass_both_ways_and_the_end_is_orderly() -> None:
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         stream = await peers.tunnels.connect("i-1", 2.0)
         await stream.write(b"x" * 200_000)
         [connection] = peers.connections
@@ -171,7 +66,7 @@
 @pytest.mark.anyio
 async def test_a_reset_is_no_orderly_end() -> None:
     """Fails if an answer without a length that was reset passes for whole."""
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         stream = await peers.tunnels.connect("i-1", 2.0)
         await anyio.sleep(0.05)
         [connection] = peers.connections
@@ -184,7 +79,7 @@
 @pytest.mark.anyio
 async def test_closing_a_tunnel_closes_the_connection_to_the_server() -> None:
     """Fails if a server goes on with a request that its caller has left."""
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         stream = await peers.tunnels.connect("i-1", 2.0)
         await anyio.sleep(0.05)
         await stream.aclose()
@@ -194,7 +89,7 @@
 
 @pytest.mark.anyio
 async def test_a_read_without_bytes_times_out() -> None:
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         stream = await peers.tunnels.connect("i-1", 2.0)
         with pytest.raises(httpcore.ReadTimeout):
             await stream.read(100, 0.1)
@@ -203,7 +98,7 @@
 @pytest.mark.anyio
 @pytest.mark.parametrize("server", ["i-2", ""])
 async def test_only_servers_of_the_directory_are_reached(server: str) -> None:
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         with pytest.raises(httpcore.ConnectError):
             await peers.tunnels.connect(server, 2.0)
         assert not peers.connections
@@ -211,7 +106,7 @@
 
 @pytest.mark.anyio
 async def test_a_peer_without_a_path_does_not_help() -> None:
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         peers.paths.mark_lost(["i-1"])
         with pytest.raises((httpcore.ConnectError, httpcore.ConnectTimeout)):
             await peers.tunnels.connect("i-1", 1.0)
@@ -223,7 +118,7 @@
 @pytest.mark.anyio
 async def test_a_refused_connection_is_no_crash_if_a_peer_gets_one() -> None:
     """Fails if a partition that refuses connections passes for crashes."""
-    async with _peers() as peers:
+    async with tunnel_parts.peers() as peers:
         connector = server_connector.PathConnector(
             server_connector.DirectConnector(),
             server_paths.ServerPaths(
@@ -251,7 +146,10 @@
     answer = gateway_answer.GatewayAnswer(
         send, callers.PlatformCallers(), "r1", lambda: False
     )
-    async with _peers() as peers, anyio.create_task_group() as group:
+    async with (
+        tunnel_parts.peers() as peers,
+        anyio.create_task_group() as group,
+    ):
         paths = server_paths.ServerPaths(
             clock_lib.SystemClock(), metrics.make_unexported_metrics()
         )
@@ -308,7 +206,7 @@
     tunnel_pb2_grpc.add_ServerTunnelServicer_to_server(_MutePeer(), server)
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    members = _Members([f"127.0.0.1:{port}"])
+    members = tunnel_parts.Members([f"127.0.0.1:{port}"])
     tunnels = peer_tunnels.make_peer_tunnels(
         members, clock_lib.SystemClock(), metrics.make_unexported_metrics()
     )
@@ -342,7 +240,7 @@
     tunnel_pb2_grpc.add_ServerTunnelServicer_to_server(_MutePeer(), server)
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    members = _Members([f"127.0.0.1:{port}"])
+    members = tunnel_parts.Members([f"127.0.0.1:{port}"])
     tunnels = peer_tunnels.make_peer_tunnels(
         members, clock_lib.SystemClock(), metrics.make_unexported_metrics()
     )
