Keep the error of a connection that a write has met for the next read

Cause: the kernel reports the error of a connection once. The write of the upload took it; the read after it returned b"" as at an orderly end, which completes an answer without a length. The error of the write is ignored on purpose, since a server may answer before it has read all.

Tunnels and other calls of the platform were not affected: the peer tells that the connection broke, and asyncio keeps the error.

Change: a stream remembers the number of the error that a write has taken, and an end that a read meets after it is that error. EPIPE is none: the kernel gives it once the peer has closed in order, so what arrived before is whole. Remembering the exception would have kept the upload in memory.

--- a/figstream/backend_network.py
+++ b/figstream/backend_network.py
@@ -14,6 +14,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
+import errno
+import os
 import socket
 import ssl
 import time
@@ -47,6 +49,9 @@
         self._before_read: BeforeRead | None = None
         self._last_read_s = 0.0
         self._arrivals_sparse = False
+        # Number of the connection's error that a write has taken from the
+        # socket. The error itself would keep the written data in memory.
+        self._write_errno = 0
 
     def set_unacknowledged_timeout(self, timeout_ms: int) -> None:
         """Sets for how long the peer may leave data unacknowledged.
@@ -161,7 +166,7 @@
 
     async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
         with contextlib.suppress(BlockingIOError):
-            data = self._socket.recv(max(max_bytes, _READ_BYTES))
+            data = self._recv(max(max_bytes, _READ_BYTES))
             self._arrivals_sparse = False
             return data
         with anyio.fail_after(timeout):
@@ -170,11 +175,35 @@
         gap_s = now_s - self._last_read_s
         self._arrivals_sparse = gap_s >= _SPARSE_GAP_PACES * self._pace_s
         self._last_read_s = now_s
-        return self._socket.recv(max(max_bytes, _READ_BYTES))
+        return self._recv(max(max_bytes, _READ_BYTES))
+
+    def _recv(self, max_bytes: int) -> bytes:
+        """Receives from the socket; returns b"" only at an orderly end.
+
+        The kernel reports the error of a connection once. If a write has taken
+        it, it reports the end to the next read as if the peer had closed the
+        connection in order.
+
+        Raises:
+          OSError: nothing has arrived, or the connection broke.
+        """
+        data = self._socket.recv(max_bytes)
+        if not data and self._write_errno:
+            raise OSError(self._write_errno, os.strerror(self._write_errno))
+        return data
 
     async def _send(self, data: memoryview) -> int:
-        with contextlib.suppress(BlockingIOError):
+        try:
             return self._socket.send(data)
+        except BlockingIOError:
+            pass
+        except BrokenPipeError:
+            # The peer had closed the connection in order before it refused
+            # more data, so all it has sent has arrived.
+            raise
+        except OSError as error:
+            self._write_errno = error.errno or errno.EIO
+            raise
         await anyio.wait_writable(self._socket)
         return 0
 
--- a/figstream/eager_stream.py
+++ b/figstream/eager_stream.py
@@ -91,7 +91,7 @@
 
     def _read_arrived(self) -> None:
         try:
-            data = self._socket.recv(_READ_BYTES)
+            data = self._recv(_READ_BYTES)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
