Refuse heads with folded lines, or lines that end with a line feed alone

A line that begins with a blank or a tab was joined to the value before it; if that was the signature, callers got another one. A name with a line feed at its start ended the head: callers got its rest and the body behind it as the body.

Cause: h11 reads both leniently. All other names with a blank or a control byte it refuses.

A status of 000 was no fault: it became 502, as all that are not three digits from 200 on.

Change: the lines of a head are checked as their bytes arrive, until the head ends, over interim answers too. RFC 9112 lets a gateway answer 502 to both forms.

--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -20,6 +20,7 @@
 
 from figstream import asgi
 from figstream import bounded_turn
+from figstream import head_lines
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -105,6 +106,7 @@
         self._request_count = 0
         self._refused_calls: set[str] = set()
         self._method = b""
+        self._head_lines = head_lines.HeadLines()
         self._turn = bounded_turn.BoundedTurn()
         self.read_timeout_s: float | None = None
 
@@ -159,6 +161,7 @@
             self._h11.start_next_cycle()
         self._request_count += 1
         self._method = request.method
+        self._head_lines = head_lines.HeadLines()
         self._unsent = self._encode(request)
         if len(self._unsent) == 1:
             await self._write()
@@ -264,6 +267,7 @@
                 raise httpcore.RemoteProtocolError(str(error)) from error
             if event is h11.NEED_DATA:
                 data = await self.stream.read(_READ_BYTES, self.read_timeout_s)
+                self._head_lines.feed(data)
                 self._h11.receive_data(data)
             elif isinstance(event, h11.Event):
                 size = len(event.data) if isinstance(event, h11.Data) else 0
