Refuse answers whose status HTTP does not define

Callers saw: a status of 600 to 999 of a server as the answer.

Cause: h11 accepts any number of three digits from 200 on, and the product took all from 500 on for errors of the server, which pass.

Evidence: with 600 and 999 among its statuses, test_an_answer_with_an_odd_status_is_not_passed_on failed in all six cases (orders and streams; both kinds of direct streams and a peer). The other six statuses, 000 among them, became 502 before, too.

Change: a connection takes a status over 599 for no answer. The request may have run: 502 to a caller whose request must not be repeated, another attempt for others.

--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -30,6 +30,8 @@
 _MAX_HEAD_BYTES: Final = 65_536
 _KEEP_ALIVE_PATTERN: Final = re.compile(rb"timeout=(\d+)")
 _STATUS_LINE_PATTERN: Final = re.compile(rb"HTTP/1\.[01] \d{3}")
+# h11 accepts all numbers of three digits from 200 on.
+_MAX_STATUS: Final = 599
 # Refusals whose requests a connection remembers; after that many it is not
 # reused, which bounds its memory.
 _MAX_REFUSALS: Final = 64
@@ -250,6 +252,8 @@
                 "an answer begins within the head of another"
             )
         status = event.status_code
+        if status > _MAX_STATUS:
+            raise httpcore.RemoteProtocolError(f"invalid status {status}")
         has_body = (
             self._method != b"HEAD" and status not in asgi.NO_BODY_STATUSES
         )
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -55,7 +55,7 @@
         for code in _CONTROL_BYTES
     },
 }
-_ODD_STATUSES: Final = ("000", "001", "099", "20", "2000", "")
+_ODD_STATUSES: Final = ("000", "001", "099", "600", "999", "20", "2000", "")
 
 
 def _text(before: bytes, after: bytes, route: str) -> bytes:
