Bound the memory of the answers of the platform

Callers may see: requests of a daemon that ends, since an answer of the platform without end fills its memory.

Cause: a call read its answer to the end, whatever its length. The read timeout does not end it while bytes arrive.

Evidence: six calls at once to a platform that sends a body without end had not ended after 2 s; the process had grown to 689 MB.

Change: the answers of a platform client share a bound as those of backend servers do, of which one answer may take what is left. A longer answer is unknown, as one that broke off. Orders and reports read theirs in the same way.

--- a/figstream/answer_buffers.py
+++ b/figstream/answer_buffers.py
@@ -6,6 +6,7 @@
 how much each answer has buffered.
 """
 
+from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
 import time
@@ -144,3 +145,23 @@
         """
         self._buffers.resize(self._size_bytes, size_bytes)
         self._size_bytes = size_bytes
+
+
+async def read_all(
+    chunks: AsyncIterator[bytes], buffers: AnswerBuffers
+) -> bytes:
+    """Reads a complete body.
+
+    Args:
+      chunks: the body as it arrives.
+      buffers: memory of the answers that are being buffered.
+
+    Raises:
+      AnswerTooLongError: too little memory is left.
+    """
+    body = bytearray()
+    with AnswerBuffer(buffers) as buffer:
+        async for chunk in chunks:
+            buffer.resize(len(body) + len(chunk))
+            body += chunk
+    return bytes(body)
--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -142,7 +142,7 @@
             ):
                 return None
             try:
-                await stream_relay.read_complete_body(answer, self._buffers)
+                await answer_buffers.read_all(answer.body(), self._buffers)
             finally:
                 await answer.close()
             if answer.head.status != 200:
@@ -216,7 +216,7 @@
             return _failed(attempt, _R.ANSWER_TRUNCATED, "answer not framed")
         if fault and fault.reason in _NOT_THE_ANSWER:
             return fault
-        body = await stream_relay.read_complete_body(answer, self._buffers)
+        body = await answer_buffers.read_all(answer.body(), self._buffers)
         if await self._ended_with_server(attempt, head):
             return _failed(attempt, _R.ANSWER_TRUNCATED, "server gone")
         answered = attempt_outcome.Answered(
--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -8,11 +8,13 @@
 even if the daemon is paused at that time.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 import socket
 from typing import Final
+from typing import TypeVar
 
 import anyio
 import httpcore
@@ -20,6 +22,7 @@
 from figstream import backend_network
 from figstream import platform_api
 
+_T = TypeVar("_T")
 _MS_PER_S: Final = 1000
 
 
@@ -70,7 +73,8 @@
     headers: Mapping[str, str],
     timeout_s: float,
     allowed: Callable[[], bool],
-) -> httpcore.Response | platform_api.Unavailable | platform_api.Unknown:
+    read: Callable[[httpcore.Response], Awaitable[_T]],
+) -> _T | platform_api.Unavailable | platform_api.Unknown:
     """Sends an order or a usage report if sending is allowed at the write.
 
     Args:
@@ -80,16 +84,18 @@
       headers: request headers.
       timeout_s: timeout for connection, request and answer together.
       allowed: checked before each write, with no await between the two.
+      read: reads the answer.
     """
     backend = _CheckedBackend(allowed, timeout_s)
     try:
         with anyio.fail_after(timeout_s):
-            async with httpcore.AsyncConnectionPool(
-                network_backend=backend
-            ) as pool:
-                return await pool.request(
+            async with (
+                httpcore.AsyncConnectionPool(network_backend=backend) as pool,
+                pool.stream(
                     method, url, headers=list(headers.items()), content=body
-                )
+                ) as answer,
+            ):
+                return await read(answer)
     except (
         NotAllowedError,
         httpcore.ConnectError,
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -16,6 +16,7 @@
 import attrs
 import httpcore
 
+from figstream import answer_buffers
 from figstream import backend_network
 from figstream import errors
 from figstream import order_transport
@@ -69,6 +70,7 @@
         self.url = url
         self.client_name = client_name
         self.timeout_s = timeout_s
+        self._buffers = answer_buffers.AnswerBuffers()
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=_KEEP_ALIVE_S,
@@ -96,7 +98,7 @@
         query = f"?{urllib.parse.urlencode(params)}" if params else ""
         sent_headers = {wire.CLIENT_HEADER: self.client_name, **(headers or {})}
         try:
-            answer = await self._pool.request(
+            async with self._pool.stream(
                 method,
                 self.url + path + query,
                 headers=list(sent_headers.items()),
@@ -104,12 +106,12 @@
                 extensions=_extensions(
                     self.timeout_s + extra_timeout_s, allowed
                 ),
-            )
+            ) as answer:
+                return await self._read(answer)
         except _NOT_SENT_ERRORS as error:
             return platform_api.Unavailable(_describe(error))
         except _NO_ANSWER_ERRORS as error:
             return platform_api.Unknown(_describe(error))
-        return _answer(answer)
 
     async def call_if_allowed(
         self,
@@ -120,17 +122,15 @@
         allowed: Callable[[], bool],
     ) -> CallOutcome:
         """Makes one call if `allowed` returns True just before the write."""
-        answer = await order_transport.send(
+        return await order_transport.send(
             method,
             self.url + path,
             content,
             {wire.CLIENT_HEADER: self.client_name, **headers},
             self.timeout_s,
             allowed,
+            self._read,
         )
-        if not isinstance(answer, httpcore.Response):
-            return answer
-        return _answer(answer)
 
     async def get(
         self,
@@ -149,6 +149,24 @@
             return platform_api.Unavailable(_failure_detail(answer))
         return _decode(answer, kind) or _undecodable(path)
 
+    async def _read(self, answer: httpcore.Response) -> HttpAnswer:
+        """Reads a complete answer.
+
+        Raises:
+          httpcore.RemoteProtocolError: it takes more memory than is left.
+        """
+        try:
+            content = await answer_buffers.read_all(
+                answer.aiter_stream(), self._buffers
+            )
+        except answer_buffers.AnswerTooLongError as error:
+            raise httpcore.RemoteProtocolError("answer too long") from error
+        headers = {
+            name.lower().decode("latin-1"): value.decode("latin-1")
+            for name, value in answer.headers
+        }
+        return HttpAnswer(answer.status, headers, content)
+
 
 class HttpObjectStore:
     """The object API; satisfies `platform_api.ObjectStore`."""
@@ -329,14 +347,6 @@
         return found.wait_s
 
 
-def _answer(answer: httpcore.Response) -> HttpAnswer:
-    headers = {
-        name.lower().decode("latin-1"): value.decode("latin-1")
-        for name, value in answer.headers
-    }
-    return HttpAnswer(answer.status, headers, answer.content)
-
-
 def _extensions(
     timeout_s: float, allowed: Callable[[], bool] | None
 ) -> dict[str, Any]:
--- a/figstream/stream_relay.py
+++ b/figstream/stream_relay.py
@@ -166,28 +166,6 @@
         await self._answer.end()
 
 
-async def read_complete_body(
-    answer: backend_transport.Answer, buffers: answer_buffers.AnswerBuffers
-) -> bytes:
-    """Reads the complete body of an answer that is not streamed.
-
-    Args:
-      answer: the answer of the server.
-      buffers: memory of the answers that are being buffered.
-
-    Raises:
-      httpcore.ReadTimeout: nothing arrived for the idle timeout.
-      answer_buffers.AnswerTooLongError: too little memory is left.
-      httpcore.NetworkError: the connection broke.
-    """
-    body = bytearray()
-    with answer_buffers.AnswerBuffer(buffers) as buffer:
-        async for chunk in answer.body():
-            buffer.resize(len(body) + len(chunk))
-            body += chunk
-    return bytes(body)
-
-
 def is_event_stream(head: backend_connection.Head) -> bool:
     """Returns whether an answer is a stream of events.
 
