Refuse the same heads in answers of the platform

Callers may see: decisions on the state of another era of the store. Found by the test of odd heads, played on the platform's answers.

Cause: httpcore reads heads with h11, too. A folded line after Store-Era made the era unreadable, which is logged and then taken for the present one: an object of era 2 was returned as one of era 1. A name with a line feed at its start made the rest of the head the body: a write counted as done at version 0, and a usage report or an order with such an answer as accepted.

Evidence: test_an_odd_answer_of_the_platform_is_no_answer failed before in both cases, for folded lines and for a line feed at the start of a name. A status of 000 and all other odd names gave no answer before, too; a status over 599 is no success.

Change: the connections to the platform pass what they read to the check of lines that the connections to backend servers use. Such a call counts as one whose answer was lost.

--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -21,6 +21,7 @@
 
 from figstream import backend_network
 from figstream import platform_api
+from figstream import platform_network
 
 _T = TypeVar("_T")
 _MS_PER_S: Final = 1000
@@ -86,7 +87,9 @@
       allowed: checked before each write, with no await between the two.
       read: reads the answer.
     """
-    backend = _CheckedBackend(allowed, timeout_s)
+    backend = platform_network.HeadCheckedBackend(
+        _CheckedBackend(allowed, timeout_s)
+    )
     try:
         with anyio.fail_after(timeout_s):
             async with (
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -21,6 +21,7 @@
 from figstream import errors
 from figstream import order_transport
 from figstream import platform_api
+from figstream import platform_network
 from figstream import platform_wire as wire
 from figstream import serialization
 
@@ -77,6 +78,9 @@
             socket_options=backend_network.unresponsive_peer_options(
                 _UNACKNOWLEDGED_LIMIT_MS
             ),
+            network_backend=platform_network.HeadCheckedBackend(
+                httpcore.AnyIOBackend()
+            ),
         )
 
     async def call(
--- a/tests/test_odd_heads.py
+++ b/tests/test_odd_heads.py
@@ -14,6 +14,8 @@
 import pytest
 
 from figstream import head_lines
+from figstream import platform_api
+from figstream import platform_http
 from tests import byte_worker
 from tests import gateway_front
 from tests import tunnel_parts
@@ -55,7 +57,8 @@
         for code in _CONTROL_BYTES
     },
 }
-_ODD_STATUSES: Final = ("000", "001", "099", "600", "999", "20", "2000", "")
+_NO_STATUSES: Final = ("000", "001", "099", "20", "2000", "")
+_ODD_STATUSES: Final = (*_NO_STATUSES, "600", "999")
 
 
 def _text(before: bytes, after: bytes, route: str) -> bytes:
@@ -147,6 +150,59 @@
     assert _statuses(found) == dict.fromkeys(texts, 502)
 
 
+class _ScriptedPlatform(byte_worker.ByteWorker):
+    """A platform that answers each call with the same bytes."""
+
+    text = b""
+
+    async def answer(self, stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(self.text)
+
+
+async def _outcome(
+    platform: _ScriptedPlatform, checked: bool
+) -> platform_http.CallOutcome:
+    """Returns the outcome of a call with or without a check of a lease."""
+    client = platform_http.PlatformHttpClient(
+        f"http://127.0.0.1:{platform.port}", "entry-1", 2.0
+    )
+    if checked:
+        return await client.call_if_allowed(
+            "PUT", "/x", b"", {}, platform_api.always_allowed
+        )
+    return await client.call("GET", "/x")
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("checked", [False, True])
+async def test_an_odd_answer_of_the_platform_is_no_answer(
+    checked: bool,
+) -> None:
+    """Fails if a part of a head counts as a body, or as another header.
+
+    Args:
+      checked: whether the call is one that is sent only with a lease.
+    """
+    platform = _ScriptedPlatform()
+    texts = _odd_answers("order") | {
+        status: _text(b"", b"", "order").replace(b"200", status.encode(), 1)
+        for status in _NO_STATUSES
+    }
+    found = {}
+    async with anyio.create_task_group() as group:
+        await group.start(platform.serve)
+        for name, text in texts.items():
+            platform.text = text
+            found[name] = type(await _outcome(platform, checked))
+        platform.text = _text(b"", b"", "order")
+        sound = await _outcome(platform, checked)
+        group.cancel_scope.cancel()
+    assert found == dict.fromkeys(texts, platform_api.Unknown)
+    assert isinstance(sound, platform_http.HttpAnswer)
+
+
 def _refused(parts: Iterable[bytes]) -> bool:
     """Returns whether the check of lines refuses an answer."""
     lines = head_lines.HeadLines()
