--- a/tests/test_broken_connections.py
+++ b/tests/test_broken_connections.py
@@ -203,7 +203,7 @@
 
 
 @pytest.mark.anyio
-@pytest.mark.parametrize("way", ["eager", "paced"])
+@pytest.mark.parametrize("way", tunnel_parts.WAYS)
 @pytest.mark.parametrize("route", _ROUTES)
 async def test_an_early_answer_that_ends_in_order_is_whole(
     way: str, route: str
@@ -212,7 +212,7 @@
     worker.text = _ROUTES[route]
     worker.resets = False
     async with _front(worker, way) as front:
-        answers = [await _upload(front, route) for _ in range(3)]
+        answers = [await _upload(front, route) for _ in range(5)]
     assert all(map(_is_whole, answers))
 
 
