--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Tests answers of backend servers that never end."""
+"""Tests answers of backend servers and of the platform that never end."""
 
 import contextlib
 import time
