--- a/tests/test_broken_connections.py
+++ b/tests/test_broken_connections.py
@@ -39,6 +39,20 @@
     b"id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 )
 _ROUTES: Final = {"order": _ORDER, "caption": _EVENTS}
+
+
+def _framed(text: bytes, framing: str) -> bytes:
+    """Returns an answer without a length as one that has a framing."""
+    head, _, body = text.partition(b"\r\n\r\n")
+    if framing == "length":
+        line = b"content-length: %d" % len(body)
+        return head + b"\r\n" + line + b"\r\n\r\n" + body
+    half = len(body) // 2
+    chunks = [body[:half], body[half:], b""]
+    encoded = b"".join(b"%x\r\n%b\r\n" % (len(x), x) for x in chunks)
+    return head + b"\r\ntransfer-encoding: chunked\r\n\r\n" + encoded
+
+
 _LIMITS: Final = {"maxBodyBytes": 2 * _UPLOAD_BYTES}
 
 
@@ -216,6 +230,29 @@
     assert all(map(_is_whole, answers))
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize("way", ["eager", "paced"])
+@pytest.mark.parametrize("route", _ROUTES)
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("resets", [False, True])
+async def test_an_early_answer_with_a_framing_is_whole(
+    way: str, route: str, framing: str, resets: bool
+) -> None:
+    """Fails if the end of a connection breaks an answer that ended before."""
+    worker = _EarlyWorker()
+    worker.text = _framed(_ROUTES[route], framing)
+    worker.resets = resets
+    body = _ROUTES[route].partition(b"\r\n\r\n")[2]
+    async with _front(worker, way) as front:
+        answers = [await _upload(front, route) for _ in range(5)]
+    assert all(map(_is_whole, answers))
+    assert [
+        answer.content
+        for answer in answers
+        if isinstance(answer, httpx.Response)
+    ] == [body] * 5
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize("checked", [False, True])
 @pytest.mark.parametrize("delay_s", [0.0, 0.001, 0.01, 0.05])
