Say in the outcome of an order or report why its answer was refused

Operators saw: only the kind of the error (RemoteProtocolError) in the log of a report without an answer, whether the answer was too long, had a head that HTTP does not allow or was none.

Cause: the text of the error was left out, unlike in other calls.

Evidence: the check of the text in test_endless_answers_of_the_platform_fill_no_memory failed for bodies and chunks of calls with a lease before.

Change: the text follows the kind.

--- a/figstream/order_transport.py
+++ b/figstream/order_transport.py
@@ -110,4 +110,5 @@
         httpcore.NetworkError,
         httpcore.ProtocolError,
     ) as error:
-        return platform_api.Unknown(type(error).__name__)
+        detail = f"{type(error).__name__} {error}".strip()
+        return platform_api.Unknown(detail)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -142,7 +142,8 @@
                 for _ in range(_REQUESTS):
                     calls.start_soon(call)
         group.cancel_scope.cancel()
-    assert [type(item) for item in outcomes] == (
-        [platform_api.Unknown] * _REQUESTS
-    )
+    unknown = [x for x in outcomes if isinstance(x, platform_api.Unknown)]
+    assert len(unknown) == len(outcomes) == _REQUESTS
+    details = {"answer too long" in item.detail for item in unknown}
+    assert details == {kind in {"body", "chunks"}}
     assert platform.endless_bytes < _MAX_BYTES
