--- a/figstream/backend_connection.py
+++ b/figstream/backend_connection.py
@@ -30,7 +30,8 @@
 _MAX_HEAD_BYTES: Final = 65_536
 _KEEP_ALIVE_PATTERN: Final = re.compile(rb"timeout=(\d+)")
 _STATUS_LINE_PATTERN: Final = re.compile(rb"HTTP/1\.[01] \d{3}")
-# h11 accepts all numbers of three digits from 200 on.
+# The largest status code that HTTP allows (RFC 9110, section 15). h11 accepts
+# all up to 999.
 _MAX_STATUS: Final = 599
 # Refusals whose requests a connection remembers; after that many it is not
 # reused, which bounds its memory.
