--- a/figstream/answer_buffers.py
+++ b/figstream/answer_buffers.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import time
@@ -148,13 +149,16 @@
 
 
 async def read_all(
-    chunks: AsyncIterator[bytes], buffers: AnswerBuffers
+    chunks: AsyncIterator[bytes],
+    buffers: AnswerBuffers,
+    on_part: Callable[[int], None] | None = None,
 ) -> bytes:
     """Reads a complete body.
 
     Args:
       chunks: the body as it arrives.
       buffers: memory of the answers that are being buffered.
+      on_part: receives the size in bytes of each part as it arrives.
 
     Raises:
       AnswerTooLongError: too little memory is left.
@@ -164,4 +168,6 @@
         async for chunk in chunks:
             buffer.resize(len(body) + len(chunk))
             body += chunk
+            if on_part:
+                on_part(len(chunk))
     return bytes(body)
--- a/figstream/caller_app.py
+++ b/figstream/caller_app.py
@@ -17,6 +17,7 @@
 from figstream import clock as clock_lib
 from figstream import configuration as configuration_lib
 from figstream import configuration_holder
+from figstream import error_details
 from figstream import errors
 from figstream import inbound
 from figstream import logs
@@ -91,7 +92,12 @@
         except asgi.CallerGoneError:
             pass
         except Exception as error:
-            logs.error("request_failed", kind=type(error).__name__)
+            logs.error(
+                "request_failed",
+                request=request_id,
+                kind=error_details.kind_of(error),
+                detail=error_details.describe(error),
+            )
             if answer.started:
                 raise
             refusal = errors.Refusal(
--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -153,14 +153,19 @@
             ],
             generation=self._configuration.generation,
         )
+        sent_at = self._clock.now()
         try:
             answer: feed_pb2.PullAnswer = await stub.Pull(
                 request, timeout=_CALL_TIMEOUT_S
             )
         except grpc.aio.AioRpcError as error:
             self._metrics.event("feed_peer_failed")
-            logs.debug(
-                "feed_peer_failed", peer=member.name, code=error.code().name
+            logs.info(
+                "feed_peer_failed",
+                peer=member.name,
+                code=error.code().name,
+                waited_s=round(self._clock.now() - sent_at, 3),
+                generation=request.generation,
             )
             return
         for state in answer.newer:
--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -101,7 +101,11 @@
         return await self._store.snapshot(kind, stale=stale)
 
     async def changes(
-        self, kind: str, position: int, timeout_s: float
+        self,
+        kind: str,
+        position: int,
+        timeout_s: float,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
     ) -> _Changes:
         """Waits for changes from a relay, or from the store without a relay.
 
@@ -111,13 +115,13 @@
         """
         relay = self._next_relay()
         if relay is None:
-            return await self._store.changes(kind, position, timeout_s)
+            return await self._store.changes(kind, position, timeout_s, on_part)
         wait_s = min(timeout_s, self._poll_timeout_s)
         result = await self._poll_relay(relay, kind, position, wait_s)
         if result is not None:
             return result
         self._skipped_until[relay.name] = self._clock.now() + _RELAY_BACKOFF_S
-        return await self._store.changes(kind, position, 0.0)
+        return await self._store.changes(kind, position, 0.0, on_part)
 
     def _next_relay(self) -> membership_api.Member | None:
         """Returns the next usable relay; None if this daemon is a relay."""
@@ -148,6 +152,7 @@
             position=position,
             wait_ms=int(wait_s * _MS_PER_S),
         )
+        sent_at = self._clock.now()
         try:
             answer: feed_pb2.FollowAnswer = await stub.Follow(
                 request, timeout=wait_s + _CALL_MARGIN_S
@@ -159,7 +164,11 @@
             reason = str(error)
         self._metrics.event("feed_relay_failed")
         logs.info(
-            "feed_relay_failed", relay=relay.name, kind=kind, reason=reason
+            "feed_relay_failed",
+            relay=relay.name,
+            kind=kind,
+            reason=reason,
+            waited_s=round(self._clock.now() - sent_at, 3),
         )
         return None
 
@@ -170,7 +179,7 @@
             return platform_api.HistoryGone()
         if answer.state != feed_pb2.FollowAnswer.CHANGES:
             raise errors.ConfigurationError(
-                "the relay does not watch the store"
+                f"the relay does not watch the store: {answer.detail}"
             )
         changed: tuple[platform_api.StoredItem, ...] = ()
         if answer.changed:
@@ -232,13 +241,17 @@
         state if this daemon does not watch the store.
         """
         follower = self._followers.get(request.kind)
-        if follower is None or not self._can_serve(follower):
-            return feed_pb2.FollowAnswer()
+        if follower is None:
+            return feed_pb2.FollowAnswer(detail="the kind is not followed")
+        obstacle = self._obstacle(follower)
+        if obstacle:
+            return feed_pb2.FollowAnswer(detail=obstacle)
         if follower.position <= request.position:
             with anyio.move_on_after(request.wait_ms / _MS_PER_S):
                 await self._change_events[request.kind].wait()
-            if not self._can_serve(follower):
-                return feed_pb2.FollowAnswer()
+            obstacle = self._obstacle(follower)
+            if obstacle:
+                return feed_pb2.FollowAnswer(detail=obstacle)
         if follower.position <= request.position:
             return feed_pb2.FollowAnswer(
                 state=feed_pb2.FollowAnswer.CHANGES, position=request.position
@@ -255,8 +268,11 @@
         self._last_answers[follower.kind] = (since, follower.position, answer)
         return answer
 
-    def _can_serve(self, follower: object_follower.ObjectFollower) -> bool:
-        return self._feed.is_relay and not follower.failing
+    def _obstacle(self, follower: object_follower.ObjectFollower) -> str:
+        """Returns why the objects of a kind can't be served, "" if they can."""
+        if not self._feed.is_relay:
+            return "it is not a relay of its zone"
+        return follower.obstacle
 
     def _wake_pollers(self, kind: str, _: object) -> None:
         self._change_events[kind].set()
--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -14,6 +14,7 @@
 from figstream import caller_watch
 from figstream import clock as clock_lib
 from figstream import configuration_holder
+from figstream import error_details
 from figstream import errors
 from figstream import gateway_answer
 from figstream import gateway_dialect
@@ -138,8 +139,8 @@
             logs.error(
                 "request_failed",
                 request=call.request_id,
-                kind=type(error).__name__,
-                detail=str(error),
+                kind=error_details.kind_of(error),
+                detail=error_details.describe(error),
             )
             if answer.started:
                 raise
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -46,6 +46,9 @@
 # limits an outage to two calls per second.
 _MIN_BACKOFF_S: Final = 0.1
 _MAX_BACKOFF_S: Final = 0.5
+# Transfers that take longer are logged; a tenth of the 3 s within which a
+# change must become active in a large fleet.
+_SLOW_TRANSFER_S: Final = 0.3
 # Interval of checks whether the follower that leads has got an answer; a small
 # part of the time within which a change must become active.
 _LEAD_CHECK_S: Final = 0.05
@@ -78,6 +81,42 @@
     items: tuple[platform_api.StoredItem, ...]
 
 
+class _Transfer:
+    """How much of the answer to a call has arrived, and for how long."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._began_at: float | None = None
+        self._last_at = 0.0
+        self._size_bytes = 0
+
+    @property
+    def size_bytes(self) -> int:
+        return self._size_bytes
+
+    @property
+    def lasted_s(self) -> float:
+        """Returns seconds from the first part to the last one."""
+        return 0.0 if self._began_at is None else self._last_at - self._began_at
+
+    def add_part(self, size_bytes: int) -> None:
+        """Records a part that has arrived."""
+        self._last_at = self._clock.now()
+        if self._began_at is None:
+            self._began_at = self._last_at
+        self._size_bytes += size_bytes
+
+    def log_if_slow(self, kind: str) -> None:
+        """Logs the transfer if it took long."""
+        if self.lasted_s >= _SLOW_TRANSFER_S:
+            logs.info(
+                "feed_slow_transfer",
+                kind=kind,
+                bytes=self._size_bytes,
+                seconds=round(self.lasted_s, 3),
+            )
+
+
 class ObjectFollower:
     """The objects of one kind, as known to this daemon."""
 
@@ -115,6 +154,7 @@
         self._listed = False
         self._failures = 0
         self._watch: anyio.CancelScope | None = None
+        self._transfer = _Transfer(clock)
         self._lost_at = _NEVER
         self._confirmed_at = _NEVER
         self._confirm_listeners: list[ConfirmListener] = []
@@ -143,7 +183,14 @@
     @property
     def failing(self) -> bool:
         """Returns whether the last call failed or no list was received yet."""
-        return self._failures > 0 or not self._listed
+        return bool(self.obstacle)
+
+    @property
+    def obstacle(self) -> str:
+        """Returns why the objects may be outdated, "" if they are followed."""
+        if self._failures:
+            return f"its last {self._failures} calls failed"
+        return "" if self._listed else "it has read no list yet"
 
     @property
     def unconfirmed_s(self) -> float:
@@ -282,7 +329,9 @@
         if not self._listed:
             result = await self._feed.snapshot(self._kind)
             return self._apply_snapshot(result, sent_at)
+        self._transfer = _Transfer(self._clock)
         changes = await self._call_for_changes()
+        self._transfer.log_if_slow(self._kind)
         if isinstance(changes, platform_api.Unavailable):
             self._record_failure(changes.detail, sent_at)
             return False
@@ -305,13 +354,18 @@
         """
         feed = self._feed
         if self._failures:
-            return await feed.changes(self._kind, self._position, 0.0)
+            return await feed.changes(
+                self._kind, self._position, 0.0, self._transfer.add_part
+            )
         try:
             with anyio.move_on_after(
                 self._watch_s + self._answer_s
             ) as self._watch:
                 return await feed.changes(
-                    self._kind, self._position, self._watch_s
+                    self._kind,
+                    self._position,
+                    self._watch_s,
+                    self._transfer.add_part,
                 )
         finally:
             self._watch = None
@@ -411,6 +465,8 @@
                 kind=self._kind,
                 detail=detail,
                 waited_s=round(now - sent_at, 3),
+                received_bytes=self._transfer.size_bytes,
+                received_s=round(self._transfer.lasted_s, 3),
                 unconfirmed_s=round(self.unconfirmed_s, 3),
             )
 
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -145,6 +145,14 @@
     """The store has discarded the changes since the position."""
 
 
+# Receives the size in bytes of each part of an answer when it arrives.
+PartListener = Callable[[int], None]
+
+
+def ignore_part(size_bytes: int) -> None:
+    """Does nothing with a part of an answer."""
+
+
 class ObjectFeed(Protocol):
     """Lists and watches objects that operators and backend servers write."""
 
@@ -154,9 +162,20 @@
         """Lists all objects of a kind; `stale` as in `ObjectStore.read`."""
 
     async def changes(
-        self, kind: str, position: int, timeout_s: float
+        self,
+        kind: str,
+        position: int,
+        timeout_s: float,
+        on_part: PartListener = ignore_part,
     ) -> FeedChanges | HistoryGone | Unavailable:
-        """Waits for changes after the position; counts as one call."""
+        """Waits for changes after the position; counts as one call.
+
+        Args:
+          kind: kind of the objects.
+          position: store revision after which changes are wanted.
+          timeout_s: seconds to wait for a change.
+          on_part: receives the size of each part of the answer.
+        """
 
 
 @attrs.frozen
--- a/figstream/platform_http.py
+++ b/figstream/platform_http.py
@@ -93,11 +93,13 @@
         headers: Mapping[str, str] | None = None,
         extra_timeout_s: float = 0.0,
         allowed: Callable[[], bool] | None = None,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
     ) -> CallOutcome:
         """Makes one call; returns answers of any status code.
 
         If `allowed` is given, it is checked just before the write, and the
-        call is not sent if it returns False.
+        call is not sent if it returns False. `on_part` receives the size of
+        each part of the answer's body.
         """
         query = f"?{urllib.parse.urlencode(params)}" if params else ""
         sent_headers = {wire.CLIENT_HEADER: self.client_name, **(headers or {})}
@@ -111,7 +113,7 @@
                     self.timeout_s + extra_timeout_s, allowed
                 ),
             ) as answer:
-                return await self._read(answer)
+                return await self._read(answer, on_part)
         except _NOT_SENT_ERRORS as error:
             return platform_api.Unavailable(_describe(error))
         except _NO_ANSWER_ERRORS as error:
@@ -153,7 +155,11 @@
             return platform_api.Unavailable(_failure_detail(answer))
         return _decode(answer, kind) or _undecodable(path)
 
-    async def _read(self, answer: httpcore.Response) -> HttpAnswer:
+    async def _read(
+        self,
+        answer: httpcore.Response,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
+    ) -> HttpAnswer:
         """Reads a complete answer.
 
         Raises:
@@ -161,7 +167,7 @@
         """
         try:
             content = await answer_buffers.read_all(
-                answer.aiter_stream(), self._buffers
+                answer.aiter_stream(), self._buffers, on_part
             )
         except answer_buffers.AnswerTooLongError as error:
             raise httpcore.RemoteProtocolError("answer too long") from error
--- a/figstream/role_supervisor.py
+++ b/figstream/role_supervisor.py
@@ -10,8 +10,11 @@
 from collections.abc import Callable
 from typing import Final
 
+import attrs
+
 from figstream import clock as clock_lib
 from figstream import daemon_context
+from figstream import error_details
 from figstream import logs
 from figstream import metrics as metrics_lib
 
@@ -20,6 +23,19 @@
 RESTART_DELAY_S: Final = 1.0
 
 
+@attrs.frozen
+class _Stop:
+    """Why a part of a role stopped.
+
+    Attributes:
+      reason: type of the error, or what happened instead.
+      detail: type, text and place of the error, "" without one.
+    """
+
+    reason: str
+    detail: str = ""
+
+
 async def keep_running(
     role: daemon_context.Role,
     clock: clock_lib.Clock,
@@ -28,8 +44,10 @@
     """Runs a role until cancelled, and restarts it when it stops."""
     name = type(role).__name__
     while True:
-        reason = await _run_once(role.run)
-        logs.error("role_stopped", role=name, reason=reason)
+        stop = await _run_once(role.run)
+        logs.error(
+            "role_stopped", role=name, reason=stop.reason, detail=stop.detail
+        )
         metrics.event("role_restarted")
         await clock.sleep(RESTART_DELAY_S)
 
@@ -39,13 +57,18 @@
 
     Requests are still in flight while the first roles hand over.
     """
-    reason = await _run_once(role.hand_over)
-    if reason != _ENDED:
-        logs.error("hand_over_failed", role=type(role).__name__, reason=reason)
+    stop = await _run_once(role.hand_over)
+    if stop.reason != _ENDED:
+        logs.error(
+            "hand_over_failed",
+            role=type(role).__name__,
+            reason=stop.reason,
+            detail=stop.detail,
+        )
 
 
-async def _run_once(run: Callable[[], Awaitable[None]]) -> str:
-    """Runs a part of a role; returns the reason why it stopped."""
+async def _run_once(run: Callable[[], Awaitable[None]]) -> _Stop:
+    """Runs a part of a role; returns why it stopped."""
     try:
         await run()
     except asyncio.CancelledError:
@@ -54,7 +77,9 @@
         task = asyncio.current_task()
         if task is None or task.cancelling():
             raise
-        return "stray_cancellation"
+        return _Stop("stray_cancellation")
     except Exception as error:
-        return type(error).__name__
-    return _ENDED
+        return _Stop(
+            error_details.kind_of(error), error_details.describe(error)
+        )
+    return _Stop(_ENDED)
--- a/tests/gateway_parts.py
+++ b/tests/gateway_parts.py
@@ -40,7 +40,13 @@
         self.call_timeouts.append(None)
         return await self._next()
 
-    async def changes(self, kind: str, position: int, timeout_s: float) -> Any:
+    async def changes(
+        self,
+        kind: str,
+        position: int,
+        timeout_s: float,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
+    ) -> Any:
         self.call_timeouts.append(timeout_s)
         return await self._next()
 
--- a/tests/test_calls_in_outage.py
+++ b/tests/test_calls_in_outage.py
@@ -50,7 +50,11 @@
         return platform_api.Snapshot((), 5)
 
     async def changes(
-        self, kind: str, position: int, timeout_s: float
+        self,
+        kind: str,
+        position: int,
+        timeout_s: float,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
     ) -> platform_api.FeedChanges | platform_api.Unavailable:
         self.calls[kind] += 1
         if kind not in self.refused:
