--- a/soak/links.py
+++ b/soak/links.py
@@ -15,6 +15,8 @@
 
 _CHUNK_BYTES: Final = 65_536
 _DELAY_S: Final = 0.15
+# Part that a link of limited rate forwards at a time; as much as some packets.
+_PACED_BYTES: Final = 8_192
 _CLOSED_ERRORS = (
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
@@ -33,12 +35,35 @@
     RESET = "reset"  # Open and new connections are reset.
 
 
+class Rate:
+    """The rate of one machine's link, shared by all that passes it."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        """Initializes an idle link."""
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+        self.passed_bytes = 0
+
+    async def pass_bytes(self, size_bytes: int) -> None:
+        """Waits until the link has carried some bytes after all others."""
+        now = anyio.current_time()
+        self._free_at = max(now, self._free_at) + size_bytes / self._bytes_per_s
+        self.passed_bytes += size_bytes
+        await anyio.sleep_until(self._free_at)
+
+
 class Link:
     """Proxy in front of one local port."""
 
-    def __init__(self, port: int) -> None:
-        """Initializes a proxy to a port; `serve` starts the proxy."""
+    def __init__(self, port: int, rate: Rate | None = None) -> None:
+        """Initializes a proxy to a port; `serve` starts the proxy.
+
+        Args:
+          port: local port to which it forwards.
+          rate: rate of the answers that it forwards, None for no limit.
+        """
         self._target_port = port
+        self._rate = rate
         self._mode = LinkMode.PASS
         self._changed = anyio.Event()
         self._open_streams: set[anyio.abc.SocketStream] = set()
@@ -154,7 +179,12 @@
     ) -> None:
         try:
             while True:
-                chunk = await source.receive(_CHUNK_BYTES)
+                paced = self._rate is not None and is_answer
+                chunk = await source.receive(
+                    _PACED_BYTES if paced else _CHUNK_BYTES
+                )
+                if self._rate and paced:
+                    await self._rate.pass_bytes(len(chunk))
                 await self._delay_or_hold(is_answer)
                 if source not in self._stalled_streams:
                     await sink.send(chunk)
--- a/tests/test_feed_peers.py
+++ b/tests/test_feed_peers.py
@@ -174,3 +174,14 @@
     behind.learn_from(ahead)
     assert set(behind.follower.items) == {"one"}
     assert not behind.follower.settled
+
+
+@pytest.mark.anyio
+async def test_a_configuration_from_a_peer_is_no_newer_than_its_proof() -> None:
+    """Fails if a copy counts as proven because it has just been received."""
+    ahead, behind = _Daemon("a"), _Daemon("b")
+    await ahead.read_configuration(9, generation=3)
+    ahead.clock.advance(30.0)
+    behind.learn_from(ahead)
+    assert behind.holder.current.generation == 3
+    assert behind.holder.unconfirmed_s >= 30.0
