Send daemons the difference of large objects, in blocks

Callers got 404 and 401 for routes and keys that were in force seconds before: relays sent a configuration of 1,100 routes (230 KB) whole to each daemon of their zone, and a pull from peers had to bring all objects, the configuration twice, within half a second. On a link of 10 Mbit/s what a time limit cut off was asked for again from the start, so that the links carried ever more.

A receiver names the versions of large objects that it has; if the sender has one, it is the dictionary, and a changed route takes 100 bytes instead of 230 KB (31 KB whole). An answer carries the first 16 KB; the rest is fetched in blocks, each with a limit of its own, and goes on where it was cut. One peer's objects are adopted at a time. Builds before this one ask for JSON and get it.

--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -23,6 +23,7 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import object_follower
+from figstream import object_transfer
 from figstream import platform_api
 from figstream import serialization
 from figstream.rpc import feed_pb2
@@ -34,6 +35,9 @@
 _CALL_TIMEOUT_S: Final = 0.5
 # Two peers, since one of them may be affected by the same outage.
 _PEERS_PER_PULL: Final = 2
+# Stands for the kind of the active configuration, which may have been followed
+# before a restore.
+_ACTIVE_KIND: Final = "active-configuration"
 
 
 class _Servicer(feed_pb2_grpc.FeedPeersServicer):
@@ -56,6 +60,7 @@
         configuration: configuration_feed.ConfigurationFeed,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        transfer: object_transfer.ObjectTransfer,
         plans: object_follower.ObjectFollower | None = None,
     ) -> None:
         """Initializes the role for the object kinds of the given followers.
@@ -66,6 +71,7 @@
           configuration: the operator's configuration.
           clock: time source.
           metrics: instruments.
+          transfer: encodes objects and receives what peers send.
           plans: the one of `followers` whose version members tell, None if
             there is none.
         """
@@ -74,6 +80,9 @@
         self._configuration = configuration
         self._clock = clock
         self._metrics = metrics
+        self._transfer = transfer
+        # One peer's objects at a time, since another's are mostly the same.
+        self._adopting = anyio.Lock()
         self._plans = plans
         self._random = random.Random()
 
@@ -112,27 +121,42 @@
         for known in request.known:
             follower = self._followers.get(known.kind)
             if follower and follower.position > known.position:
-                items = object_follower.StoredItems(
-                    tuple(follower.items.values())
+                state = feed_pb2.KindState(
+                    kind=known.kind,
+                    position=follower.position,
+                    settled=follower.settled,
                 )
-                newer.append(
-                    feed_pb2.KindState(
-                        kind=known.kind,
-                        position=follower.position,
-                        items=serialization.to_json(items),
-                        settled=follower.settled,
+                items = tuple(follower.items.values())
+                if request.reads_content:
+                    content = self._transfer.offer(
+                        known.kind, items, known.bases
                     )
-                )
-        return feed_pb2.PullAnswer(
-            newer=newer, configuration=self._newer_configuration(request)
-        )
+                    state.content.CopyFrom(content)
+                else:
+                    state.items = _to_json(items)
+                newer.append(state)
+        answer = feed_pb2.PullAnswer(newer=newer)
+        self._add_configuration(request, answer)
+        return answer
+
+    def _add_configuration(
+        self, request: feed_pb2.PullRequest, answer: feed_pb2.PullAnswer
+    ) -> None:
+        """Adds the active configuration if the caller has an older one.
 
-    def _newer_configuration(self, request: feed_pb2.PullRequest) -> bytes:
-        """Returns the active configuration if the caller's is older."""
+        The followed objects hold it already, unless the store was restored.
+        """
         item = self._configuration.active_item
         if item is None or self._configuration.generation <= request.generation:
-            return b""
-        return serialization.to_json(object_follower.StoredItems((item,)))
+            return
+        if not request.reads_content:
+            answer.configuration = _to_json((item,))
+            return
+        sent = {state.kind for state in answer.newer}
+        followers = (self._followers[kind] for kind in sent)
+        if not any(found.items.get(item.name) == item for found in followers):
+            content = self._transfer.offer(_ACTIVE_KIND, (item,), ())
+            answer.configuration_content.CopyFrom(content)
 
     def _may_be_behind(self) -> bool:
         if any(item.failing for item in self._followers.values()):
@@ -145,19 +169,27 @@
         return member.generation > self._configuration.generation
 
     async def _pull(self, member: membership_api.Member) -> None:
-        stub = feed_pb2_grpc.FeedPeersStub(self._members.channel(member))
+        channel = self._members.channel(member)
+        stub = feed_pb2_grpc.FeedPeersStub(channel)
         request = feed_pb2.PullRequest(
             known=[
-                feed_pb2.KindPosition(kind=item.kind, position=item.position)
+                feed_pb2.KindPosition(
+                    kind=item.kind,
+                    position=item.position,
+                    bases=self._transfer.versions(item.kind),
+                )
                 for item in self._followers.values()
             ],
             generation=self._configuration.generation,
+            reads_content=True,
         )
         sent_at = self._clock.now()
         try:
             answer: feed_pb2.PullAnswer = await stub.Pull(
                 request, timeout=_CALL_TIMEOUT_S
             )
+            async with self._adopting:
+                await self._adopt_all(member.name, channel, answer)
         except grpc.aio.AioRpcError as error:
             self._metrics.event("feed_peer_failed")
             logs.info(
@@ -167,25 +199,39 @@
                 waited_s=round(self._clock.now() - sent_at, 3),
                 generation=request.generation,
             )
-            return
-        for state in answer.newer:
-            self._adopt(member.name, state)
-        if answer.configuration:
-            self._apply_configuration(member.name, answer.configuration)
 
-    def _apply_configuration(self, peer: str, encoded: bytes) -> None:
-        for item in self._decode(peer, encoded) or ():
+    async def _adopt_all(
+        self, peer: str, channel: grpc.aio.Channel, answer: feed_pb2.PullAnswer
+    ) -> None:
+        for state in answer.newer:
+            await self._adopt(peer, channel, state)
+        if not answer.configuration and not answer.HasField(
+            "configuration_content"
+        ):
+            return
+        items = await self._receive(
+            peer,
+            channel,
+            _ACTIVE_KIND,
+            answer.configuration,
+            answer.configuration_content,
+        )
+        for item in items or ():
             logs.info("configuration_taken_from_peer", peer=peer)
             self._configuration.apply(item)
 
-    def _adopt(self, peer: str, state: feed_pb2.KindState) -> None:
+    async def _adopt(
+        self, peer: str, channel: grpc.aio.Channel, state: feed_pb2.KindState
+    ) -> None:
         follower = self._followers.get(state.kind)
-        if follower is None:
+        if follower is None or state.position <= follower.position:
             return
-        decoded = self._decode(peer, state.items)
-        if decoded is None:
+        found = await self._receive(
+            peer, channel, state.kind, state.items, state.content
+        )
+        if found is None:
             return
-        items = {item.name: item for item in decoded}
+        items = {item.name: item for item in found}
         if follower.adopt(state.position, items, settled=state.settled):
             self._metrics.event("feed_taken_from_peer")
             logs.info(
@@ -195,24 +241,45 @@
                 position=state.position,
             )
 
-    def _decode(
-        self, peer: str, encoded: bytes
+    async def _receive(
+        self,
+        peer: str,
+        channel: grpc.aio.Channel,
+        kind: str,
+        json: bytes,
+        content: feed_pb2.Content,
     ) -> tuple[platform_api.StoredItem, ...] | None:
+        """Returns the objects that a peer sends, None if they are unreadable.
+
+        Args:
+          peer: name of the peer.
+          channel: channel to the peer.
+          kind: kind of the objects.
+          json: the objects as peers of an older build send them.
+          content: the objects as others send them.
+        """
         try:
-            return serialization.from_json(
-                encoded, object_follower.StoredItems
-            ).items
+            if json:
+                return serialization.from_json(
+                    json, object_follower.StoredItems
+                ).items
+            return await self._transfer.receive(kind, channel, content)
         except (errors.ConfigurationError, protobuf_message.Error) as error:
             logs.warning("feed_peer_unreadable", peer=peer, detail=str(error))
             return None
 
 
+def _to_json(items: tuple[platform_api.StoredItem, ...]) -> bytes:
+    return serialization.to_json(object_follower.StoredItems(items))
+
+
 def make_feed_peers(
     context: daemon_context.DaemonContext,
     followers: tuple[object_follower.ObjectFollower, ...],
     configuration: configuration_feed.ConfigurationFeed,
     members: membership_api.Members,
     plans: object_follower.ObjectFollower,
+    transfer: object_transfer.ObjectTransfer,
 ) -> FeedPeers:
     """Creates the `FeedPeers` role of a daemon."""
     return FeedPeers(
@@ -221,5 +288,6 @@
         configuration,
         context.clock,
         context.metrics,
+        transfer,
         plans,
     )
--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -15,6 +15,7 @@
 import anyio
 import grpc
 
+from figstream import bounded_records
 from figstream import clock as clock_lib
 from figstream import daemon_context
 from figstream import errors
@@ -22,6 +23,7 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import object_follower
+from figstream import object_transfer
 from figstream import platform_api
 from figstream import serialization
 from figstream.rpc import feed_pb2
@@ -39,6 +41,8 @@
 _CALL_MARGIN_S: Final = 0.4
 # Skip time of a relay that gave no usable answer.
 _RELAY_BACKOFF_S: Final = 5.0
+# Pollers ask from a few positions at a time.
+_MAX_ANSWERS: Final = 16
 _ROLE: Final = "feed"
 _MS_PER_S: Final = 1000
 _NEVER: Final = float("-inf")
@@ -60,6 +64,7 @@
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
         change_s: float,
+        transfer: object_transfer.ObjectTransfer,
     ) -> None:
         """Initializes the feed with no relay marked as unusable.
 
@@ -69,7 +74,9 @@
           clock: time source.
           metrics: instruments.
           change_s: seconds within which a change must become active.
+          transfer: receives what relays send.
         """
+        self._transfer = transfer
         self._poll_timeout_s = _POLL_FRACTION * change_s
         self._store = store
         self._members = members
@@ -117,7 +124,7 @@
         if relay is None:
             return await self._store.changes(kind, position, timeout_s, on_part)
         wait_s = min(timeout_s, self._poll_timeout_s)
-        result = await self._poll_relay(relay, kind, position, wait_s)
+        result = await self._poll_relay(relay, kind, position, wait_s, on_part)
         if result is not None:
             return result
         self._skipped_until[relay.name] = self._clock.now() + _RELAY_BACKOFF_S
@@ -144,20 +151,24 @@
         kind: str,
         position: int,
         wait_s: float,
+        on_part: platform_api.PartListener,
     ) -> platform_api.FeedChanges | platform_api.HistoryGone | None:
         """Returns the answer of a relay, or None if there was no usable one."""
-        stub = feed_pb2_grpc.FeedRelayStub(self._members.channel(relay))
+        channel = self._members.channel(relay)
+        stub = feed_pb2_grpc.FeedRelayStub(channel)
         request = feed_pb2.FollowRequest(
             kind=kind,
             position=position,
             wait_ms=int(wait_s * _MS_PER_S),
+            reads_content=True,
+            bases=self._transfer.versions(kind),
         )
         sent_at = self._clock.now()
         try:
             answer: feed_pb2.FollowAnswer = await stub.Follow(
                 request, timeout=wait_s + _CALL_MARGIN_S
             )
-            return self._decode_answer(answer)
+            return await self._decode_answer(kind, channel, answer, on_part)
         except grpc.aio.AioRpcError as error:
             reason = error.code().name
         except errors.ConfigurationError as error:
@@ -172,8 +183,12 @@
         )
         return None
 
-    def _decode_answer(
-        self, answer: feed_pb2.FollowAnswer
+    async def _decode_answer(
+        self,
+        kind: str,
+        channel: grpc.aio.Channel,
+        answer: feed_pb2.FollowAnswer,
+        on_part: platform_api.PartListener,
     ) -> platform_api.FeedChanges | platform_api.HistoryGone:
         if answer.state == feed_pb2.FollowAnswer.HISTORY_GONE:
             return platform_api.HistoryGone()
@@ -182,7 +197,11 @@
                 f"the relay does not watch the store: {answer.detail}"
             )
         changed: tuple[platform_api.StoredItem, ...] = ()
-        if answer.changed:
+        if answer.HasField("content"):
+            changed = await self._transfer.receive(
+                kind, channel, answer.content, on_part
+            )
+        elif answer.changed:
             changed = serialization.from_json(
                 answer.changed, object_follower.StoredItems
             ).items
@@ -208,18 +227,24 @@
         self,
         feed: RelayedFeed,
         followers: tuple[object_follower.ObjectFollower, ...],
+        transfer: object_transfer.ObjectTransfer,
     ) -> None:
-        """Initializes the relay for the object kinds of the given followers."""
+        """Initializes the relay.
+
+        Args:
+          feed: tells whether this daemon is a relay.
+          followers: followers of the kinds that are served.
+          transfer: encodes the objects.
+        """
         self._feed = feed
+        self._transfer = transfer
         self._followers = {item.kind: item for item in followers}
         self._change_events = {item.kind: anyio.Event() for item in followers}
-        # The last answer of each kind with its positions. Most pollers ask
-        # from the same position, and encoding a large object takes long.
-        self._last_answers: dict[
-            str, tuple[int, int, feed_pb2.FollowAnswer]
-        ] = {}
+        # Answers at the present position of each kind, by what was asked. Most
+        # pollers ask the same, and encoding a large object takes long.
+        self._answers: dict[str, dict[bytes, feed_pb2.FollowAnswer]] = {}
         for item in followers:
-            item.subscribe(functools.partial(self._wake_pollers, item.kind))
+            item.subscribe(functools.partial(self._apply_items, item.kind))
 
     def register(self, server: grpc.aio.Server) -> None:
         """Registers the gRPC service on the peer server."""
@@ -256,16 +281,49 @@
             return feed_pb2.FollowAnswer(
                 state=feed_pb2.FollowAnswer.CHANGES, position=request.position
             )
-        return self._encode_changes(follower, request.position)
+        return self._encode_changes(follower, request)
 
     def _encode_changes(
-        self, follower: object_follower.ObjectFollower, since: int
+        self,
+        follower: object_follower.ObjectFollower,
+        request: feed_pb2.FollowRequest,
     ) -> feed_pb2.FollowAnswer:
-        last = self._last_answers.get(follower.kind)
-        if last and last[:2] == (since, follower.position):
-            return last[2]
-        answer = _encode(follower.changes_since(since))
-        self._last_answers[follower.kind] = (since, follower.position, answer)
+        asked = feed_pb2.FollowRequest(
+            position=request.position,
+            reads_content=request.reads_content,
+            bases=request.bases,
+        ).SerializeToString()
+        answers = self._answers.setdefault(follower.kind, {})
+        known = answers.get(asked)
+        if known and known.position == follower.position:
+            return known
+        answer = self._encode(
+            follower.kind, follower.changes_since(request.position), request
+        )
+        bounded_records.put(answers, asked, answer, _MAX_ANSWERS)
+        return answer
+
+    def _encode(
+        self,
+        kind: str,
+        result: platform_api.FeedChanges | platform_api.HistoryGone,
+        request: feed_pb2.FollowRequest,
+    ) -> feed_pb2.FollowAnswer:
+        if isinstance(result, platform_api.HistoryGone):
+            gone = feed_pb2.FollowAnswer.HISTORY_GONE
+            return feed_pb2.FollowAnswer(state=gone)
+        answer = feed_pb2.FollowAnswer(
+            state=feed_pb2.FollowAnswer.CHANGES,
+            position=result.position,
+            deleted=result.deleted,
+        )
+        if request.reads_content:
+            content = self._transfer.offer(kind, result.changed, request.bases)
+            answer.content.CopyFrom(content)
+        else:
+            answer.changed = serialization.to_json(
+                object_follower.StoredItems(result.changed)
+            )
         return answer
 
     def _obstacle(self, follower: object_follower.ObjectFollower) -> str:
@@ -274,32 +332,21 @@
             return "it is not a relay of its zone"
         return follower.obstacle
 
-    def _wake_pollers(self, kind: str, _: object) -> None:
+    def _apply_items(self, kind: str, items: object_follower.Items) -> None:
+        """Records the objects, and answers those who wait for a change."""
+        self._transfer.note(kind, items)
         self._change_events[kind].set()
         self._change_events[kind] = anyio.Event()
 
 
-def _encode(
-    result: platform_api.FeedChanges | platform_api.HistoryGone,
-) -> feed_pb2.FollowAnswer:
-    if isinstance(result, platform_api.HistoryGone):
-        gone = feed_pb2.FollowAnswer.HISTORY_GONE
-        return feed_pb2.FollowAnswer(state=gone)
-    return feed_pb2.FollowAnswer(
-        state=feed_pb2.FollowAnswer.CHANGES,
-        position=result.position,
-        changed=serialization.to_json(
-            object_follower.StoredItems(result.changed)
-        ),
-        deleted=result.deleted,
-    )
-
-
 def make_relayed_feed(
     context: daemon_context.DaemonContext,
     store: platform_api.ObjectFeed,
     members: membership_api.Members,
     change_s: float,
+    transfer: object_transfer.ObjectTransfer,
 ) -> RelayedFeed:
     """Creates the relayed feed of a daemon on top of the platform's store."""
-    return RelayedFeed(store, members, context.clock, context.metrics, change_s)
+    return RelayedFeed(
+        store, members, context.clock, context.metrics, change_s, transfer
+    )
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -35,6 +35,7 @@
 from figstream import membership
 from figstream import metrics as metrics_lib
 from figstream import object_follower
+from figstream import object_transfer
 from figstream import peer_server
 from figstream import placement
 from figstream import platform_api
@@ -147,19 +148,31 @@
             _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s
         )
         self.members = membership.make_membership(context, self._peers.address)
+        transfer = object_transfer.ObjectTransfer()
         feed = feed_relay.make_relayed_feed(
             context,
             platform.feed,
             self.members,
             min(options.change_ms, options.drain_ms) / _MS_PER_S,
+            transfer,
         )
-        sources = self._make_sources(feed)
+        sources = self._make_sources(feed, transfer)
         plans = stream_parts.make_plan_follower(
-            context, platform.feed, platform.kinds, sources, self.members
+            context,
+            platform.feed,
+            platform.kinds,
+            sources,
+            self.members,
+            transfer,
         )
         followers = (*sources.followers, plans)
         peers = feed_peers.make_feed_peers(
-            context, followers, sources.configuration_feed, self.members, plans
+            context,
+            followers,
+            sources.configuration_feed,
+            self.members,
+            plans,
+            transfer,
         )
         accounting = usage_parts.make_usage_parts(
             context, self.members, self.members.notices
@@ -169,7 +182,8 @@
         reach = server_reach.make_server_reach(context, self.members, sources)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
             peers,
-            feed_relay.FeedRelay(feed, followers),
+            feed_relay.FeedRelay(feed, followers, transfer),
+            transfer,
             accounting.handover,
             reach.tunnels,
             self.members,
@@ -283,7 +297,9 @@
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
     def _make_sources(
-        self, feed: feed_relay.RelayedFeed
+        self,
+        feed: feed_relay.RelayedFeed,
+        transfer: object_transfer.ObjectTransfer,
     ) -> gateway_sources.Sources:
         """Returns what is read from the store, through the given feed."""
         options, kinds = self._options, self._platform.kinds
@@ -296,6 +312,7 @@
                 kinds.evacuations_kind,
                 self.members,
                 options.evacuate_ms / _MS_PER_S,
+                transfer,
             )
         return gateway_sources.make_sources(
             self.context,
--- a/figstream/stream_parts.py
+++ b/figstream/stream_parts.py
@@ -11,6 +11,7 @@
 from figstream import gateway_sources
 from figstream import membership
 from figstream import object_follower
+from figstream import object_transfer
 from figstream import plan_contact
 from figstream import platform_api
 from figstream import software_planner
@@ -24,6 +25,7 @@
     kinds: gateway_sources.SourceKinds,
     sources: gateway_sources.Sources,
     members: membership.Membership,
+    transfer: object_transfer.ObjectTransfer,
 ) -> object_follower.ObjectFollower:
     """Creates the follower of the plan of software versions.
 
@@ -33,9 +35,12 @@
       kinds: kinds of objects in the store.
       sources: the backend servers, whose follower leads after an outage.
       members: the live daemons.
+      transfer: receives what relays send.
     """
     follow_s = software_planner.FOLLOW_S
-    feed = feed_relay.make_relayed_feed(context, store, members, follow_s)
+    feed = feed_relay.make_relayed_feed(
+        context, store, members, follow_s, transfer
+    )
     return object_follower.ObjectFollower(
         kinds.plans_kind,
         feed,
--- a/figstream/zone_evacuations.py
+++ b/figstream/zone_evacuations.py
@@ -24,6 +24,7 @@
 from figstream import membership_api
 from figstream import metrics as metrics_lib
 from figstream import object_follower
+from figstream import object_transfer
 from figstream import platform_api
 from figstream import store_era
 
@@ -150,6 +151,7 @@
     kind: str,
     members: membership_api.Members,
     evacuate_s: float,
+    transfer: object_transfer.ObjectTransfer,
     lead: object_follower.ObjectFollower,
 ) -> object_follower.ObjectFollower:
     """Creates the follower of the objects that name emptied zones.
@@ -161,10 +163,13 @@
       members: the live daemons.
       evacuate_s: seconds within which nothing more may reach a server of an
         emptied zone.
+      transfer: receives what relays send.
       lead: follower that shows when the store answers again after an outage.
     """
     heard_s = _HEARD_FRACTION * evacuate_s
-    feed = feed_relay.make_relayed_feed(context, store, members, heard_s)
+    feed = feed_relay.make_relayed_feed(
+        context, store, members, heard_s, transfer
+    )
     return object_follower.ObjectFollower(
         kind, feed, context.clock, context.metrics, heard_s, lead
     )
