Let an answer of the store arrive as long as its parts do

Daemons that watch the store logged 'the watch was not answered' after 2.4 s and held one copy for seconds: the time limit of a watch counted the transfer of its answer as silence, and the call that followed began it anew on the same link. Each part moves the limit on now, up to four times the time of a change; an answer that stops halfway is given up as before.

--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -8,7 +8,8 @@
 connection stays open, and its peer answers the probes of the kernel. A watch
 is therefore short, and one without an answer at its end counts as failed, so
 that the objects are never older than the time within which a change must
-become active.
+become active. An answer that has begun may take as long as its parts keep
+arriving: asked for again, it would begin anew on a link that is slow already.
 After the store was restored from an older copy, an object may be missing until
 its writer has written it again, as after an outage.
 
@@ -38,6 +39,9 @@
 # within the second. The rest is for the call that follows a lost answer.
 WATCH_FRACTION: Final = 0.6
 _ANSWER_FRACTION: Final = 0.2
+# The longest transfer in multiples of that time. Bytes that only trickle in
+# are no progress.
+_MAX_TRANSFER_FACTOR: Final = 4.0
 # Pause after a change, so that changes in quick succession cost one call; an
 # eighth of the 2 s within which a change must become active.
 _COALESCE_S: Final = 0.25
@@ -144,6 +148,7 @@
         self._kind = kind
         self._watch_s = WATCH_FRACTION * change_s
         self._answer_s = _ANSWER_FRACTION * change_s
+        self._max_transfer_s = _MAX_TRANSFER_FACTOR * change_s
         self._feed = feed
         self._clock = clock
         self._metrics = metrics
@@ -357,15 +362,21 @@
             return await feed.changes(
                 self._kind, self._position, 0.0, self._transfer.add_part
             )
+        limit_s = self._watch_s + self._answer_s
+        last_end = anyio.current_time() + limit_s + self._max_transfer_s
+
+        def extend(size_bytes: int) -> None:
+            self._transfer.add_part(size_bytes)
+            if self._watch:
+                silent_at = anyio.current_time() + self._answer_s
+                self._watch.deadline = min(
+                    last_end, max(self._watch.deadline, silent_at)
+                )
+
         try:
-            with anyio.move_on_after(
-                self._watch_s + self._answer_s
-            ) as self._watch:
+            with anyio.move_on_after(limit_s) as self._watch:
                 return await feed.changes(
-                    self._kind,
-                    self._position,
-                    self._watch_s,
-                    self._transfer.add_part,
+                    self._kind, self._position, self._watch_s, extend
                 )
         finally:
             self._watch = None
--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -97,3 +97,35 @@
     assert len(pauses_s) == 7
     assert all(pause_s >= 0.1 for pause_s in pauses_s)
     assert all(pause_s >= 0.25 for pause_s in pauses_s[3:])
+
+
+@pytest.mark.anyio
+async def test_an_answer_that_trickles_in_does_not_hold_a_follower() -> None:
+    """Fails if every byte that arrives prolongs a watch."""
+    feed = gateway_parts.ScriptedFeed()
+    follower = object_follower.ObjectFollower(
+        "config",
+        feed,
+        clock_lib.SystemClock(),
+        metrics.make_unexported_metrics(),
+        change_s=0.2,
+    )
+    feed.answers.append(platform_api.Snapshot((_item("main"),), 5))
+    calls: list[float] = []
+
+    async def trickle(
+        kind: str,
+        position: int,
+        timeout_s: float,
+        on_part: platform_api.PartListener,
+    ) -> platform_api.FeedChanges:
+        calls.append(timeout_s)
+        while timeout_s:
+            await anyio.sleep(0.02)
+            on_part(1)
+        return platform_api.FeedChanges((), (), 5)
+
+    feed.changes = trickle  # type: ignore[method-assign,assignment]
+    with anyio.move_on_after(1.5):
+        await follower.run()
+    assert calls[1:2] == [0.0]
