Count a relay's or peer's proof with its own age

An answer tells now how long before the request arrived the peer's own proof was; the receiver counts it back from its call, so that clocks need not agree. A peer that has the same state as a daemon whose calls fail passes its proof on too. Builds before tell no age and count as before.

--- a/figstream/configuration_feed.py
+++ b/figstream/configuration_feed.py
@@ -54,8 +54,21 @@
         """Returns the object of the active configuration, None without one."""
         return self._active_item
 
-    def apply(self, item: platform_api.StoredItem) -> None:
-        """Activates the configuration of an object unless it is older."""
+    @property
+    def confirmed_at(self) -> float:
+        """Returns the clock time at which nothing newer was known to exist."""
+        return self._holder.confirmed_at
+
+    def apply(
+        self, item: platform_api.StoredItem, proven_at: float | None = None
+    ) -> None:
+        """Activates the configuration of an object unless it is older.
+
+        Args:
+          item: the object.
+          proven_at: clock time at which no newer object existed, None if the
+            follower of the object tells it.
+        """
         try:
             configuration = self._decode(item)
         except errors.ConfigurationError as error:
@@ -73,7 +86,8 @@
                 routes=len(configuration.gateway_routes),
                 customers=len(configuration.customers),
             )
-        self._holder.confirm(configuration.generation)
+        if proven_at is not None:
+            self._holder.confirm_at(configuration.generation, proven_at)
 
     def _confirm(self, age_s: float) -> None:
         self._holder.confirm(self.generation, age_s)
--- a/figstream/configuration_holder.py
+++ b/figstream/configuration_holder.py
@@ -36,6 +36,11 @@
         """Returns the age in seconds of the last confirmation as newest."""
         return self._clock.now() - self._confirmed_at
 
+    @property
+    def confirmed_at(self) -> float:
+        """Returns the clock time of the last confirmation as newest."""
+        return self._confirmed_at
+
     def subscribe(self, subscriber: Subscriber) -> None:
         """Calls the subscriber now and after each replacement."""
         self._subscribers.append(subscriber)
@@ -60,6 +65,9 @@
         A generation below the active one is a valid confirmation too: the
         active generation is newer than everything accepted by that time.
         """
+        self.confirm_at(generation, self._clock.now() - age_s)
+
+    def confirm_at(self, generation: int, at: float) -> None:
+        """Records that a generation was the newest at a clock time."""
         if generation <= self._current.generation:
-            confirmed_at = self._clock.now() - age_s
-            self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            self._confirmed_at = max(self._confirmed_at, at)
--- a/figstream/feed_peers.py
+++ b/figstream/feed_peers.py
@@ -35,6 +35,7 @@
 _CALL_TIMEOUT_S: Final = 0.5
 # Two peers, since one of them may be affected by the same outage.
 _PEERS_PER_PULL: Final = 2
+_MS_PER_S: Final = 1000
 # Stands for the kind of the active configuration, which may have been followed
 # before a restore.
 _ACTIVE_KIND: Final = "active-configuration"
@@ -117,14 +118,30 @@
 
     def answer(self, request: feed_pb2.PullRequest) -> feed_pb2.PullAnswer:
         """Returns the kinds for which this daemon has a newer state."""
+        arrived_at = self._clock.now()
         newer = []
+        proofs = []
         for known in request.known:
             follower = self._followers.get(known.kind)
-            if follower and follower.position > known.position:
+            if follower is None:
+                continue
+            proof_ms = object_transfer.proof_ms(
+                follower.confirmed_at, arrived_at
+            )
+            if follower.position == known.position:
+                proofs.append(
+                    feed_pb2.KindProof(
+                        kind=known.kind,
+                        position=follower.position,
+                        proof_ms=proof_ms,
+                    )
+                )
+            if follower.position > known.position:
                 state = feed_pb2.KindState(
                     kind=known.kind,
                     position=follower.position,
                     settled=follower.settled,
+                    proof_ms=proof_ms,
                 )
                 items = tuple(follower.items.values())
                 if request.reads_content:
@@ -135,7 +152,13 @@
                 else:
                     state.items = _to_json(items)
                 newer.append(state)
-        answer = feed_pb2.PullAnswer(newer=newer)
+        answer = feed_pb2.PullAnswer(
+            newer=newer,
+            proofs=proofs,
+            configuration_proof_ms=object_transfer.proof_ms(
+                self._configuration.confirmed_at, arrived_at
+            ),
+        )
         self._add_configuration(request, answer)
         return answer
 
@@ -189,7 +212,7 @@
                 request, timeout=_CALL_TIMEOUT_S
             )
             async with self._adopting:
-                await self._adopt_all(member.name, channel, answer)
+                await self._adopt_all(member.name, channel, answer, sent_at)
         except grpc.aio.AioRpcError as error:
             self._metrics.event("feed_peer_failed")
             logs.info(
@@ -201,10 +224,20 @@
             )
 
     async def _adopt_all(
-        self, peer: str, channel: grpc.aio.Channel, answer: feed_pb2.PullAnswer
+        self,
+        peer: str,
+        channel: grpc.aio.Channel,
+        answer: feed_pb2.PullAnswer,
+        sent_at: float,
     ) -> None:
         for state in answer.newer:
-            await self._adopt(peer, channel, state)
+            await self._adopt(peer, channel, state, sent_at)
+        for proof in answer.proofs:
+            follower = self._followers.get(proof.kind)
+            if follower:
+                follower.confirm_position(
+                    proof.position, sent_at + proof.proof_ms / _MS_PER_S
+                )
         if not answer.configuration and not answer.HasField(
             "configuration_content"
         ):
@@ -218,10 +251,16 @@
         )
         for item in items or ():
             logs.info("configuration_taken_from_peer", peer=peer)
-            self._configuration.apply(item)
+            self._configuration.apply(
+                item, sent_at + answer.configuration_proof_ms / _MS_PER_S
+            )
 
     async def _adopt(
-        self, peer: str, channel: grpc.aio.Channel, state: feed_pb2.KindState
+        self,
+        peer: str,
+        channel: grpc.aio.Channel,
+        state: feed_pb2.KindState,
+        sent_at: float,
     ) -> None:
         follower = self._followers.get(state.kind)
         if follower is None or state.position <= follower.position:
@@ -232,7 +271,10 @@
         if found is None:
             return
         items = {item.name: item for item in found}
-        if follower.adopt(state.position, items, settled=state.settled):
+        proven_at = sent_at + state.proof_ms / _MS_PER_S
+        if follower.adopt(
+            state.position, items, settled=state.settled, proven_at=proven_at
+        ):
             self._metrics.event("feed_taken_from_peer")
             logs.info(
                 "feed_taken_from_peer",
--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -95,6 +95,11 @@
             else ()
         )
 
+    @property
+    def clock(self) -> clock_lib.Clock:
+        """Returns the time source."""
+        return self._clock
+
     @property
     def is_relay(self) -> bool:
         """Returns whether this daemon is a relay."""
@@ -206,7 +211,10 @@
                 answer.changed, object_follower.StoredItems
             ).items
         return platform_api.FeedChanges(
-            changed, tuple(answer.deleted), answer.position
+            changed,
+            tuple(answer.deleted),
+            answer.position,
+            answer.proof_ms / _MS_PER_S,
         )
 
 
@@ -237,6 +245,7 @@
           transfer: encodes the objects.
         """
         self._feed = feed
+        self._clock = feed.clock
         self._transfer = transfer
         self._followers = {item.kind: item for item in followers}
         self._change_events = {item.kind: anyio.Event() for item in followers}
@@ -271,6 +280,7 @@
         obstacle = self._obstacle(follower)
         if obstacle:
             return feed_pb2.FollowAnswer(detail=obstacle)
+        arrived_at = self._clock.now()
         if follower.position <= request.position:
             with anyio.move_on_after(request.wait_ms / _MS_PER_S):
                 await self._change_events[request.kind].wait()
@@ -278,10 +288,15 @@
             if obstacle:
                 return feed_pb2.FollowAnswer(detail=obstacle)
         if follower.position <= request.position:
-            return feed_pb2.FollowAnswer(
+            answer = feed_pb2.FollowAnswer(
                 state=feed_pb2.FollowAnswer.CHANGES, position=request.position
             )
-        return self._encode_changes(follower, request)
+        else:
+            answer = self._encode_changes(follower, request)
+        answer.proof_ms = object_transfer.proof_ms(
+            follower.confirmed_at, arrived_at
+        )
+        return answer
 
     def _encode_changes(
         self,
@@ -296,7 +311,10 @@
         answers = self._answers.setdefault(follower.kind, {})
         known = answers.get(asked)
         if known and known.position == follower.position:
-            return known
+            # Each caller gets a proof of its own.
+            copied = feed_pb2.FollowAnswer()
+            copied.CopyFrom(known)
+            return copied
         answer = self._encode(
             follower.kind, follower.changes_since(request.position), request
         )
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -249,13 +249,36 @@
             tuple(changed), tuple(removed), self._position
         )
 
-    def adopt(self, position: int, items: Items, *, settled: bool) -> bool:
+    @property
+    def confirmed_at(self) -> float:
+        """Returns the clock time of that proof."""
+        return self._confirmed_at
+
+    def confirm_position(self, position: int, at: float) -> None:
+        """Takes over a peer's proof that nothing is newer.
+
+        Args:
+          position: store revision that the peer has.
+          at: clock time of the proof.
+        """
+        if 0 < position <= self._position and at > self._confirmed_at:
+            self._confirm(at)
+
+    def adopt(
+        self,
+        position: int,
+        items: Items,
+        *,
+        settled: bool,
+        proven_at: float = _NEVER,
+    ) -> bool:
         """Adopts a newer state from a peer; returns whether objects changed.
 
         Args:
           position: store revision to which the objects correspond.
           items: the objects by name.
           settled: value of the peer's `settled` property.
+          proven_at: clock time at which nothing newer was known to exist.
         """
         if position <= self._position:
             return False
@@ -266,6 +289,8 @@
         self._items = dict(items)
         if changed:
             self._notify_listeners("peer")
+        if proven_at > self._confirmed_at:
+            self._confirm(proven_at)
         return changed
 
     def call_again(self) -> None:
@@ -294,7 +319,7 @@
             )
             return False
         self._apply_changes(changes)
-        self._confirm(sent_at)
+        self._confirm(sent_at + changes.proven_s)
         return True
 
     async def run(self) -> None:
@@ -346,7 +371,7 @@
             return True
         self._record_success()
         advanced = self._apply_changes(changes)
-        self._confirm(sent_at)
+        self._confirm(sent_at + changes.proven_s)
         if advanced:
             await self._clock.sleep(_COALESCE_S)
         return True
@@ -456,12 +481,12 @@
         for listener in self._listeners:
             listener(self._items)
 
-    def _confirm(self, sent_at: float) -> None:
-        """Records that the objects were the newest ones when a call was sent.
+    def _confirm(self, at: float) -> None:
+        """Records that the objects were the newest ones at a time.
 
         The listeners run after those of changes.
         """
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self._confirmed_at = max(self._confirmed_at, at)
         for listener in self._confirm_listeners:
             listener(self.unconfirmed_s)
 
--- a/figstream/object_transfer.py
+++ b/figstream/object_transfer.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 from typing import Final
 
 import grpc
@@ -27,6 +28,8 @@
 _MAX_CONTENTS: Final = 24
 # Unfinished contents that a receiver keeps.
 _MAX_UNFINISHED: Final = 4
+_MAX_PROOF_AGE_S: Final = 1e9
+_MS_PER_S: Final = 1000
 
 
 class _Servicer(feed_pb2_grpc.ContentBlocksServicer):
@@ -160,6 +163,18 @@
         return data
 
 
+def proof_ms(confirmed_at: float, arrived_at: float) -> int:
+    """Returns a proof as the field `proof_ms` of an answer.
+
+    Args:
+      confirmed_at: clock time at which nothing was newer.
+      arrived_at: clock time at which the request arrived.
+    """
+    # An infinite age has no number.
+    proven_s = max(confirmed_at - arrived_at, -_MAX_PROOF_AGE_S)
+    return math.floor(proven_s * _MS_PER_S)
+
+
 def _encode_versions(
     versions: Iterable[object_content.ObjectVersion],
 ) -> list[feed_pb2.ObjectVersion]:
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -133,11 +133,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FeedChanges:
-    """The changes to the objects of a kind up to a position."""
+    """The changes to the objects of a kind up to a position.
+
+    Attributes:
+      changed: objects that were written.
+      deleted: names of objects that were removed.
+      position: position to which the objects correspond then.
+      proven_s: seconds from the call for the changes to the latest time of
+        which it is known that the store had nothing newer; negative if the
+        answer comes from a daemon that had asked the store before.
+    """
 
     changed: tuple[StoredItem, ...]
     deleted: tuple[str, ...]
     position: int
+    proven_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_feed_peers.py
+++ b/tests/test_feed_peers.py
@@ -60,7 +60,9 @@
         )
         answer = other.peers.answer(request)
         channel = grpc.aio.insecure_channel("127.0.0.1:1")
-        await self.peers._adopt_all(other.name, channel, answer)
+        await self.peers._adopt_all(
+            other.name, channel, answer, self.clock.now()
+        )
         await channel.close()
 
     async def read_configuration(self, version: int, generation: int) -> None:
@@ -156,7 +158,7 @@
     daemon = _Daemon("a")
     state = feed_pb2.KindState(kind="servers", position=7, **objects)
     async with grpc.aio.insecure_channel("127.0.0.1:1") as channel:
-        await daemon.peers._adopt("b", channel, state)
+        await daemon.peers._adopt("b", channel, state, 0.0)
     assert daemon.follower.position == 0
 
 
@@ -202,3 +204,26 @@
     await behind.learn_from(ahead)
     assert behind.holder.current.generation == 3
     assert behind.holder.unconfirmed_s >= 30.0
+
+
+@pytest.mark.anyio
+async def test_a_peer_that_reaches_the_store_proves_what_both_have() -> None:
+    """Fails if a daemon that the store turns away has no proof at all."""
+    proven, turned_away = _Daemon("a"), _Daemon("b")
+    await _set_state(turned_away, 9, "one")
+    for daemon in (proven, turned_away):
+        daemon.clock.advance(30.0)
+    await _set_state(proven, 9, "one")
+    proven.clock.advance(1.0)
+    await turned_away.learn_from(proven)
+    assert turned_away.follower.unconfirmed_s == pytest.approx(1.0)
+
+
+@pytest.mark.anyio
+async def test_a_peer_that_is_behind_proves_nothing_newer() -> None:
+    ahead, behind = _Daemon("a"), _Daemon("b")
+    await _set_state(behind, 5, "one")
+    await _set_state(ahead, 9, "one", "two")
+    ahead.clock.advance(30.0)
+    await ahead.learn_from(behind)
+    assert ahead.follower.unconfirmed_s == pytest.approx(30.0)
--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -56,7 +56,8 @@
     await relay.apply_snapshot(5, "x")
     async with relay.serving(client):
         found = await client.feed.changes(relay_parts.KIND, 5, 15.0)
-    assert found == platform_api.FeedChanges((), (), 5)
+    assert isinstance(found, platform_api.FeedChanges)
+    assert (found.changed, found.deleted, found.position) == ((), (), 5)
 
 
 @pytest.mark.anyio
@@ -166,7 +167,8 @@
         unchanged = await client.feed.changes(relay_parts.KIND, 7, 0.0)
     assert isinstance(found, platform_api.FeedChanges)
     assert found.position == 7
-    assert unchanged == platform_api.FeedChanges((), (), 7)
+    assert isinstance(unchanged, platform_api.FeedChanges)
+    assert (unchanged.changed, unchanged.position) == ((), 7)
     assert client.store.call_timeouts == [None]
 
 
