Refuse unknown routes and keys for good only with a proof

A daemon gave 404 and 401 however old its configuration was; callers do not repeat these. Such a refusal needs a proof now that nothing newer was in force as long before the request as a change may take. Known routes and keys are served on without a proof, as before: zones that are cut off must serve. While the store is away for all, callers with wrong paths and keys get 503 instead of a final answer.

--- a/figstream/gateway_app.py
+++ b/figstream/gateway_app.py
@@ -14,6 +14,7 @@
 from figstream import caller_watch
 from figstream import clock as clock_lib
 from figstream import configuration_holder
+from figstream import configuration_proof
 from figstream import error_details
 from figstream import errors
 from figstream import gateway_answer
@@ -27,6 +28,10 @@
 from figstream import request_records
 
 _R = reasons.RefusalReason
+# Refusals that a newer configuration may contradict.
+_BY_CONFIGURATION = frozenset(
+    {_R.UNKNOWN_ROUTE, _R.MISSING_KEY, _R.UNKNOWN_KEY, _R.WITHDRAWN_KEY}
+)
 
 
 class GatewayApp:
@@ -45,6 +50,7 @@
         path: request_path.RequestPath,
         records: request_records.RequestRecords,
         bodies: body_memory.BodyMemory,
+        proof: configuration_proof.ConfigurationProof,
     ) -> None:
         """Initializes the application.
 
@@ -56,6 +62,7 @@
           path: carries checked calls to backend servers.
           records: records requests and refusals.
           bodies: memory of the bodies of requests.
+          proof: tells on what refusals by the configuration rest.
         """
         self._dialect = dialect
         self._clock = clock
@@ -64,6 +71,7 @@
         self._path = path
         self._records = records
         self._bodies = bodies
+        self._proof = proof
         self._in_flight = 0
         self.leaving = False
         self._refusing = False
@@ -180,7 +188,23 @@
             return head
         if head.size_bytes > limits.header_bytes:
             return errors.Refusal(_R.HEADERS_TOO_LARGE)
-        # The configuration may have changed while the body was received.
+        checked = self._apply_configuration(head, body, arrived)
+        if not _is_by_configuration(checked):
+            return checked
+        proven = await self._proof.renew(arrived)
+        # The proof may have brought a newer configuration.
+        checked = self._apply_configuration(head, body, arrived)
+        if proven or not _is_by_configuration(checked):
+            return checked
+        return errors.Refusal(
+            _R.CONFIGURATION_NOT_CONFIRMED,
+            retry_after_s=configuration_proof.RETRY_S,
+        )
+
+    def _apply_configuration(
+        self, head: gateway_dialect.CallerHead, body: bytes, arrived: float
+    ) -> inbound.Call | errors.Refusal:
+        """Returns the request as the active configuration has it."""
         configuration = self._holder.current
         if configuration.generation == 0:
             return errors.Refusal(_R.NO_CONFIGURATION, retry_after_s=1.0)
@@ -247,3 +271,10 @@
         known = self._holder.current.customers_by_name.get(identity.customer)
         regions = known.regions if known else frozenset()
         return homes.common(route.regions, regions)
+
+
+def _is_by_configuration(checked: inbound.Call | errors.Refusal) -> bool:
+    return (
+        isinstance(checked, errors.Refusal)
+        and checked.reason in _BY_CONFIGURATION
+    )
--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -17,6 +17,7 @@
 from figstream import backend_dialect
 from figstream import clock as clock_lib
 from figstream import configuration_holder
+from figstream import configuration_proof
 from figstream import crash_parts
 from figstream import daemon_context
 from figstream import explain
@@ -339,6 +340,15 @@
             crashes,
             self._usage,
             connector,
+            configuration_proof.ConfigurationProof(
+                self.context.holder,
+                self.context.clock,
+                self._options.change_ms / _MS_PER_S,
+                functools.partial(
+                    sources.configuration_follower.read_newer,
+                    self._platform.feed,
+                ),
+            ),
             self._options.cold_excess,
         )
         directory = sources.directory
--- a/figstream/gateway_serving.py
+++ b/figstream/gateway_serving.py
@@ -15,6 +15,7 @@
 from figstream import backend_dialect
 from figstream import body_memory
 from figstream import claims_api
+from figstream import configuration_proof
 from figstream import crash_parts
 from figstream import daemon_context
 from figstream import dispatch_gate
@@ -95,12 +96,14 @@
     crashes: crash_parts.CrashParts,
     usage: usage_api.UsageLedger,
     connector: server_connector.ServerConnector,
+    proof: configuration_proof.ConfigurationProof,
     cold_excess: float = 1.0,
 ) -> GatewayServing:
     """Creates the components that process requests without starting them.
 
-    A single second may hold `cold_excess` times the requests that a server
-    bears in a second while it warms up.
+    Refusals by the active configuration rest on `proof`. A single second may
+    hold `cold_excess` times the requests that a server bears in a second while
+    it warms up.
     """
     clock, metrics = context.clock, context.metrics
     gate = dispatch_gate.DispatchGate(context.scheduler, clock)
@@ -141,5 +144,6 @@
         request_path.RequestPath(services),
         records,
         body_memory.BodyMemory(backends.buffers, metrics),
+        proof,
     )
     return GatewayServing(gate, backends, app, announcements, streams)
--- a/figstream/message_texts.py
+++ b/figstream/message_texts.py
@@ -72,6 +72,10 @@
     _R.INVALID_FIELD: "A field of the body has a wrong value; correct it.",
     _R.INVALID_HEADER: "A header has a wrong value; correct it.",
     _R.NO_CONFIGURATION: "No configuration has arrived yet; try again shortly.",
+    _R.CONFIGURATION_NOT_CONFIRMED: (
+        "No such route or key is known here, but a newer configuration may "
+        "have it; try again after the time in Retry-After."
+    ),
     _R.QUEUE_COUNT_FULL: "Too many requests are waiting; try again later.",
     _R.QUEUE_BYTES_FULL: "Too many bytes are waiting; try again later.",
     _R.DEADLINE_UNREACHABLE: (
@@ -160,6 +164,7 @@
     _R.INVALID_FIELD: 400,
     _R.INVALID_HEADER: 400,
     _R.NO_CONFIGURATION: 503,
+    _R.CONFIGURATION_NOT_CONFIRMED: 503,
     _R.QUEUE_COUNT_FULL: 429,
     _R.QUEUE_BYTES_FULL: 429,
     _R.DEADLINE_UNREACHABLE: 503,
--- a/figstream/reasons.py
+++ b/figstream/reasons.py
@@ -34,6 +34,7 @@
     INVALID_FIELD = "invalid_field"
     INVALID_HEADER = "invalid_header"
     NO_CONFIGURATION = "no_configuration"
+    CONFIGURATION_NOT_CONFIRMED = "configuration_not_confirmed"
     QUEUE_COUNT_FULL = "queue_count_full"
     QUEUE_BYTES_FULL = "queue_bytes_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
--- a/tests/gateway_front.py
+++ b/tests/gateway_front.py
@@ -12,6 +12,7 @@
 from figstream import backend_server
 from figstream import clock as clock_lib
 from figstream import configuration_holder
+from figstream import configuration_proof
 from figstream import crash_parts
 from figstream import daemon_context
 from figstream import explain
@@ -35,6 +36,8 @@
 
 KEY = "key-of-studio"
 HOST = "caps.example"
+# Longer than any test, so that the first proof of a configuration lasts.
+_CHANGE_S = 600.0
 
 
 def manifest_value(version: int = 7, **changes: Any) -> dict[str, Any]:
@@ -134,6 +137,10 @@
         return received
 
 
+async def _read_nothing() -> bool:
+    return False
+
+
 def server_of(worker: standin_worker.Worker, service: str) -> Any:
     """Returns a worker as the backend server that the directory would list."""
     return backend_server.BackendServer(
@@ -185,6 +192,9 @@
         ),
         usage,
         connector,
+        configuration_proof.ConfigurationProof(
+            context.holder, clock, _CHANGE_S, _read_nothing
+        ),
     )
     async with anyio.create_task_group() as group:
         for worker in workers:
