--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -159,6 +159,8 @@
         self._listed = False
         self._failures = 0
         self._watch: anyio.CancelScope | None = None
+        # Whether `call_again` has ended the watch.
+        self._replaced = False
         self._transfer = _Transfer(clock)
         self._lost_at = _NEVER
         self._confirmed_at = _NEVER
@@ -299,6 +301,7 @@
         The follower counts as failing until the call is answered.
         """
         if self._watch:
+            self._replaced = True
             self._watch.cancel()
 
     async def read_newer(self, store: platform_api.ObjectFeed) -> bool:
@@ -405,6 +408,9 @@
                 )
         finally:
             self._watch = None
+        if self._replaced:
+            self._replaced = False
+            return platform_api.Unavailable("the watch was given up on request")
         self._metrics.event("feed_watch_unanswered")
         return platform_api.Unavailable("the watch was not answered")
 
--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -129,3 +129,24 @@
     with anyio.move_on_after(1.5):
         await follower.run()
     assert calls[1:2] == [0.0]
+
+
+@pytest.mark.anyio
+async def test_a_watch_that_is_given_up_on_request_is_no_silent_store() -> None:
+    """Fails if the logs call a store silent that was asked anew."""
+    feed = gateway_parts.ScriptedFeed()
+    counted: list[str] = []
+    instruments = metrics.make_unexported_metrics()
+    instruments.event = lambda name, amount=1: counted.append(name)  # type: ignore[method-assign]
+    follower = object_follower.ObjectFollower(
+        "plans", feed, clock_lib.SystemClock(), instruments, change_s=1.0
+    )
+    feed.answers.append(platform_api.Snapshot((_item("one"),), 5))
+    async with anyio.create_task_group() as group:
+        group.start_soon(follower.run)
+        await anyio.sleep(0.1)
+        follower.call_again()
+        await anyio.sleep(0.2)
+        group.cancel_scope.cancel()
+    assert feed.call_timeouts == [None, pytest.approx(0.6), 0.0]
+    assert counted == ["feed_call_failed"]
