Keep answers that a server gives before it has read the request, behind a peer

Behind a peer, whole early answers were lost (502, or a stream broken off): gRPC ends a call when one of its writes is cancelled, which this daemon did as soon as the head had arrived; a write that meets the end of its call ends it as broken and drops what has arrived; and the peer stopped reading at the first failed write to the server. A write after the end raised InvalidStateError, which no caller expected and which ended requests as an ExceptionGroup.

Writes go on now when nobody waits for them. The peer reads what the server has sent, tells in a message how its side ended, and leaves the end of the call to the daemon. Builds before, which do not ask for that message, get the end of the call as before.

--- a/figstream/peer_tunnels.py
+++ b/figstream/peer_tunnels.py
@@ -115,7 +115,9 @@
         opened = False
         try:
             with anyio.move_on_after(timeout_s):
-                await call.write(tunnel_pb2.Chunk(server=server))
+                await call.write(
+                    tunnel_pb2.Chunk(server=server, reads_end=True)
+                )
                 answer = await call.read()
                 opened = isinstance(answer, tunnel_pb2.Chunk)
                 if opened:
--- a/figstream/tunnel_server.py
+++ b/figstream/tunnel_server.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 from typing import Final
 
 import anyio
@@ -25,6 +26,8 @@
 _READ_BYTES: Final = 65_536
 # Each takes a descriptor and some buffers.
 MAX_TUNNELS: Final = 512
+# A peer that reads an answer ends the call with the answer.
+_END_TIMEOUT_S: Final = 2.0
 
 Find = Callable[[str], backend_server.BackendServer | None]
 _Requests = AsyncIterator[tunnel_pb2.Chunk]
@@ -85,12 +88,14 @@
         try:
             self._metrics.event("peer_tunnel_opened")
             await context.write(tunnel_pb2.Chunk())
-            broken = await _carry(stream, request_iterator, context)
+            broken = await _carry(
+                stream, request_iterator, context, tells_end=first.reads_end
+            )
         finally:
             self._tunnels -= 1
             with anyio.CancelScope(shield=True):
                 await stream.aclose()
-        if broken:
+        if broken and not first.reads_end:
             await context.abort(grpc.StatusCode.ABORTED, "connection broke")
 
     def _refusal(
@@ -122,26 +127,51 @@
 
 
 async def _carry(
-    stream: httpcore.AsyncNetworkStream, requests: _Requests, context: _Context
+    stream: httpcore.AsyncNetworkStream,
+    requests: _Requests,
+    context: _Context,
+    *,
+    tells_end: bool,
 ) -> bool:
-    """Carries bytes both ways; returns whether the connection broke."""
-    broken = False
+    """Carries bytes both ways; returns whether the connection broke.
+
+    Args:
+      stream: the connection to the server.
+      requests: what the peer sends.
+      context: the call of the peer.
+      tells_end: whether the peer reads how the server's side ended.
+    """
+    left = anyio.Event()
 
     async def forward() -> None:
-        nonlocal broken
-        try:
+        # A server may answer and close without reading the complete body. What
+        # it has sent is read first; the read that follows tells how it ended.
+        with contextlib.suppress(httpcore.WriteError):
             async for chunk in requests:
                 await stream.write(bytes(chunk.data))
-        except httpcore.WriteError:
-            broken = True
-            group.cancel_scope.cancel()
+        async for _ in requests:
+            pass
+        left.set()
 
     async with anyio.create_task_group() as group:
         group.start_soon(forward)
-        try:
-            while data := await stream.read(_READ_BYTES):
-                await context.write(tunnel_pb2.Chunk(data=data))
-        except httpcore.ReadError:
-            broken = True
+        broken = await _answer(stream, context)
+        if tells_end:
+            end = tunnel_pb2.Chunk.BROKEN if broken else tunnel_pb2.Chunk.CLOSED
+            await context.write(tunnel_pb2.Chunk(end=end))
+            with anyio.move_on_after(_END_TIMEOUT_S):
+                await left.wait()
         group.cancel_scope.cancel()
     return broken
+
+
+async def _answer(
+    stream: httpcore.AsyncNetworkStream, context: _Context
+) -> bool:
+    """Passes on what the server sends; returns whether it broke off."""
+    try:
+        while data := await stream.read(_READ_BYTES):
+            await context.write(tunnel_pb2.Chunk(data=data))
+    except httpcore.ReadError:
+        return True
+    return False
--- a/figstream/tunnel_stream.py
+++ b/figstream/tunnel_stream.py
@@ -19,6 +19,13 @@
 # Longer messages would delay those of other streams of the connection.
 _MAX_CHUNK_BYTES: Final = 65_536
 
+# gRPC raises InvalidStateError for a write after the end of the call.
+_WRITE_ERRORS: Final = (
+    grpc.aio.AioRpcError,
+    grpc.aio.UsageError,
+    asyncio.InvalidStateError,
+)
+
 Call = grpc.aio.StreamStreamCall[tunnel_pb2.Chunk, tunnel_pb2.Chunk]
 
 
@@ -42,6 +49,8 @@
     def __init__(self, call: Call) -> None:
         """Takes ownership of a call whose first answer has arrived."""
         self._call = call
+        # How the server's side ended, which old builds tell by the call's end.
+        self._end = tunnel_pb2.Chunk.NONE
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Reads the next bytes, b"" at the end of the connection.
@@ -53,9 +62,16 @@
         """
         try:
             with anyio.fail_after(timeout):
-                chunk = await self._call.read()
-                if isinstance(chunk, tunnel_pb2.Chunk):
-                    return bytes(chunk.data)
+                if self._end == tunnel_pb2.Chunk.NONE:
+                    chunk = await self._call.read()
+                    if isinstance(chunk, tunnel_pb2.Chunk):
+                        self._end = chunk.end
+                        if chunk.data:
+                            return bytes(chunk.data)
+                if self._end == tunnel_pb2.Chunk.BROKEN:
+                    raise httpcore.ReadError("the connection broke")
+                if self._end == tunnel_pb2.Chunk.CLOSED:
+                    return b""
                 code = await self._call.code()
         except TimeoutError as error:
             raise httpcore.ReadTimeout from error
@@ -79,15 +95,25 @@
             with anyio.fail_after(timeout):
                 for start in range(0, len(buffer), _MAX_CHUNK_BYTES):
                     data = buffer[start : start + _MAX_CHUNK_BYTES]
-                    await self._call.write(tunnel_pb2.Chunk(data=data))
+                    await self._write_chunk(tunnel_pb2.Chunk(data=data))
         except TimeoutError as error:
             raise httpcore.WriteTimeout from error
-        except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
+        except _WRITE_ERRORS as error:
             raise httpcore.WriteError(type(error).__name__) from error
         except asyncio.CancelledError as error:
             await raise_if_cancelled()
             raise httpcore.WriteError("channel closed") from error
 
+    async def _write_chunk(self, chunk: tunnel_pb2.Chunk) -> None:
+        """Writes a chunk; the write goes on if this is cancelled.
+
+        gRPC ends the call when a write is cancelled, and so loses an answer
+        that came before the request was written.
+        """
+        writing = asyncio.ensure_future(self._call.write(chunk))
+        writing.add_done_callback(_ignore_outcome)
+        await asyncio.shield(writing)
+
     async def aclose(self) -> None:
         """Closes the connection at both ends."""
         self._call.cancel()
@@ -108,3 +134,9 @@
         peer. Other keys give None.
         """
         return True if info == "is_readable" else None
+
+
+def _ignore_outcome(writing: asyncio.Future[None]) -> None:
+    """Marks the error of a write as seen, since nobody may wait for it."""
+    if not writing.cancelled():
+        writing.exception()
--- a/tests/test_broken_connections.py
+++ b/tests/test_broken_connections.py
@@ -231,7 +231,7 @@
 
 
 @pytest.mark.anyio
-@pytest.mark.parametrize("way", ["eager", "paced"])
+@pytest.mark.parametrize("way", tunnel_parts.WAYS)
 @pytest.mark.parametrize("route", _ROUTES)
 @pytest.mark.parametrize("framing", ["length", "chunks"])
 @pytest.mark.parametrize("resets", [False, True])
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -249,3 +249,17 @@
     assert limit.cancelled_caught
     await members.close()
     await server.stop(0.0)
+
+
+@pytest.mark.anyio
+async def test_a_write_after_the_end_of_a_tunnel_is_a_broken_connection() -> (
+    None
+):
+    """Fails if a request ends with the error of a library in a task group."""
+    async with tunnel_parts.peers() as peers:
+        stream = await peers.tunnels.connect("i-1", 2.0)
+        stream._call.cancel()
+        with pytest.raises(httpcore.WriteError):
+            await stream.write(b"x")
+        with pytest.raises(httpcore.ReadError):
+            await stream.read(10, 1.0)
