Read only the newest version after an outage, and keep removals over lists

A watch from an old position brings every version since, 230 KB each: ten of them after an outage of five seconds with changes in quick succession. An answer that is longer than two lists is given up for a list. An answer that was too long for the memory of all answers was asked for again as it was, until the history ended.

A relay that had read a list sent all daemons of its zone to the store for lists of their own. The removals that a list shows are recorded now; only daemons whose state lies between the relay's two states must read a list.

object_follower gave the transfer and the removals to modules of their own.

--- a/figstream/feed_relay.py
+++ b/figstream/feed_relay.py
@@ -107,10 +107,14 @@
         return any(item.name == this for item in self.relays)
 
     async def snapshot(
-        self, kind: str, *, stale: bool = False
+        self,
+        kind: str,
+        *,
+        stale: bool = False,
+        on_part: platform_api.PartListener = platform_api.ignore_part,
     ) -> platform_api.Snapshot | platform_api.Unavailable:
         """Returns all objects of a kind, read directly from the store."""
-        return await self._store.snapshot(kind, stale=stale)
+        return await self._store.snapshot(kind, stale=stale, on_part=on_part)
 
     async def changes(
         self,
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -18,20 +18,20 @@
 those that are refused, and a fleet makes them everywhere at once.
 """
 
-import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Mapping
+import math
 import random
 from typing import Final
 
-import anyio
 import attrs
 
+from figstream import answer_transfer
 from figstream import clock as clock_lib
 from figstream import logs
 from figstream import metrics as metrics_lib
 from figstream import platform_api
+from figstream import removal_record
 from figstream import store_era
 
 # Parts of the time within which a change must become active. The store answers
@@ -42,6 +42,10 @@
 # The longest transfer in multiples of that time. Bytes that only trickle in
 # are no progress.
 _MAX_TRANSFER_FACTOR: Final = 4.0
+# Changes that take more bytes than this many lists hold several versions of the
+# same objects, of which only the newest counts.
+_MAX_REPLAYED_LISTS: Final = 2
+_FREE_REPLAY_BYTES: Final = 65_536
 # Pause after a change, so that changes in quick succession cost one call; an
 # eighth of the 2 s within which a change must become active.
 _COALESCE_S: Final = 0.25
@@ -50,9 +54,6 @@
 # limits an outage to two calls per second.
 _MIN_BACKOFF_S: Final = 0.1
 _MAX_BACKOFF_S: Final = 0.5
-# Transfers that take longer are logged; a tenth of the 3 s within which a
-# change must become active in a large fleet.
-_SLOW_TRANSFER_S: Final = 0.3
 # Interval of checks whether the follower that leads has got an answer; a small
 # part of the time within which a change must become active.
 _LEAD_CHECK_S: Final = 0.05
@@ -62,9 +63,6 @@
 RECOVERY_GRACE_S: Final = 2.3
 # The shortest outage in which an entry can expire: three missed heartbeats.
 _MIN_EXPIRY_OUTAGE_S: Final = 1.5
-# Removals stored for the polls of peers; several times the number that a
-# rolling restart of all backend servers causes during one poll.
-_MAX_REMOVALS: Final = 1_024
 _NEVER: Final = float("-inf")
 
 _Changes = (
@@ -85,42 +83,6 @@
     items: tuple[platform_api.StoredItem, ...]
 
 
-class _Transfer:
-    """How much of the answer to a call has arrived, and for how long."""
-
-    def __init__(self, clock: clock_lib.Clock) -> None:
-        self._clock = clock
-        self._began_at: float | None = None
-        self._last_at = 0.0
-        self._size_bytes = 0
-
-    @property
-    def size_bytes(self) -> int:
-        return self._size_bytes
-
-    @property
-    def lasted_s(self) -> float:
-        """Returns seconds from the first part to the last one."""
-        return 0.0 if self._began_at is None else self._last_at - self._began_at
-
-    def add_part(self, size_bytes: int) -> None:
-        """Records a part that has arrived."""
-        self._last_at = self._clock.now()
-        if self._began_at is None:
-            self._began_at = self._last_at
-        self._size_bytes += size_bytes
-
-    def log_if_slow(self, kind: str) -> None:
-        """Logs the transfer if it took long."""
-        if self.lasted_s >= _SLOW_TRANSFER_S:
-            logs.info(
-                "feed_slow_transfer",
-                kind=kind,
-                bytes=self._size_bytes,
-                seconds=round(self.lasted_s, 3),
-            )
-
-
 class ObjectFollower:
     """The objects of one kind, as known to this daemon."""
 
@@ -158,19 +120,18 @@
         self._position = 0
         self._listed = False
         self._failures = 0
-        self._watch: anyio.CancelScope | None = None
-        # Whether `call_again` has ended the watch.
+        # Whether a watch waits, and whether `call_again` has ended it.
+        self._watching = False
         self._replaced = False
-        self._transfer = _Transfer(clock)
+        self._list_bytes = 0
+        self._transfer = answer_transfer.AnswerTransfer(clock)
         self._lost_at = _NEVER
         self._confirmed_at = _NEVER
         self._confirm_listeners: list[ConfirmListener] = []
         self._recovered_at = _NEVER
         self._outage_s = 0.0
         self._peer_settled = False
-        self._removals: collections.deque[tuple[int, str]] = collections.deque()
-        # All removals after this position are in `_removals`.
-        self._removals_complete_from = 0
+        self._removals = removal_record.RemovalRecord()
 
     @property
     def kind(self) -> str:
@@ -243,13 +204,11 @@
         Args:
           position: store revision up to which the peer knows the objects.
         """
-        if position < self._removals_complete_from:
+        removed = self._removals.since(position)
+        if removed is None:
             return platform_api.HistoryGone()
         changed = (x for x in self._items.values() if x.version > position)
-        removed = (name for at, name in self._removals if at > position)
-        return platform_api.FeedChanges(
-            tuple(changed), tuple(removed), self._position
-        )
+        return platform_api.FeedChanges(tuple(changed), removed, self._position)
 
     @property
     def confirmed_at(self) -> float:
@@ -285,10 +244,8 @@
         if position <= self._position:
             return False
         self._note_era(position)
-        self._reset_position(position)
+        changed = self._replace_all(position, dict(items))
         self._peer_settled = settled
-        changed = dict(items) != self._items
-        self._items = dict(items)
         if changed:
             self._notify_listeners("peer")
         if proven_at > self._confirmed_at:
@@ -300,9 +257,9 @@
 
         The follower counts as failing until the call is answered.
         """
-        if self._watch:
+        if self._watching:
             self._replaced = True
-            self._watch.cancel()
+            self._transfer.cancel()
 
     async def read_newer(self, store: platform_api.ObjectFeed) -> bool:
         """Reads changes beside the watch; returns whether all are known.
@@ -360,9 +317,18 @@
         """Makes one call; returns whether the next call may follow at once."""
         sent_at = self._clock.now()
         if not self._listed:
-            result = await self._feed.snapshot(self._kind)
+            self._transfer = answer_transfer.AnswerTransfer(self._clock)
+            result = await self._feed.snapshot(
+                self._kind, on_part=self._transfer.add_part
+            )
+            self._transfer.log_if_slow(self._kind)
             return self._apply_snapshot(result, sent_at)
-        self._transfer = _Transfer(self._clock)
+        self._transfer = answer_transfer.AnswerTransfer(
+            self._clock,
+            self._answer_s,
+            self._max_transfer_s,
+            _MAX_REPLAYED_LISTS * self._list_bytes + _FREE_REPLAY_BYTES,
+        )
         changes = await self._call_for_changes()
         self._transfer.log_if_slow(self._kind)
         if isinstance(changes, platform_api.Unavailable):
@@ -385,29 +351,24 @@
         The answer to a call that does not wait marks the time at which the
         store recovered.
         """
-        feed = self._feed
-        if self._failures:
-            return await feed.changes(
-                self._kind, self._position, 0.0, self._transfer.add_part
-            )
-        limit_s = self._watch_s + self._answer_s
-        last_end = anyio.current_time() + limit_s + self._max_transfer_s
-
-        def extend(size_bytes: int) -> None:
-            self._transfer.add_part(size_bytes)
-            if self._watch:
-                silent_at = anyio.current_time() + self._answer_s
-                self._watch.deadline = min(
-                    last_end, max(self._watch.deadline, silent_at)
-                )
-
+        self._watching = not self._failures
+        wait_s = self._watch_s if self._watching else 0.0
+        limit_s = wait_s + self._answer_s if self._watching else math.inf
         try:
-            with anyio.move_on_after(limit_s) as self._watch:
-                return await feed.changes(
-                    self._kind, self._position, self._watch_s, extend
+            with self._transfer.limited(limit_s):
+                return await self._feed.changes(
+                    self._kind, self._position, wait_s, self._transfer.add_part
                 )
         finally:
-            self._watch = None
+            self._watching = False
+        if self._transfer.too_long:
+            logs.info(
+                "feed_replay_too_long",
+                kind=self._kind,
+                received_bytes=self._transfer.size_bytes,
+                list_bytes=self._list_bytes,
+            )
+            return platform_api.HistoryGone()
         if self._replaced:
             self._replaced = False
             return platform_api.Unavailable("the watch was given up on request")
@@ -424,6 +385,7 @@
             return False
         self._record_success()
         self._listed = True
+        self._list_bytes = self._transfer.size_bytes
         if result.position >= self._position:
             self._replace_items(result)
         self._confirm(sent_at)
@@ -431,13 +393,25 @@
 
     def _replace_items(self, result: platform_api.Snapshot) -> None:
         items = {item.name: item for item in result.items}
-        changed = items != self._items
         self._note_era(result.position)
-        self._reset_position(result.position)
-        self._items = items
-        if changed:
+        if self._replace_all(result.position, items):
             self._notify_listeners("list")
 
+    def _replace_all(
+        self, position: int, items: dict[str, platform_api.StoredItem]
+    ) -> bool:
+        """Replaces the objects after a gap; returns whether they differ."""
+        era = store_era.era_of(position)
+        if not self._position or era != store_era.era_of(self._position):
+            self._removals.reset(position)
+        elif position > self._position:
+            self._removals.add_gap(self._position, position)
+            self._removals.add(self._items.keys() - items.keys(), position)
+        changed = items != self._items
+        self._position = position
+        self._items = items
+        return changed
+
     def _apply_changes(self, changes: platform_api.FeedChanges) -> bool:
         """Applies changes; returns whether the position advanced."""
         if changes.position <= self._position:
@@ -451,7 +425,7 @@
                 items[item.name] = item
         for name in changes.deleted:
             items.pop(name, None)
-        self._record_removals(changes.deleted)
+        self._removals.add(changes.deleted, self._position)
         if items != self._items:
             self._items = items
             self._notify_listeners("watch")
@@ -464,18 +438,6 @@
             self._outage_s = max(self._outage_s, _MIN_EXPIRY_OUTAGE_S)
             self._recovered_at = self._clock.now()
 
-    def _reset_position(self, position: int) -> None:
-        """Sets the position after a gap; removals in the gap are unknown."""
-        self._position = self._removals_complete_from = position
-        self._removals.clear()
-
-    def _record_removals(self, removed: Iterable[str]) -> None:
-        """Records removed names at the current position for peers' polls."""
-        for name in removed:
-            self._removals.append((self._position, name))
-        while len(self._removals) > _MAX_REMOVALS:
-            self._removals_complete_from = self._removals.popleft()[0]
-
     def _notify_listeners(self, source: str) -> None:
         logs.info(
             "feed_changed",
--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -167,9 +167,19 @@
     """Lists and watches objects that operators and backend servers write."""
 
     async def snapshot(
-        self, kind: str, *, stale: bool = False
+        self,
+        kind: str,
+        *,
+        stale: bool = False,
+        on_part: PartListener = ignore_part,
     ) -> Snapshot | Unavailable:
-        """Lists all objects of a kind; `stale` as in `ObjectStore.read`."""
+        """Lists all objects of a kind.
+
+        Args:
+          kind: kind of the objects.
+          stale: as in `ObjectStore.read`.
+          on_part: receives the size of each part of the answer.
+        """
 
     async def changes(
         self,
--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -187,3 +187,19 @@
         await client.follower._poll_once()
     assert not client.follower.failing
     assert client.follower.unconfirmed_s >= 30.0
+
+
+@pytest.mark.anyio
+async def test_a_relay_that_read_a_list_still_helps_those_who_were_as_far() -> (
+    None
+):
+    """Fails if all daemons of a zone read a list after their relay has."""
+    relay = relay_parts.Daemon("a", "abcdef")
+    client = relay_parts.Daemon("f", "aaadef")
+    for daemon in (relay, client):
+        await daemon.apply_snapshot(5, "x", "y")
+    await relay.apply_snapshot(8, "x", "z")
+    async with relay.serving(client):
+        await client.follower._poll_once()
+    assert set(client.follower.items) == {"x", "z"}
+    assert client.store.call_timeouts == [None]
