--- a/figstream/gateway_daemon.py
+++ b/figstream/gateway_daemon.py
@@ -124,6 +124,25 @@
     )
 
 
+@attrs.frozen
+class _Following:
+    """What a daemon reads from the store and from other daemons.
+
+    Attributes:
+      sources: the operator's configuration, servers and emptied zones.
+      plans: follower of the plan of software versions.
+      peers: exchanges objects while the store does not answer.
+      relay: serves the objects to other daemons of the zone.
+      transfer: sends and receives large objects.
+    """
+
+    sources: gateway_sources.Sources
+    plans: object_follower.ObjectFollower
+    peers: feed_peers.FeedPeers
+    relay: feed_relay.FeedRelay
+    transfer: object_transfer.ObjectTransfer
+
+
 class GatewayDaemon:
     """Components of one gateway daemon and their order of start and stop."""
 
@@ -149,32 +168,8 @@
             _IN_FLIGHT_FRACTION * options.grace_s - self._balancer_lag_s
         )
         self.members = membership.make_membership(context, self._peers.address)
-        transfer = object_transfer.ObjectTransfer()
-        feed = feed_relay.make_relayed_feed(
-            context,
-            platform.feed,
-            self.members,
-            min(options.change_ms, options.drain_ms) / _MS_PER_S,
-            transfer,
-        )
-        sources = self._make_sources(feed, transfer)
-        plans = stream_parts.make_plan_follower(
-            context,
-            platform.feed,
-            platform.kinds,
-            sources,
-            self.members,
-            transfer,
-        )
-        followers = (*sources.followers, plans)
-        peers = feed_peers.make_feed_peers(
-            context,
-            followers,
-            sources.configuration_feed,
-            self.members,
-            plans,
-            transfer,
-        )
+        following = self._make_following()
+        sources, plans = following.sources, following.plans
         accounting = usage_parts.make_usage_parts(
             context, self.members, self.members.notices
         )
@@ -182,9 +177,9 @@
         crashes = crash_parts.make_counting_parts(self.members, context.clock)
         reach = server_reach.make_server_reach(context, self.members, sources)
         self._rpc_roles: Sequence[daemon_context.RpcRole] = (
-            peers,
-            feed_relay.FeedRelay(feed, followers, transfer),
-            transfer,
+            following.peers,
+            following.relay,
+            following.transfer,
             accounting.handover,
             reach.tunnels,
             self.members,
@@ -195,7 +190,7 @@
         self._serving = self._make_serving(sources, crashes, reach.connector)
         self._roles: Sequence[daemon_context.Role] = (
             *self._make_serving_roles(sources, plans, reach),
-            *self._make_roles(sources, peers, accounting, crashes),
+            *self._make_roles(sources, following.peers, accounting, crashes),
         )
         self._app = self._serving.app
         self._server = self._make_caller_server()
@@ -297,6 +292,43 @@
                 self._budget.set_live_daemons(live)
             await clock.sleep(_MEMBER_COUNT_INTERVAL_S)
 
+    def _make_following(self) -> _Following:
+        """Returns what this daemon reads from the store and from others."""
+        context, platform, options = self.context, self._platform, self._options
+        transfer = object_transfer.ObjectTransfer()
+        feed = feed_relay.make_relayed_feed(
+            context,
+            platform.feed,
+            self.members,
+            min(options.change_ms, options.drain_ms) / _MS_PER_S,
+            transfer,
+        )
+        sources = self._make_sources(feed, transfer)
+        plans = stream_parts.make_plan_follower(
+            context,
+            platform.feed,
+            platform.kinds,
+            sources,
+            self.members,
+            transfer,
+        )
+        followers = (*sources.followers, plans)
+        peers = feed_peers.make_feed_peers(
+            context,
+            followers,
+            sources.configuration_feed,
+            self.members,
+            plans,
+            transfer,
+        )
+        return _Following(
+            sources,
+            plans,
+            peers,
+            feed_relay.FeedRelay(feed, followers, transfer),
+            transfer,
+        )
+
     def _make_sources(
         self,
         feed: feed_relay.RelayedFeed,
