--- a/soak/backends.py
+++ b/soak/backends.py
@@ -76,9 +76,18 @@
     """Workers behind links, registered in a stand-in of the store."""
 
     def __init__(
-        self, group: anyio.abc.TaskGroup, workers_per_service: int
+        self,
+        group: anyio.abc.TaskGroup,
+        workers_per_service: int,
+        idle_routes: int = 0,
     ) -> None:
-        """Initializes the store; `start` runs the workers."""
+        """Initializes the store; `start` runs the workers.
+
+        Args:
+          group: runs the workers.
+          workers_per_service: number of workers of each service.
+          idle_routes: number of routes that no caller uses.
+        """
         self._group = group
         self._workers_per_service = workers_per_service
         self.store = standin_store.Store()
@@ -87,6 +96,9 @@
         self._version = 1
         self._entry_sequence = 0
         self._routes: tuple[str, ...] = ()
+        self._idle_routes = tuple(
+            f"idle-{number * 7_919 % 99_991}" for number in range(idle_routes)
+        )
         self._keys: tuple[str, ...] = (standin_program.KEY, "old-key")
         self.removed: list[tuple[str, float, float]] = []
         self.revoked: dict[str, float] = {}
@@ -231,7 +243,7 @@
 
     def _write_manifest(self) -> None:
         manifest_fields = standin_program.manifest(
-            self._version, self._routes, self._keys
+            self._version, (*self._routes, *self._idle_routes), self._keys
         )
         self.store.put("config", "main", manifest_fields)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -61,6 +61,10 @@
 
 # Kinds with a lasting effect; a plan contains each of them at most once.
 _LASTING_KINDS: Final = frozenset({EventKind.DRAIN, EventKind.REVOKE})
+# Routes of a large configuration, of which a link of 10 Mbit/s carries some
+# versions a second; and the share of seeds that have one.
+_IDLE_ROUTES: Final = 1_100
+_LARGE_SHARE: Final = 0.35
 # Kinds that a generator of their own adds, so that the other events of a seed
 # stay as they were when it was first played.
 _ADDED_KINDS: Final = frozenset(
@@ -139,6 +143,12 @@
     draw: int
 
 
+def idle_routes(seed: int) -> int:
+    """Returns how many routes that no caller uses the configuration has."""
+    generator = random.Random(f"large configurations {seed}")
+    return _IDLE_ROUTES if generator.random() < _LARGE_SHARE else 0
+
+
 def make_plan(seed: int) -> list[Event]:
     """Returns the events of a seed, sorted by start time."""
     generator = random.Random(seed)
--- a/soak/system.py
+++ b/soak/system.py
@@ -61,6 +61,8 @@
     links.LinkMode.DEAF,
     links.LinkMode.RESET,
 )
+# Links of small VMs of 10 Mbit/s.
+_STORE_LINK_BYTES_PER_S: Final = 1_250_000
 _EVACUATING_TIMES: Final = attrs.evolve(
     daemons_lib.DAEMON_TIMES,
     evacuate_ms=round(1_000 * checks.PROPAGATION_LIMIT_S),
@@ -107,7 +109,9 @@
         self._folder = folder
         self._observations = checks.Observations()
         self._backends = backends_lib.Backends(
-            group, plan_lib.WORKERS_PER_SERVICE
+            group,
+            plan_lib.WORKERS_PER_SERVICE,
+            plan_lib.idle_routes(seed),
         )
         self._worker_events = worker_events.WorkerEvents(
             self._backends, self._observations
@@ -182,7 +186,9 @@
         self._group.start_soon(server.serve)
         ports = [daemons_lib.make_ports() for _ in range(plan_lib.DAEMON_COUNT)]
         for number, daemon_ports in enumerate(ports):
-            store_link = links.Link(server.port)
+            store_link = links.Link(
+                server.port, links.Rate(_STORE_LINK_BYTES_PER_S)
+            )
             caller_link = links.Link(daemon_ports.front)
             for link in (store_link, caller_link):
                 await self._group.start(link.serve)
