--- a/figstream/object_content.py
+++ b/figstream/object_content.py
@@ -25,7 +25,7 @@
 _MAX_VERSIONS: Final = 8
 # Bounds the versions of all objects of a daemon.
 _MAX_LARGE_OBJECTS: Final = 32
-_LEVEL: Final = 3
+_COMPRESSION_LEVEL: Final = 3
 # The longest distance of a match: an object and its dictionary of 1 MB each.
 _MAX_WINDOW_LOG: Final = 21
 _MIN_WINDOW_LOG: Final = 10
@@ -168,7 +168,7 @@
     dictionary_bytes = len(dictionary) if dictionary else 0
     window_log = (len(json) + dictionary_bytes).bit_length()
     parameters = zstandard.ZstdCompressionParameters.from_level(
-        _LEVEL,
+        _COMPRESSION_LEVEL,
         source_size=len(json),
         dict_size=dictionary_bytes,
         window_log=max(_MIN_WINDOW_LOG, min(window_log, _MAX_WINDOW_LOG)),
--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -352,6 +352,7 @@
         store recovered.
         """
         self._watching = not self._failures
+        self._replaced = False
         wait_s = self._watch_s if self._watching else 0.0
         limit_s = wait_s + self._answer_s if self._watching else math.inf
         try:
@@ -370,7 +371,6 @@
             )
             return platform_api.HistoryGone()
         if self._replaced:
-            self._replaced = False
             return platform_api.Unavailable("the watch was given up on request")
         self._metrics.event("feed_watch_unanswered")
         return platform_api.Unavailable("the watch was not answered")
