--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -98,6 +98,25 @@
     )
 
 
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("wait_s", "changes", "proven_s"),
+    [(0.3, False, 0.3), (0.3, True, 0.0), (0.0, False, 0.0)],
+)
+async def test_a_watch_without_changes_proves_the_time_that_it_waited(
+    adapter: _Adapter, wait_s: float, changes: bool, proven_s: float
+) -> None:
+    """Fails if a refusal needs a call of its own while the store is calm."""
+    adapter.store.put("config", "main", {"n": 1})
+    listed = await adapter.feed.snapshot("config")
+    assert isinstance(listed, platform_api.Snapshot)
+    if changes:
+        adapter.store.put("config", "main", {"n": 2})
+    found = await adapter.feed.changes("config", listed.position, wait_s)
+    assert isinstance(found, platform_api.FeedChanges)
+    assert found.proven_s == proven_s
+
+
 @pytest.mark.anyio
 async def test_discarded_history_is_distinguished_from_an_outage(
     adapter: _Adapter,
