--- a/tests/test_feed_relay.py
+++ b/tests/test_feed_relay.py
@@ -203,3 +203,32 @@
         await client.follower._poll_once()
     assert set(client.follower.items) == {"x", "z"}
     assert client.store.call_timeouts == [None]
+
+
+@pytest.mark.anyio
+async def test_a_relay_that_sends_json_is_understood(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Fails if a daemon does not follow a relay of the build before."""
+    relay = relay_parts.Daemon("a", "abcdef")
+    client = relay_parts.Daemon("f", "aaadef")
+    for daemon in (relay, client):
+        await daemon.apply_snapshot(5, "x")
+    await relay.apply_changes(7, changed="z", deleted="x")
+    answer = relay.relay.answer
+
+    async def answer_as_before(
+        request: feed_pb2.FollowRequest,
+    ) -> feed_pb2.FollowAnswer:
+        known = feed_pb2.FollowRequest(
+            kind=request.kind, position=request.position
+        )
+        found = await answer(known)
+        assert found.changed
+        found.ClearField("proof_ms")
+        return found
+
+    monkeypatch.setattr(relay.relay, "answer", answer_as_before)
+    async with relay.serving(client):
+        await client.follower._poll_once()
+    assert set(client.follower.items) == {"z"}
