Ask what callers who leave wait for, instead of the clock

The test slept 0.05 s twice and took that all twelve requests had arrived and been decided by then. A request that is dispatched counts as waiting until its task runs again, and a slow machine hands out all twelve at once.

With sleeps of 0 to 40 ms 2 of 240 read 5, each with a request in the gate that had been dispatched and whose task had not run yet.

Change: the test waits until the server runs eight requests, until the gate holds four, and until it holds none, and then checks that all eight still run, so that no slot became free. Callers leave once they wait, not after 0.15 s. The test of a run that is completed waits for its answer. Neither checks less.

--- a/tests/test_callers_who_leave.py
+++ b/tests/test_callers_who_leave.py
@@ -4,6 +4,8 @@
 once is completed.
 """
 
+from collections.abc import Callable
+
 import anyio
 import httpx
 import pytest
@@ -14,7 +16,8 @@
 _Fault = standin_worker.Fault
 # Shorter than any run of the workers here.
 _SOON_S = 0.15
-_RUN_S = 0.6
+# Shorter than the time limits of the routes, 2 s.
+_RUN_S = 1.2
 # Those of the servers that `gateway_front` lists.
 _SLOTS = 8
 
@@ -25,10 +28,16 @@
         await front.client.post(
             f"{front.url}/order/x",
             headers=front.headers(request_id),
-            timeout=_SOON_S,
+            timeout=httpx.Timeout(5.0, read=_SOON_S),
         )
 
 
+async def _wait_until(holds: Callable[[], bool]) -> None:
+    with anyio.fail_after(10.0):
+        while not holds():
+            await anyio.sleep(0.005)
+
+
 def _decisions(front: gateway_front.Front, name: str) -> int:
     records = front.context.decisions.latest(999)
     return sum(item.decision == name for item in records)
@@ -41,16 +50,21 @@
     async with gateway_front.front(worker) as front:
         await front.send_request("order", "first")
         worker.pause_s = _RUN_S
+        gate = front.serving.gate
         async with anyio.create_task_group() as group:
             for number in range(_SLOTS):
                 group.start_soon(front.send_request, "order", f"runs-{number}")
-            await anyio.sleep(0.05)
-            for number in range(4):
-                group.start_soon(_send_and_leave, front, f"left-{number}")
-            await anyio.sleep(0.05)
-            assert front.serving.gate.waiting == 4
-            await anyio.sleep(2.0 * _SOON_S)
-            assert front.serving.gate.waiting == 0
+            await _wait_until(lambda: worker.active == _SLOTS)
+            async with anyio.create_task_group() as callers:
+                for number in range(4):
+                    callers.start_soon(
+                        front.send_request, "order", f"left-{number}"
+                    )
+                await _wait_until(lambda: gate.waiting == 4)
+                callers.cancel_scope.cancel()
+            await _wait_until(lambda: gate.waiting == 0)
+            # No slot became free: they left and were not dispatched.
+            assert worker.active == _SLOTS
         answer = await front.send_request("order", "last")
         assert answer.status_code == 200
         assert len(front.runs) == _SLOTS + 2
@@ -76,7 +90,6 @@
     worker = standin_worker.Worker(pause_s=_RUN_S)
     async with gateway_front.front(worker) as front:
         await _send_and_leave(front, "left")
-        await anyio.sleep(_RUN_S)
+        await _wait_until(lambda: _decisions(front, "answered") == 1)
         assert [run.request_id for run in front.runs] == ["left"]
         assert worker.closed_early == []
-        assert _decisions(front, "answered") == 1
