Do not tell an object that was written again as removed

An object that is removed and written again, a server that comes back under its name for example, was named both as changed and as removed to a daemon that polls its relay from before the removal. That daemon applied the removal last and went without the object until it changed again.

Change: the relay names as removed only what it lacks; the daemon that hears ignores a removal of what the same answer brings, since relays of older builds run beside it.

Evidence: both new tests fail on the code before, each with one half taken out.

--- a/figstream/object_follower.py
+++ b/figstream/object_follower.py
@@ -208,7 +208,10 @@
         if removed is None:
             return platform_api.HistoryGone()
         changed = (x for x in self._items.values() if x.version > position)
-        return platform_api.FeedChanges(tuple(changed), removed, self._position)
+        gone = (name for name in removed if name not in self._items)
+        return platform_api.FeedChanges(
+            tuple(changed), tuple(gone), self._position
+        )
 
     @property
     def confirmed_at(self) -> float:
@@ -423,9 +426,11 @@
             known = items.get(item.name)
             if known is None or known.version < item.version:
                 items[item.name] = item
-        for name in changes.deleted:
+        # Older builds also name as removed what was written again.
+        removed = set(changes.deleted) - {x.name for x in changes.changed}
+        for name in removed:
             items.pop(name, None)
-        self._removals.add(changes.deleted, self._position)
+        self._removals.add(removed, self._position)
         if items != self._items:
             self._items = items
             self._notify_listeners("watch")
--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -150,3 +150,28 @@
         group.cancel_scope.cancel()
     assert feed.call_timeouts == [None, pytest.approx(0.6), 0.0]
     assert counted == ["feed_call_failed"]
+
+
+@pytest.mark.anyio
+async def test_an_object_written_again_is_not_told_as_removed() -> None:
+    """Fails if a daemon that hears of both at once loses the object."""
+    directory = gateway_parts.DirectoryFixture()
+    await directory.run_follower(
+        platform_api.Snapshot((_item("x", 3), _item("y", 4)), 5),
+        lambda: platform_api.FeedChanges((), ("x", "y"), 6),
+        lambda: platform_api.FeedChanges((_item("x", 7),), (), 7),
+    )
+    assert directory.follower.changes_since(5) == platform_api.FeedChanges(
+        (_item("x", 7),), ("y",), 7
+    )
+
+
+@pytest.mark.anyio
+async def test_an_object_told_as_written_and_removed_is_kept() -> None:
+    """Fails with a relay of an older build, which tells both."""
+    directory = gateway_parts.DirectoryFixture()
+    twice = platform_api.FeedChanges((_item("x", 7),), ("x", "y"), 7)
+    await directory.run_follower(
+        platform_api.Snapshot((_item("x", 3), _item("y", 4)), 5), lambda: twice
+    )
+    assert directory.follower.items == {"x": _item("x", 7)}
