--- a/figstream/platform_api.py
+++ b/figstream/platform_api.py
@@ -125,7 +125,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """All objects of a kind as of a position."""
+    """All objects of a kind as of a position; some may be newer."""
 
     items: tuple[StoredItem, ...]
     position: int
