--- a/soak/backends.py
+++ b/soak/backends.py
@@ -80,6 +80,7 @@
         group: anyio.abc.TaskGroup,
         workers_per_service: int,
         idle_routes: int = 0,
+        page_items: int = standin_store.PAGE_ITEMS,
     ) -> None:
         """Initializes the store; `start` runs the workers.
 
@@ -87,10 +88,11 @@
           group: runs the workers.
           workers_per_service: number of workers of each service.
           idle_routes: number of routes that no caller uses.
+          page_items: the most objects in an answer of the store to a list.
         """
         self._group = group
         self._workers_per_service = workers_per_service
-        self.store = standin_store.Store()
+        self.store = standin_store.Store(page_items)
         self.sites: list[WorkerSite] = []
         self.workers: list[standin_worker.Worker] = []
         self._version = 1
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from figstream_platform import standin_store
+
 DAEMON_COUNT: Final = 3
 WORKERS_PER_SERVICE: Final = 3
 # Short enough that about three events overlap in a plan with the most and
@@ -65,6 +67,10 @@
 # versions a second; and the share of seeds that have one.
 _IDLE_ROUTES: Final = 1_100
 _LARGE_SHARE: Final = 0.35
+# Objects in an answer to a list where they are few, of six entries of workers;
+# and the share of such seeds.
+_FEW_ITEMS: Final = 2
+_SMALL_PAGES_SHARE: Final = 0.35
 # Kinds that a generator of their own adds, so that the other events of a seed
 # stay as they were when it was first played.
 _ADDED_KINDS: Final = frozenset(
@@ -149,6 +155,13 @@
     return _IDLE_ROUTES if generator.random() < _LARGE_SHARE else 0
 
 
+def page_items(seed: int) -> int:
+    """Returns how many objects an answer of the store to a list has."""
+    generator = random.Random(f"small pages {seed}")
+    small = generator.random() < _SMALL_PAGES_SHARE
+    return _FEW_ITEMS if small else standin_store.PAGE_ITEMS
+
+
 def make_plan(seed: int) -> list[Event]:
     """Returns the events of a seed, sorted by start time."""
     generator = random.Random(seed)
--- a/soak/system.py
+++ b/soak/system.py
@@ -112,6 +112,7 @@
             group,
             plan_lib.WORKERS_PER_SERVICE,
             plan_lib.idle_routes(seed),
+            plan_lib.page_items(seed),
         )
         self._worker_events = worker_events.WorkerEvents(
             self._backends, self._observations
