--- a/tests/test_object_follower.py
+++ b/tests/test_object_follower.py
@@ -175,3 +175,35 @@
         platform_api.Snapshot((_item("x", 3), _item("y", 4)), 5), lambda: twice
     )
     assert directory.follower.items == {"x": _item("x", 7)}
+
+
+@pytest.mark.anyio
+async def test_a_request_for_a_new_watch_concerns_the_present_one_only(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Fails if a request as the watch ends hides that the next was silent."""
+    feed = gateway_parts.ScriptedFeed()
+    follower = object_follower.ObjectFollower(
+        "servers",
+        feed,
+        clock_lib.SystemClock(),
+        metrics.make_unexported_metrics(),
+        change_s=0.2,
+    )
+
+    def answer_as_asked_again() -> platform_api.FeedChanges:
+        follower.call_again()
+        return platform_api.FeedChanges((), (), 5)
+
+    feed.answers += [
+        platform_api.Snapshot((_item("one"),), 5),
+        answer_as_asked_again,
+    ]
+    async with anyio.create_task_group() as group:
+        group.start_soon(follower.run)
+        with anyio.fail_after(5.0):
+            while "feed_lost" not in caplog.text:
+                await anyio.sleep(0.01)
+        group.cancel_scope.cancel()
+    assert "the watch was not answered" in caplog.text
+    assert "given up on request" not in caplog.text
