--- a/figstream/limit_announcements.py
+++ b/figstream/limit_announcements.py
@@ -20,6 +20,7 @@
 from figstream import logs
 from figstream import metrics as metrics_lib
 from figstream import scheduler_api
+from figstream import server_limits
 
 # A server that got no requests at all could not say that it wants some again.
 MIN_LIMIT_PER_S: Final = 0.1
@@ -99,12 +100,11 @@
           per_s: the limit that it named, None if it named none.
           sent_at: clock time at which the request of the answer was sent.
         """
+        per_s = self._usable(server.name, per_s)
         if per_s is None:
             known = self._known.get(server.name)
             if known is None or sent_at < known.heard_at:
                 return
-        else:
-            per_s = max(per_s, MIN_LIMIT_PER_S)
         limit = ServerLimit(
             server.name, server.started_ms, per_s, self._clock.wall()
         )
@@ -114,6 +114,8 @@
 
     def receive_from_peer(self, limit: ServerLimit) -> None:
         """Applies what another daemon read, unless newer words are known."""
+        per_s = self._usable(limit.server, limit.per_s)
+        limit = attrs.evolve(limit, per_s=per_s)
         known = self._known.get(limit.server)
         if known is None:
             self._apply(limit, "peer")
@@ -137,6 +139,16 @@
                 if known.limit.per_s is not None:
                     self._set(name, None, "restart")
 
+    def _usable(self, server: str, per_s: float | None) -> float | None:
+        """Returns a limit that can be kept, None if there is none."""
+        if per_s is None:
+            return None
+        if per_s > server_limits.MAX_PER_S:
+            self._metrics.event("server_limit_out_of_range")
+            logs.warning("server_limit_out_of_range", server=server)
+            return None
+        return max(per_s, MIN_LIMIT_PER_S)
+
     def _apply(self, limit: ServerLimit, source: str) -> bool:
         """Applies the words of a server; returns whether anything changed."""
         name = limit.server
--- a/figstream/server_limits.py
+++ b/figstream/server_limits.py
@@ -20,6 +20,8 @@
 
 import attrs
 
+# More than any server takes. The turns of much higher rates can't be computed.
+MAX_PER_S: Final = 1e6
 # Without this bound, the unused turns of hundreds of daemons could all be used
 # at the same moment.
 TURN_LIFETIME_S: Final = 1.0
@@ -99,6 +101,7 @@
         """
         known = self._limits.get(server)
         used = known.used if known else now
+        per_s = min(per_s, MAX_PER_S)
         self._limits[server] = _Limit(per_s, epoch, used, until)
 
     def end_limits(self, now: float) -> None:
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -5,9 +5,19 @@
 import pytest
 
 from figstream import backend_connection
+from figstream import backend_server
+from figstream import clock as clock_lib
+from figstream import configuration
+from figstream import configuration_holder
 from figstream import errors
 from figstream import gateway_dialect
 from figstream import inbound
+from figstream import metrics
+from figstream import placement
+from figstream import request_class
+from figstream import scheduler
+from figstream import scheduler_api
+from figstream import server_announcements
 from figstream import usage_api
 from figstream import usage_codec
 from figstream import usage_delta
@@ -49,6 +59,19 @@
     workers.NOT_RUN,
     workers.SIGNATURE,
     callers.REQUEST_ID,
+    workers.COLD,
+)
+_CLASS = request_class.RequestClass("order")
+_SERVERS = tuple(
+    backend_server.BackendServer(
+        name,
+        f"http://{name}",
+        "a",
+        kind=backend_server.ServerKind.SERVICE,
+        service="render",
+        slots=8,
+    )
+    for name in ("i-1", "i-2")
 )
 
 
@@ -94,19 +117,70 @@
     _check_billable(prompt)
 
 
+def _scheduler() -> scheduler_api.Scheduler:
+    """Returns a scheduler with two servers of one service."""
+    made = scheduler.make_scheduler_with(
+        "a", lambda book, _: placement.make_placement(book, "a")
+    )
+    made.set_configuration(configuration.Configuration(servers=_SERVERS))
+    made.set_live_daemons(1, 1)
+    return made
+
+
+def _dispatched(made: scheduler_api.Scheduler, at: float, number: int) -> bool:
+    """Returns whether a request is sent to a server at once, and ends it."""
+    request = scheduler_api.PendingRequest(
+        f"r{number}", "c", _CLASS, at, at + 9.0, service="render"
+    )
+    assert made.offer(request, at) is None
+    for decision in made.poll(at):
+        if isinstance(decision, scheduler_api.Dispatched):
+            report = scheduler_api.AttemptReport(
+                scheduler_api.AttemptResult.ANSWERED
+            )
+            made.finish(request, decision.server, report, at)
+            return True
+    made.withdraw(request, at)
+    return False
+
+
 @hypothesis.given(
     strategies.dictionaries(strategies.sampled_from(_SERVER_HEADERS), _VALUES),
     strategies.sampled_from([200, 400, 408, 421, 429, 500, 503]),
+    strategies.floats(0.0, 9.0),
 )
+@hypothesis.example({workers.LIMIT: b"1" + b"0" * 308}, 200, 0.0)
+@hypothesis.example({workers.LIMIT: b"1e-320"}, 200, 0.0)
+@hypothesis.example({workers.BRITTLE: b"1e308"}, 503, 1.0)
+@hypothesis.example({workers.COLD: b"1e308"}, 200, 1.0)
 def test_odd_headers_of_servers_end_no_request(
-    headers: dict[bytes, bytes], status: int
+    headers: dict[bytes, bytes], status: int, after_s: float
 ) -> None:
+    """Fails if the headers of one server stop requests for another one."""
     dialect = workers.WorkerDialect()
     head = backend_connection.Head(status, tuple(headers.items()))
     load = dialect.load(head)
     assert load is None or load.running >= 0
     announcement = dialect.announcement(head)
     assert announcement is None or announcement.pause_s >= 0.0
+    clock = clock_lib.ManualClock(1.7e9)
+    made = _scheduler()
+    announcements = server_announcements.make_server_announcements(
+        made,
+        configuration_holder.ConfigurationHolder(clock),
+        clock,
+        metrics.make_unexported_metrics(),
+    )
+    if announcement:
+        announcements.receive(_SERVERS[0], announcement, clock.now())
+    if load:
+        made.report_load(
+            scheduler_api.ServerLoad(
+                "i-1", load.running, load.waiting, clock.now()
+            )
+        )
+    clock.advance(after_s)
+    assert all(_dispatched(made, clock.now(), x) for x in range(3))
 
 
 @pytest.mark.anyio
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -15,7 +15,11 @@
 from figstream import limit_spread
 from figstream import metrics
 from figstream import notices
+from figstream import placement
+from figstream import scheduler
 from figstream import server_limits
+from figstream import server_load
+from figstream import server_selection
 from figstream_platform import standin_worker
 from tests import gateway_front
 
@@ -274,3 +278,27 @@
         for number in range(20):
             answer = await front.send_request("order", f"free{number}")
             assert answer.status_code == 200
+
+
+@pytest.mark.parametrize("per_s", [-1.0, 0.0, 1e-320, 1e308])
+def test_odd_limits_from_older_builds_stop_no_requests(per_s: float) -> None:
+    """Fails if turns at a server can't be computed, or none ever comes."""
+    clock = clock_lib.ManualClock(1.7e9)
+    books: list[server_load.LoadBook] = []
+
+    def select(
+        book: server_load.LoadBook, _: object
+    ) -> server_selection.ServerSelection:
+        books.append(book)
+        return placement.make_placement(book, "a")
+
+    made = scheduler.make_scheduler_with("a", select)
+    made.set_live_daemons(1, 1)
+    limits = limit_announcements.LimitAnnouncements(
+        made, clock, metrics.make_unexported_metrics()
+    )
+    limits.receive_from_peer(
+        limit_announcements.ServerLimit("i-1", 1, per_s, clock.wall())
+    )
+    turn = books[0].limits.next_turn("i-1", clock.now())
+    assert turn <= clock.now() + 1.0 / limit_announcements.MIN_LIMIT_PER_S
