Ask peers whether a server lives when the own path says nothing

Cause: whether the server still listens was asked by a direct connection first, and its timeout passed for a server that may listen. Behind a partition each one times out.

Change: while the path is lost only peers are asked, and after any timeout they are asked as well. Peers tell a refusal from a timeout, after which the next one is asked. What nobody knows is no crash and no whole answer.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -156,6 +156,11 @@
         Called when a connection has ended; waits until a process that ends has
         closed all its sockets.
         """
+        return await self._accepts(server) is not False
+
+    async def _accepts(
+        self, server: backend_server.BackendServer
+    ) -> bool | None:
         await anyio.sleep(_CRASH_CHECK_DELAY_S)
         return await self._connector.accepts(
             server_connector.address_of(server), _CRASH_CHECK_TIMEOUT_S
@@ -276,11 +281,11 @@
         """Returns whether an answer without a length may be cut short.
 
         The kernel ends the connections of a killed process in order, but no
-        longer accepts any for it.
+        longer accepts any for it. What can't be known is not taken for whole.
         """
         if head.framed or self._dialect.needs_framing:
             return False
-        return not await self.listens(attempt.server)
+        return not await self._accepts(attempt.server)
 
     async def _cancel(self, attempt: backend_dialect.Attempt) -> None:
         request = self._dialect.cancel_request(attempt.call)
--- a/figstream/peer_tunnels.py
+++ b/figstream/peer_tunnels.py
@@ -32,6 +32,10 @@
 )
 
 
+class ServerUnreachableError(httpcore.ConnectError):
+    """A peer that has a path to servers gets no connection to this one."""
+
+
 class PeerTunnels:
     """Connections to backend servers through peers."""
 
@@ -71,6 +75,8 @@
         """Opens a connection to a server through one of the peers.
 
         Raises:
+          ServerUnreachableError: the server refuses connections, or no longer
+            exists; nothing was sent.
           httpcore.ConnectError: no peer reaches the server; nothing was sent.
           httpcore.ConnectTimeout: no peer answered in time; nothing was sent.
         """
@@ -87,7 +93,8 @@
                 return result
             detail = f"{peer.name} {result.name}"
             if result in _ABOUT_SERVER:
-                break
+                self._metrics.event("server_tunnel_failed")
+                raise ServerUnreachableError(f"tunnel: {detail}")
             self._skipped_until[peer.name] = self._clock.now() + _SKIP_S
         self._metrics.event("server_tunnel_failed")
         raise httpcore.ConnectError(f"tunnel: {detail}")
--- a/figstream/server_connector.py
+++ b/figstream/server_connector.py
@@ -16,6 +16,8 @@
 from figstream import peer_tunnels
 from figstream import server_paths
 
+# A peer may need a connection to the server, and another peer may be asked.
+_PEER_CHECK_TIMEOUT_S: Final = 0.5
 # Time for which data may stay unacknowledged before the kernel breaks the
 # connection: enough for two lost retransmissions, and less than callers wait.
 _UNACKNOWLEDGED_TIMEOUT_MS: Final = 800
@@ -56,8 +58,13 @@
           httpcore.ConnectTimeout: no connection in time; nothing was sent.
         """
 
-    async def accepts(self, address: ServerAddress, timeout_s: float) -> bool:
-        """Returns whether a server accepts connections, or may accept them."""
+    async def accepts(
+        self, address: ServerAddress, timeout_s: float
+    ) -> bool | None:
+        """Returns whether a server accepts connections, or may accept them.
+
+        Returns None if that can't be known, since the path to servers is lost.
+        """
 
     def awaiting(
         self, address: ServerAddress
@@ -88,7 +95,13 @@
         )
 
     async def accepts(self, address: ServerAddress, timeout_s: float) -> bool:
-        """Returns whether a server accepts connections, or may accept them.
+        """Returns whether a server accepts connections, or may accept them."""
+        return await self.find_out(address, timeout_s) is not False
+
+    async def find_out(
+        self, address: ServerAddress, timeout_s: float
+    ) -> bool | None:
+        """Returns whether a server accepts connections, None if unknown.
 
         Only a connection error such as a refusal shows that nothing listens
         at the address; after a timeout the packets may have been lost.
@@ -96,7 +109,7 @@
         try:
             stream = await self.connect(address, timeout_s)
         except httpcore.ConnectTimeout:
-            return True
+            return None
         except httpcore.ConnectError:
             return False
         await stream.aclose()
@@ -140,22 +153,33 @@
         self._paths.opened(address.server)
         return stream
 
-    async def accepts(self, address: ServerAddress, timeout_s: float) -> bool:
+    async def accepts(
+        self, address: ServerAddress, timeout_s: float
+    ) -> bool | None:
         """Returns whether a server accepts connections, or may accept them.
 
-        A partition may refuse connections as a crashed server does, so a
-        refusal counts only if no peer gets a connection either.
+        A partition may refuse connections as a crashed server does, or let
+        them time out, so the peers' word counts. If they have none, a timeout
+        speaks for the server unless the path is known to be lost.
         """
-        if await self._direct.accepts(address, timeout_s):
+        found: bool | None = None
+        if self._paths.direct or not self._tunnels.available:
+            found = await self._direct.find_out(address, timeout_s)
+        if found:
             return True
-        if not self._tunnels.available:
-            return False
-        try:
-            stream = await self._tunnels.connect(address.server, timeout_s)
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
-            return False
-        await stream.aclose()
-        return True
+        if self._tunnels.available:
+            try:
+                stream = await self._tunnels.connect(
+                    address.server, _PEER_CHECK_TIMEOUT_S
+                )
+            except peer_tunnels.ServerUnreachableError:
+                return False
+            except (httpcore.ConnectError, httpcore.ConnectTimeout):
+                pass
+            else:
+                await stream.aclose()
+                return True
+        return True if found is None and self._paths.direct else found
 
     def awaiting(
         self, address: ServerAddress
--- a/figstream/tunnel_server.py
+++ b/figstream/tunnel_server.py
@@ -76,8 +76,11 @@
         refused, detail = self._refusal(first)
         stream = None
         if refused is None and first is not None:
-            stream = await self._open(first.server)
-            refused, detail = grpc.StatusCode.ABORTED, "server unreachable"
+            opened = await self._open(first.server)
+            if isinstance(opened, grpc.StatusCode):
+                refused, detail = opened, "server unreachable"
+            else:
+                stream = opened
         if stream is None or first is None:
             code = refused or grpc.StatusCode.INVALID_ARGUMENT
             self._metrics.event("peer_tunnel_refused")
@@ -111,17 +114,24 @@
             return grpc.StatusCode.NOT_FOUND, f"unknown server {first.server}"
         return None, ""
 
-    async def _open(self, name: str) -> httpcore.AsyncNetworkStream | None:
+    async def _open(
+        self, name: str
+    ) -> httpcore.AsyncNetworkStream | grpc.StatusCode:
+        """Returns a connection to a server, or why there is none."""
         server = self._find(name)
         if server is None:
-            return None
+            return grpc.StatusCode.NOT_FOUND
         try:
             stream = await self._direct.connect(
                 server_connector.address_of(server), _CONNECT_TIMEOUT_S
             )
-        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+        except httpcore.ConnectTimeout:
+            # Another peer may reach the server.
             self._paths.failed(name)
-            return None
+            return grpc.StatusCode.UNAVAILABLE
+        except httpcore.ConnectError:
+            self._paths.failed(name)
+            return grpc.StatusCode.ABORTED
         self._paths.opened(name)
         return stream
 
--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -135,6 +135,51 @@
         assert not await connector.accepts(crashed, 1.0)
 
 
+class _CutConnector(server_connector.DirectConnector):
+    """Opens no connection, as behind a partition that drops packets."""
+
+    async def connect(
+        self, address: server_connector.ServerAddress, timeout_s: float
+    ) -> httpcore.AsyncNetworkStream:
+        await anyio.sleep(timeout_s)
+        raise httpcore.ConnectTimeout
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("known_lost", "server", "peer_has_path", "accepts"),
+    [
+        (True, "listens", True, True),
+        (True, "crashed", True, False),
+        (True, "removed", True, False),
+        (True, "listens", False, None),
+        (False, "listens", True, True),
+        (False, "crashed", True, False),
+        (False, "crashed", False, True),
+    ],
+)
+async def test_a_timeout_behind_a_partition_says_nothing_of_a_server(
+    *, known_lost: bool, server: str, peer_has_path: bool, accepts: bool | None
+) -> None:
+    """Fails if an answer that a crash has cut short passes for whole."""
+    closed_port = tunnel_parts.free_port() if server == "crashed" else 0
+    paths = server_paths.ServerPaths(
+        clock_lib.SystemClock(), metrics.make_unexported_metrics()
+    )
+    if known_lost:
+        paths.mark_lost(["i-1"])
+    async with tunnel_parts.peers(closed_port) as peers:
+        if not peer_has_path:
+            peers.paths.mark_lost(["i-1"])
+        connector = server_connector.PathConnector(
+            _CutConnector(), paths, peers.tunnels
+        )
+        address = server_connector.ServerAddress(
+            "127.0.0.1", 1, "i-2" if server == "removed" else "i-1"
+        )
+        assert await connector.accepts(address, 0.05) is accepts
+
+
 @pytest.mark.anyio
 async def test_events_come_through_a_peer_as_they_arrive() -> None:
     """Fails if a stream through a peer is relayed only when it has ended."""
