Bound the check of a lost server over all ways together

Change: the time limit of a check covers the direct way and the peers. A retry waits 0.1 s as before, of which a timeout leaves nothing; the end of an answer without a length waits up to 0.5 s, 0.1 s of it for the direct way.

--- a/figstream/backend_client.py
+++ b/figstream/backend_client.py
@@ -32,6 +32,9 @@
 # A failed request waits at most this long for the check whether its server
 # has crashed.
 _CRASH_CHECK_TIMEOUT_S: Final = 0.1
+# The same for an answer that may be cut short. A peer may need a connection to
+# the server, and another peer may be asked.
+_END_CHECK_TIMEOUT_S: Final = 0.5
 # A process that ends may close its connections before the socket that accepts
 # new ones; both close within milliseconds.
 _CRASH_CHECK_DELAY_S: Final = 0.02
@@ -156,14 +159,15 @@
         Called when a connection has ended; waits until a process that ends has
         closed all its sockets.
         """
-        return await self._accepts(server) is not False
+        found = await self._accepts(server, _CRASH_CHECK_TIMEOUT_S)
+        return found is not False
 
     async def _accepts(
-        self, server: backend_server.BackendServer
+        self, server: backend_server.BackendServer, timeout_s: float
     ) -> bool | None:
         await anyio.sleep(_CRASH_CHECK_DELAY_S)
         return await self._connector.accepts(
-            server_connector.address_of(server), _CRASH_CHECK_TIMEOUT_S
+            server_connector.address_of(server), timeout_s
         )
 
     async def close_idle(self) -> None:
@@ -285,7 +289,7 @@
         """
         if head.framed or self._dialect.needs_framing:
             return False
-        return not await self._accepts(attempt.server)
+        return not await self._accepts(attempt.server, _END_CHECK_TIMEOUT_S)
 
     async def _cancel(self, attempt: backend_dialect.Attempt) -> None:
         request = self._dialect.cancel_request(attempt.call)
--- a/figstream/server_connector.py
+++ b/figstream/server_connector.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 import urllib.parse
 
+import anyio
 import attrs
 import httpcore
 
@@ -16,8 +17,8 @@
 from figstream import peer_tunnels
 from figstream import server_paths
 
-# A peer may need a connection to the server, and another peer may be asked.
-_PEER_CHECK_TIMEOUT_S: Final = 0.5
+# A sound path connects within this time, so that the rest is for peers.
+_DIRECT_CHECK_TIMEOUT_S: Final = 0.1
 # Time for which data may stay unacknowledged before the kernel breaks the
 # connection: enough for two lost retransmissions, and less than callers wait.
 _UNACKNOWLEDGED_TIMEOUT_MS: Final = 800
@@ -64,6 +65,10 @@
         """Returns whether a server accepts connections, or may accept them.
 
         Returns None if that can't be known, since the path to servers is lost.
+
+        Args:
+          address: address and name of the server.
+          timeout_s: seconds for all ways together.
         """
 
     def awaiting(
@@ -163,15 +168,16 @@
         speaks for the server unless the path is known to be lost.
         """
         found: bool | None = None
+        ends_at = anyio.current_time() + timeout_s
         if self._paths.direct or not self._tunnels.available:
-            found = await self._direct.find_out(address, timeout_s)
+            direct_s = min(timeout_s, _DIRECT_CHECK_TIMEOUT_S)
+            found = await self._direct.find_out(address, direct_s)
         if found:
             return True
-        if self._tunnels.available:
+        left_s = ends_at - anyio.current_time()
+        if self._tunnels.available and left_s > 0.0:
             try:
-                stream = await self._tunnels.connect(
-                    address.server, _PEER_CHECK_TIMEOUT_S
-                )
+                stream = await self._tunnels.connect(address.server, left_s)
             except peer_tunnels.ServerUnreachableError:
                 return False
             except (httpcore.ConnectError, httpcore.ConnectTimeout):
