--- a/tests/test_server_tunnels.py
+++ b/tests/test_server_tunnels.py
@@ -1,5 +1,6 @@
 """Tests of connections to backend servers through a peer."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import anyio
@@ -22,11 +23,16 @@
 from figstream.rpc import tunnel_pb2_grpc
 from figstream_platform import callers
 from figstream_platform import standin_worker
-from soak import daemons
 from tests import gateway_front
 from tests import tunnel_parts
 
 
+@pytest.fixture(name="refusing_port")
+def _refusing_port() -> Iterator[int]:
+    with tunnel_parts.refusing_port() as port:
+        yield port
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize(
     ("fault", "status"),
@@ -116,7 +122,9 @@
 
 
 @pytest.mark.anyio
-async def test_a_refused_connection_is_no_crash_if_a_peer_gets_one() -> None:
+async def test_a_refused_connection_is_no_crash_if_a_peer_gets_one(
+    refusing_port: int,
+) -> None:
     """Fails if a partition that refuses connections passes for crashes."""
     async with tunnel_parts.peers() as peers:
         connector = server_connector.PathConnector(
@@ -126,9 +134,8 @@
             ),
             peers.tunnels,
         )
-        [closed_port] = daemons.free_ports(1)
         refused = server_connector.ServerAddress(
-            "127.0.0.1", closed_port, "i-1"
+            "127.0.0.1", refusing_port, "i-1"
         )
         assert await connector.accepts(refused, 1.0)
         crashed = attrs.evolve(refused, server="i-2")
@@ -159,10 +166,15 @@
     ],
 )
 async def test_a_timeout_behind_a_partition_says_nothing_of_a_server(
-    *, known_lost: bool, server: str, peer_has_path: bool, accepts: bool | None
+    *,
+    known_lost: bool,
+    server: str,
+    peer_has_path: bool,
+    accepts: bool | None,
+    refusing_port: int,
 ) -> None:
     """Fails if an answer that a crash has cut short passes for whole."""
-    closed_port = tunnel_parts.free_port() if server == "crashed" else 0
+    closed_port = refusing_port if server == "crashed" else 0
     paths = server_paths.ServerPaths(
         clock_lib.SystemClock(), metrics.make_unexported_metrics()
     )
@@ -181,12 +193,12 @@
 
 
 @pytest.mark.anyio
-async def test_a_check_takes_no_longer_than_it_may() -> None:
+async def test_a_check_takes_no_longer_than_it_may(refusing_port: int) -> None:
     """Fails if a retry waits for peers after a timeout of a sound path."""
     paths = server_paths.ServerPaths(
         clock_lib.SystemClock(), metrics.make_unexported_metrics()
     )
-    async with tunnel_parts.peers(tunnel_parts.free_port()) as peers:
+    async with tunnel_parts.peers(refusing_port) as peers:
         connector = server_connector.PathConnector(
             _CutConnector(), paths, peers.tunnels
         )
--- a/tests/tunnel_parts.py
+++ b/tests/tunnel_parts.py
@@ -1,6 +1,7 @@
 """Connections to backend servers through a peer, for tests."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
 import contextlib
 import socket
 from typing import Final
@@ -133,6 +134,15 @@
         yield TunnelConnector(found.tunnels)
 
 
+@contextlib.contextmanager
+def refusing_port() -> Iterator[int]:
+    """Yields a port that refuses connections and that nobody else can take."""
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        port: int = held.getsockname()[1]
+        yield port
+
+
 def free_port() -> int:
     """Returns a port that was free a moment ago."""
     with socket.socket() as probe:
